--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.almondspindle-ready
+
+.PHONY: demo demo-up test bench lint format
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip install -q --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m demo
+
+demo-up: $(STAMP)
+	$(PY) -m demo --up
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+bench: $(STAMP)
+	$(PY) -m bench
+
+lint: $(STAMP)
+	$(PY) -m black --check -q almondspindle tests bench demo
+	$(PY) -m ruff check almondspindle tests bench demo
+	$(PY) -m mypy
+
+format: $(STAMP)
+	$(PY) -m black -q almondspindle tests bench demo
+	$(PY) -m ruff check --fix almondspindle tests bench demo
--- /dev/null
+++ b/almondspindle/adapters/http_front/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -0,0 +1,312 @@
+"""Tornado handlers that turn HTTP requests into calls and answer parts into HTTP."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
+
+from almondspindle.adapters.http_front.base import (
+    CHAT_ID_HEADER,
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    STATUS_OF,
+    TARGET_HEADER,
+    refusal_body,
+)
+from almondspindle.adapters.http_front.models import parse_chat
+from almondspindle.chain.base import Chain
+from almondspindle.conf.entry import EntryCfg
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    Call,
+    CallerGone,
+    Finished,
+)
+from almondspindle.core.clock import Clock
+from almondspindle.core.events import CALLER_GONE, REQUEST_DONE, REQUEST_REFUSED
+from almondspindle.core.identifiers import ChatId, RequestId, ServiceName, new_request_id
+from almondspindle.core.logs import emit
+from almondspindle.core.metrics import ANSWERS, FIRST_BYTE, REFUSALS, REQUESTS, MetricSender
+from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
+from almondspindle.utils.in_flight import InFlight
+
+BEARER = "bearer "
+MS_PER_S = 1000.0
+CHAT_PATH = "/v1/chat/completions"
+MAX_CHAT_ID_CHARS = 128
+
+
+@dataclass(slots=True)
+class Front:
+    """What the handlers of one entry share."""
+
+    cfg: EntryCfg
+    chain: Chain
+    clock: Clock
+    metrics: MetricSender
+    in_flight: InFlight = field(default_factory=InFlight)
+    stopping: bool = False
+
+
+@stream_request_body
+class CallHandler(RequestHandler):
+    """Read a request, run it through the chain, and write the answer as it arrives."""
+
+    def initialize(self, front: Front) -> None:
+        """Keep what all handlers share. Called by tornado for each request."""
+        self._front = front
+        self._body = bytearray()
+        self._early: Refusal | None = None
+        self._task: asyncio.Task[Finished] | None = None
+        self._request_id = RequestId(new_request_id())
+        self._received_at = front.clock.monotonic()
+
+    def prepare(self) -> None:
+        """Refuse a body whose announced length is over the bound, before it is read."""
+        announced = self.request.headers.get("Content-Length", "0")
+        if announced.isdigit() and int(announced) > self._front.cfg.max_body_bytes:
+            self._early = self._too_large()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to its bound; drop what comes after a refusal."""
+        if self._early is not None:
+            return
+        self._body += chunk
+        if len(self._body) > self._front.cfg.max_body_bytes:
+            self._body.clear()
+            self._early = self._too_large()
+
+    def on_connection_close(self) -> None:
+        """Cancel the work for a caller that has gone."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self, **parts: str) -> None:
+        front = self._front
+        front.in_flight.enter()
+        front.metrics.count(REQUESTS)
+        try:
+            await self._answer(parts)
+        except (CallerGone, asyncio.CancelledError, StreamClosedError):
+            emit(CALLER_GONE, request_id=self._request_id)
+        finally:
+            front.in_flight.leave()
+
+    async def _answer(self, parts: dict[str, str]) -> None:
+        if self._early is not None:
+            self._refuse(self._early)
+            return
+        made = self.make_call(parts)
+        if made.is_error():
+            self._refuse(made.error)
+            return
+        self._task = asyncio.ensure_future(self._front.chain.run(made.ok, HandlerSink(self)))
+        finished = await self._task
+        if finished.refusal is None:
+            self._done(made.ok)
+        elif finished.started:
+            await self._break_off(finished.refusal)
+        else:
+            self._refuse(finished.refusal)
+
+    def make_call(self, parts: dict[str, str]) -> Outcome[Call]:
+        """Return the call in this request, or a refusal. Subclasses say how."""
+        raise NotImplementedError
+
+    def base_call(self) -> Outcome[Call]:
+        """Return the call with what all kinds of request share."""
+        deadline_s = self._deadline_s()
+        if deadline_s is None:
+            return refused(
+                RefusalCode.MALFORMED_REQUEST,
+                f"{DEADLINE_HEADER} must be a whole number of milliseconds above 0",
+            )
+        return Ok(
+            Call(
+                request_id=self._request_id,
+                deadline_at=self._received_at + deadline_s,
+                method=self.request.method or "",
+                path=self.request.path,
+                headers=tuple(self.request.headers.get_all()),
+                body=bytes(self._body),
+                bearer_token=self._token(),
+            )
+        )
+
+    def _deadline_s(self) -> float | None:
+        cfg = self._front.cfg
+        text = self.request.headers.get(DEADLINE_HEADER)
+        if text is None:
+            return cfg.default_deadline_s
+        if not text.isdigit() or int(text) == 0:
+            return None
+        return min(int(text) / MS_PER_S, cfg.max_deadline_s)
+
+    def _token(self) -> str | None:
+        text = self.request.headers.get("Authorization", "")
+        if not text.lower().startswith(BEARER):
+            return None
+        return text[len(BEARER) :].strip()
+
+    def _too_large(self) -> Refusal:
+        limit = self._front.cfg.max_body_bytes
+        return Refusal(RefusalCode.BODY_TOO_LARGE, f"the body is over the limit of {limit} bytes")
+
+    def start_answer(self, head: AnswerHead) -> None:
+        """Write the status and headers of an answer."""
+        self._front.metrics.time(FIRST_BYTE, self._front.clock.monotonic() - self._received_at)
+        self.set_status(head.status)
+        self.clear_header("Content-Type")
+        for name, value in head.headers:
+            if name.lower() not in OWN_HEADERS:
+                self.add_header(name, value)
+        self.set_header(TARGET_HEADER, head.target)
+        self.set_header(REQUEST_ID_HEADER, self._request_id)
+
+    def _done(self, call: Call) -> None:
+        self._front.metrics.count(ANSWERS)
+        emit(REQUEST_DONE, request_id=call.request_id, service=call.service)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._log_refusal(refusal)
+        self.set_status(STATUS_OF[refusal.code])
+        self.set_header("Content-Type", "application/json")
+        self.set_header(REQUEST_ID_HEADER, self._request_id)
+        if refusal.retry_after_s is not None:
+            self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        if refusal.code is RefusalCode.BODY_TOO_LARGE:
+            self.set_header("Connection", "close")
+        self.finish(refusal_body(refusal))
+
+    async def _break_off(self, refusal: Refusal) -> None:
+        """End a started answer so that the caller cannot take it for a whole one."""
+        self._log_refusal(refusal)
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        if self._headers.get("Content-Type", "").startswith("text/event-stream"):
+            self.write(b"event: error\ndata: " + refusal_body(refusal) + b"\n\n")
+        await self.flush()
+        # The last chunk is never written, so HTTP marks the answer as cut short.
+        stream.close()
+
+    def _log_refusal(self, refusal: Refusal) -> None:
+        self._front.metrics.count(REFUSALS)
+        emit(
+            REQUEST_REFUSED,
+            request_id=self._request_id,
+            code=refusal.code,
+            reason=refusal.message,
+            run_state=refusal.run_state,
+        )
+
+    get = post = put = delete = patch = head = options = _serve
+
+
+OWN_HEADERS = frozenset({REQUEST_ID_HEADER.lower(), TARGET_HEADER.lower(), "date", "server"})
+
+
+class HandlerSink:
+    """Write answer parts to a handler's connection; a write waits while the caller is slow."""
+
+    def __init__(self, handler: CallHandler) -> None:
+        self._handler = handler
+
+    async def write(self, part: AnswerPart) -> None:
+        """Pass `part` to the caller. Raise `CallerGone` when it has closed the connection."""
+        try:
+            await self._write(part)
+        except StreamClosedError as exc:
+            raise CallerGone from exc
+
+    @singledispatchmethod
+    async def _write(self, part: Any) -> None:
+        raise InvariantError(f"unexpected answer part {type(part).__name__}")
+
+    @_write.register
+    async def _(self, part: AnswerHead) -> None:
+        self._handler.start_answer(part)
+        await self._handler.flush()
+
+    @_write.register
+    async def _(self, part: AnswerChunk) -> None:
+        self._handler.write(part.data)
+        await self._handler.flush()
+
+    @_write.register
+    async def _(self, part: AnswerEnd) -> None:
+        await self._handler.finish()
+
+
+class ChatHandler(CallHandler):
+    """Chats in the form of `POST /v1/chat/completions`."""
+
+    def make_call(self, parts: dict[str, str]) -> Outcome[Call]:
+        """Return the call for a chat; its model names the service."""
+        if self.request.method != "POST":
+            return refused(RefusalCode.UNKNOWN_PATH, f"{CHAT_PATH} takes POST only")
+        chat = parse_chat(bytes(self._body))
+        if chat.is_error():
+            return chat  # type: ignore[return-value]
+        chat_id = self.request.headers.get(CHAT_ID_HEADER)
+        if chat_id is not None and not 0 < len(chat_id) <= MAX_CHAT_ID_CHARS:
+            text = f"{CHAT_ID_HEADER} must have 1 to {MAX_CHAT_ID_CHARS} characters"
+            return refused(RefusalCode.MALFORMED_REQUEST, text)
+        return self.base_call().map(
+            lambda call: call.with_(
+                service=ServiceName(chat.ok.model),
+                chat_id=ChatId(chat_id) if chat_id else None,
+                target_path=CHAT_PATH,
+            )
+        )
+
+
+class ServiceHandler(CallHandler):
+    """Plain services under `/services/<name>/`."""
+
+    def make_call(self, parts: dict[str, str]) -> Outcome[Call]:
+        """Return the call for a plain service; the rest of the path goes to the target."""
+        query = f"?{self.request.query}" if self.request.query else ""
+        path = "/" + parts["rest"] + query
+        return self.base_call().map(
+            lambda call: call.with_(service=ServiceName(parts["name"]), target_path=path)
+        )
+
+
+class UnknownPathHandler(CallHandler):
+    """Every other path."""
+
+    def make_call(self, parts: dict[str, str]) -> Outcome[Call]:
+        """Return a refusal that names the paths there are."""
+        return refused(
+            RefusalCode.UNKNOWN_PATH,
+            f"no such path; use {CHAT_PATH}, /services/<name>/..., /healthz or /readyz",
+        )
+
+
+class HealthHandler(RequestHandler):
+    """Tell that the process runs."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.finish("ok\n")
+
+
+class ReadyHandler(RequestHandler):
+    """Tell the balancer whether to send new requests here."""
+
+    def initialize(self, front: Front, is_ready: Any) -> None:
+        """Keep the front and the question of readiness. Called by tornado for each request."""
+        self._front = front
+        self._is_ready = is_ready
+
+    async def get(self) -> None:
+        """Answer 200 when ready, else 503 with the reason."""
+        reason = "stopping" if self._front.stopping else await self._is_ready()
+        self.set_status(503 if reason else 200)
+        self.finish(json.dumps({"ready": reason is None, "reason": reason}))
--- /dev/null
+++ b/almondspindle/adapters/http_front/server.py
@@ -0,0 +1,47 @@
+"""The HTTP server of an entry."""
+
+from collections.abc import Awaitable, Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from almondspindle.adapters.http_front.handlers import (
+    CHAT_PATH,
+    ChatHandler,
+    Front,
+    HealthHandler,
+    ReadyHandler,
+    ServiceHandler,
+    UnknownPathHandler,
+)
+
+# Bodies are bounded by the handlers, which can tell the caller why; the server's own bound
+# would close the connection without a reason.
+SERVER_BODY_BOUND_BYTES = 1 << 40
+
+
+def make_app(front: Front, is_ready: Callable[[], Awaitable[str | None]]) -> Application:
+    """Return the tornado application. `is_ready` gives None, or why the entry is not ready."""
+    shared = {"front": front}
+    return Application(
+        [
+            (r"/healthz", HealthHandler),
+            (r"/readyz", ReadyHandler, {"front": front, "is_ready": is_ready}),
+            (CHAT_PATH, ChatHandler, shared),
+            (r"/services/(?P<name>[^/]+)/(?P<rest>.*)", ServiceHandler, shared),
+            (r".*", UnknownPathHandler, shared),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+def listen(app: Application, address: str, max_header_bytes: int) -> tuple[HTTPServer, int]:
+    """Serve `app` on `address` ("ip:port") and return the server and its port."""
+    host, _, port = address.rpartition(":")
+    sockets = bind_sockets(int(port), host)
+    server = HTTPServer(
+        app, max_header_size=max_header_bytes, max_body_size=SERVER_BODY_BOUND_BYTES
+    )
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
--- /dev/null
+++ b/almondspindle/adapters/peer/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC between the system's own processes."""
--- /dev/null
+++ b/almondspindle/adapters/peer/base.py
@@ -0,0 +1,31 @@
+"""Names of the peer methods and the channel options that both ends use."""
+
+SERVICE = "almondspindle.Peer"
+RELAY = "Relay"
+SUBSCRIBE = "Subscribe"
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+KEEPALIVE_INTERVAL_MS = 2_000
+KEEPALIVE_TIMEOUT_MS = 2_000
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2_000
+
+# Retries stay off: a request is sent again only where the retry decisions say so.
+OPTIONS: list[tuple[str, int]] = [
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 0),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+]
+
+
+def method_path(method: str) -> str:
+    """Return the full gRPC path of a peer method."""
+    return f"/{SERVICE}/{method}"
--- /dev/null
+++ b/almondspindle/adapters/peer/codec.py
@@ -0,0 +1,54 @@
+"""Encode peer messages with msgspec. Each message type has a number in `WIRE_TYPES`.
+
+A message travels as a MessagePack array of its number and its fields. msgspec checks every field
+against the data class when it decodes, so a malformed message never gets past this module.
+"""
+
+from typing import Any
+
+import msgspec
+
+from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.outcomes import InvariantError, Refusal
+from almondspindle.core.roster import Roster
+
+WIRE_TYPES: dict[int, type] = {
+    1: RelayRequest,
+    2: AnswerHead,
+    3: AnswerChunk,
+    4: AnswerEnd,
+    5: Refusal,
+    6: SubscribeRequest,
+    7: ConfigSet,
+    8: Roster,
+}
+
+_NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
+_DECODERS: dict[int, msgspec.msgpack.Decoder[Any]] = {
+    number: msgspec.msgpack.Decoder(cls) for number, cls in WIRE_TYPES.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+
+
+class MalformedMessage(Exception):
+    """Bytes from a peer that are not a known message."""
+
+
+def encode(msg: object) -> bytes:
+    """Return `msg` as bytes. Raise `InvariantError` for a type without a number."""
+    number = _NUMBERS.get(type(msg))
+    if number is None:
+        raise InvariantError(f"{type(msg).__name__} has no wire number")
+    return _ENCODER.encode((number, msg))
+
+
+def decode(data: bytes) -> Any:
+    """Return the message in `data`. Raise `MalformedMessage` when it is not a known one."""
+    try:
+        number, payload = _ENVELOPE.decode(data)
+        return _DECODERS[number].decode(payload)
+    except (msgspec.DecodeError, KeyError) as exc:
+        raise MalformedMessage(str(exc)) from exc
--- /dev/null
+++ b/almondspindle/adapters/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and host list."""
--- /dev/null
+++ b/almondspindle/adapters/platform/http.py
@@ -0,0 +1,128 @@
+"""The platform's object API over HTTP."""
+
+import json
+from urllib.parse import quote
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from almondspindle.adapters.platform.base import (
+    ABSENT,
+    MAX_OBJECT_BYTES,
+    StoredObject,
+    StoreError,
+    StoreErrorCode,
+)
+from almondspindle.adapters.platform.models import parse_roster
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.roster import Roster
+
+CALL_TIMEOUT_S = 5.0
+MAX_CONNECTIONS = 100
+HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
+HTTP_NOT_FOUND = 404
+HTTP_PRECONDITION_FAILED = 412
+
+
+class HttpPlatform:
+    """Talk to the platform at `base_url`.
+
+    The simple client never sends a request a second time by itself, so a lost answer is seen
+    here as UNAVAILABLE and nowhere hidden.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CONNECTIONS
+        )
+
+    async def read(self, name: str) -> Result[StoredObject, StoreError]:
+        """Return the object called `name`; an absent one has version 0."""
+        answer = await self._fetch("GET", _object_path(name))
+        return answer.map(_to_object)
+
+    async def write(self, name: str, value: bytes, expected: int) -> Result[int, StoreError]:
+        """Write `value` if the object still has version `expected`; return the new version."""
+        if len(value) > MAX_OBJECT_BYTES:
+            text = f"{name} would have {len(value)} bytes; the limit is {MAX_OBJECT_BYTES}"
+            return Error(StoreError(StoreErrorCode.TOO_LARGE, text))
+        answer = await self._fetch("PUT", _object_path(name), value, {"If-Match": str(expected)})
+        return answer.bind(_conflict_as_error).map(_version)
+
+    async def delete(self, name: str, expected: int) -> Result[None, StoreError]:
+        """Delete the object if it still has version `expected`."""
+        answer = await self._fetch("DELETE", _object_path(name), None, {"If-Match": str(expected)})
+        return answer.bind(_conflict_as_error).map(lambda _: None)
+
+    async def watch(
+        self, name: str, after: int, wait_s: float
+    ) -> Result[StoredObject | None, StoreError]:
+        """Return the object once its version is above `after`, or None after `wait_s` seconds."""
+        path = f"{_object_path(name)}?after={after}&wait_s={wait_s}"
+        answer = await self._fetch("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
+        return answer.map(lambda r: None if r.code == HTTP_NOT_MODIFIED else _to_object(r))
+
+    async def list_names(self, prefix: str) -> Result[dict[str, int], StoreError]:
+        """Return names and versions of the objects whose names start with `prefix`."""
+        answer = await self._fetch("GET", f"/v1/objects?prefix={quote(prefix, safe='')}")
+        return answer.map(lambda response: json.loads(response.body))
+
+    async def roster(self) -> Result[Roster, StoreError]:
+        """Return the platform's lagging list of hosts and targets."""
+        answer = await self._fetch("GET", "/v1/hosts")
+        return answer.bind(lambda response: parse_roster(response.body).map_error(_invalid))
+
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[HTTPResponse, StoreError]:
+        req = HTTPRequest(
+            self._base_url + path,
+            method=method,
+            body=body,
+            headers=headers,
+            connect_timeout=CALL_TIMEOUT_S,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(req, raise_error=False)
+        except (OSError, HTTPClientError) as exc:
+            return Error(StoreError(StoreErrorCode.UNAVAILABLE, repr(exc)))
+        if response.code in EXPECTED_CODES:
+            return Ok(response)
+        text = f"{method} {path} gave status {response.code}: {response.error}"
+        return Error(StoreError(StoreErrorCode.UNAVAILABLE, text))
+
+
+EXPECTED_CODES = frozenset({HTTP_OK, HTTP_NOT_MODIFIED, HTTP_NOT_FOUND, HTTP_PRECONDITION_FAILED})
+
+
+def _object_path(name: str) -> str:
+    return f"/v1/objects/{quote(name, safe='')}"
+
+
+def _version(response: HTTPResponse) -> int:
+    return int(response.headers["ETag"])
+
+
+def _to_object(response: HTTPResponse) -> StoredObject:
+    if response.code == HTTP_NOT_FOUND:
+        return StoredObject(b"", ABSENT)
+    return StoredObject(response.body, _version(response))
+
+
+def _conflict_as_error(response: HTTPResponse) -> Result[HTTPResponse, StoreError]:
+    if response.code == HTTP_OK:
+        return Ok(response)
+    return Error(StoreError(StoreErrorCode.CONFLICT, "the object has another version"))
+
+
+def _invalid(text: str) -> StoreError:
+    return StoreError(StoreErrorCode.UNAVAILABLE, f"the list is not valid: {text}")
--- /dev/null
+++ b/almondspindle/adapters/target/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP to targets."""
--- /dev/null
+++ b/almondspindle/adapters/target/base.py
@@ -0,0 +1,28 @@
+"""Headers that pass between callers and targets, and those the system adds."""
+
+from almondspindle.core.calls import Call, Headers
+
+REQUEST_ID_HEADER = "X-Request-Id"
+TEAM_HEADER = "X-Team"
+FORWARDED = frozenset({"content-type", "accept", "idempotency-key", "x-chat-id"})
+HOP_BY_HOP = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade"}
+)
+
+
+def request_headers(call: Call) -> Headers:
+    """Return the headers to send to the target of `call`."""
+    passed = tuple((name, value) for name, value in call.headers if name.lower() in FORWARDED)
+    return (
+        *passed,
+        ("Host", call.target_address),
+        ("Connection", "close"),
+        ("Content-Length", str(len(call.body))),
+        (REQUEST_ID_HEADER, call.request_id),
+        (TEAM_HEADER, call.team or ""),
+    )
+
+
+def answer_headers(headers: Headers) -> Headers:
+    """Return the headers of a target's answer that go on to the caller."""
+    return tuple((name, value) for name, value in headers if name.lower() not in HOP_BY_HOP)
--- /dev/null
+++ b/almondspindle/chain/__init__.py
@@ -0,0 +1,1 @@
+"""The filter chains that a request walks, at the entry and at the owner."""
--- /dev/null
+++ b/almondspindle/chain/deadline.py
@@ -0,0 +1,14 @@
+"""Refuse calls whose deadline has passed."""
+
+from almondspindle.core.calls import Call
+from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+
+
+class CheckDeadline:
+    """Stop a call that nobody waits for any more. Used at the entry and at the owner."""
+
+    async def apply(self, call: Call, now: float) -> Outcome[Call]:
+        """Return the call unless its deadline lies before `now`."""
+        if now >= call.deadline_at:
+            return refused(RefusalCode.DEADLINE_EXCEEDED, "the deadline passed before any attempt")
+        return Ok(call)
--- /dev/null
+++ b/almondspindle/chain/gate.py
@@ -0,0 +1,21 @@
+"""Stop work for targets that this host does not own or that are out of service."""
+
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import FindOwned
+from almondspindle.core.calls import Call
+from almondspindle.core.outcomes import Outcome
+
+
+class GateTarget:
+    """Let a call pass only to an owned target that is in service, in a zone in service."""
+
+    def __init__(self, directory: DirectoryController) -> None:
+        self._directory = directory
+
+    async def apply(self, call: Call, now: float) -> Outcome[Call]:
+        """Return the call with its target's address, or a refusal with the reason."""
+        assert call.target is not None
+        found = await self._directory.ask(FindOwned(call.target))
+        return found.map(
+            lambda target: call.with_(target_address=target.address, service=target.service)
+        )
--- /dev/null
+++ b/almondspindle/chain/require_key.py
@@ -0,0 +1,16 @@
+"""Require a well-formed idempotency key on commits."""
+
+from almondspindle.core.calls import Call, WorkKind
+from almondspindle.core.outcomes import Ok, Outcome
+from almondspindle.decisions.keys import parse_key
+
+
+class RequireKey:
+    """Refuse a commit without a UUIDv7 key; other kinds of work need none."""
+
+    async def apply(self, call: Call, now: float) -> Outcome[Call]:
+        """Return the call with its key in canonical form, or a refusal that says what to mend."""
+        if call.work is not WorkKind.COMMIT:
+            return Ok(call)
+        key = parse_key(call.header("Idempotency-Key"))
+        return key.map(lambda uuid: call.with_(idempotency_key=str(uuid)))
--- /dev/null
+++ b/almondspindle/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line, one class a module."""
--- /dev/null
+++ b/almondspindle/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the programs: flags and environment variables, validated."""
--- /dev/null
+++ b/almondspindle/conf/base.py
@@ -0,0 +1,44 @@
+"""Settings that all daemons share, and how settings are read."""
+
+import sys
+from collections.abc import Sequence
+from typing import Annotated, TypeVar
+
+from pydantic import Field, ValidationError
+from pydantic_settings import BaseSettings, CliApp, SettingsConfigDict
+
+ENV_PREFIX = "ALMONDSPINDLE_"
+EXIT_BAD_SETTINGS = 2
+
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+
+C = TypeVar("C", bound="DaemonCfg")
+
+
+class DaemonCfg(BaseSettings):
+    """Settings of every daemon."""
+
+    model_config = SettingsConfigDict(
+        env_prefix=ENV_PREFIX, cli_kebab_case=True, cli_implicit_flags=True, extra="ignore"
+    )
+
+    host: Name = Field(description="Name of this host.")
+    zone: Name = Field(description="Availability zone of this host.")
+    statsd: Address | None = Field(None, description="Address of the statsd server, ip:port.")
+
+
+def load(cls: type[C], argv: Sequence[str] | None = None) -> C:
+    """Return the settings from flags and environment variables.
+
+    Print every error at once and exit with status 2 when they are not valid.
+    """
+    args = list(sys.argv[1:] if argv is None else argv)
+    try:
+        return CliApp.run(cls, cli_args=args, cli_cmd_method_name="settings_only")
+    except ValidationError as exc:
+        for error in exc.errors(include_url=False):
+            name = str(error["loc"][0]) if error["loc"] else "settings"
+            flag = "--" + name.replace("_", "-")
+            print(f"{flag} ({ENV_PREFIX}{name.upper()}): {error['msg']}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/almondspindle/conf/entry.py
@@ -0,0 +1,26 @@
+"""Settings of almondspindle-entry."""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from almondspindle.conf.base import Address, DaemonCfg
+
+
+class EntryCfg(DaemonCfg):
+    """Settings of an entry."""
+
+    listen: Address = Field("127.0.0.1:8080", description="Address for callers, ip:port.")
+    routers: Annotated[list[Address], Field(min_length=1)] = Field(
+        description="Peer addresses of routers, this host's own first, as a JSON list."
+    )
+    max_body_bytes: int = Field(2 * 1024 * 1024, ge=1, description="Bound of a body, bytes.")
+    max_header_bytes: int = Field(64 * 1024, ge=1024, description="Bound of headers, bytes.")
+    default_deadline_s: float = Field(60.0, gt=0, description="Deadline without header, seconds.")
+    max_deadline_s: float = Field(600.0, gt=0, description="Longest deadline, seconds.")
+    balancer_lag_s: float = Field(
+        2.0, ge=0, description="Time for the balancer to see that a stop began, seconds."
+    )
+    stop_bound_s: float = Field(
+        600.0, ge=0, description="Longest wait for requests in flight at a stop, seconds."
+    )
--- /dev/null
+++ b/almondspindle/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: tasks that own state and are reached by message only."""
--- /dev/null
+++ b/almondspindle/controllers/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Count requests in flight per target and admit new ones within limits."""
--- /dev/null
+++ b/almondspindle/controllers/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the configuration in force."""
--- /dev/null
+++ b/almondspindle/controllers/configuration/task.py
@@ -0,0 +1,80 @@
+"""The controller that holds the configuration in force and never goes back to a lower version."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.configuration.messages import (
+    ConfigListener,
+    ConfigRead,
+    FindService,
+    FindTeam,
+    GetConfig,
+    SubscribeConfig,
+)
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet, Service, Team
+from almondspindle.core.events import CONFIG_APPLIED, CONFIG_IGNORED
+from almondspindle.core.logs import emit
+from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+
+
+class ConfigurationController(Controller):
+    """Own the configuration in force and an index of teams by token digest."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._config = ConfigSet()
+        self._teams_by_token: dict[str, Team] = {}
+        self._listeners: list[ConfigListener] = []
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: ConfigRead, now: float) -> None:
+        if msg.config.version <= self._config.version:
+            if msg.config.version < self._config.version:
+                emit(CONFIG_IGNORED, version=msg.config.version, in_force=self._config.version)
+            return
+        self._config = msg.config
+        self._teams_by_token = {team.token_sha256: team for team in msg.config.teams.values()}
+        emit(CONFIG_APPLIED, version=msg.config.version)
+        for listener in self._listeners:
+            listener(msg.config)
+
+    @handle.register
+    def _(self, msg: SubscribeConfig, now: float) -> None:
+        self._listeners.append(msg.listener)
+        msg.listener(self._config)
+
+    @handle.register
+    def _(self, msg: GetConfig, now: float) -> ConfigSet:
+        return self._config
+
+    @handle.register
+    def _(self, msg: FindTeam, now: float) -> Outcome[Team]:
+        if self._config.version == 0:
+            return refused(RefusalCode.NOT_READY, "no configuration has been read yet")
+        team = self._teams_by_token.get(msg.token_sha256)
+        if team is None:
+            return refused(RefusalCode.UNAUTHENTICATED, "no team has this bearer token")
+        return Ok(team)
+
+    @handle.register
+    def _(self, msg: FindService, now: float) -> Outcome[Service]:
+        service = self._config.services.get(msg.service)
+        if service is None:
+            known = ", ".join(sorted(self._config.services)) or "none"
+            return refused(
+                RefusalCode.UNKNOWN_SERVICE,
+                f"no service is called {msg.service!r}; known services: {known}",
+            )
+        team = self._config.teams.get(msg.team)
+        if team is None or (team.services and msg.service not in team.services):
+            return refused(
+                RefusalCode.FORBIDDEN, f"team {msg.team!r} may not use service {msg.service!r}"
+            )
+        return Ok(service)
--- /dev/null
+++ b/almondspindle/controllers/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which hosts of the system are live."""
--- /dev/null
+++ b/almondspindle/controllers/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Know the targets, their owners and their order for a chat."""
--- /dev/null
+++ b/almondspindle/controllers/targets/directory.py
@@ -0,0 +1,109 @@
+"""The controller that knows all targets, their owners, and their order for a key."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.targets.messages import (
+    ConfigChanged,
+    FindOwned,
+    GetRoster,
+    RankTargets,
+    RosterRead,
+)
+from almondspindle.core.calls import Candidate
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet, Intent
+from almondspindle.core.events import ROSTER_CHANGED
+from almondspindle.core.identifiers import HostName, ServiceName, TargetName
+from almondspindle.core.logs import emit
+from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+from almondspindle.core.roster import Host, Roster, Target, TargetState
+from almondspindle.decisions.ownership import owner_of
+from almondspindle.decisions.ranking import Ranking, RendezvousScan
+
+CANDIDATES = 6  # targets tried for one request at the most
+RETRY_AFTER_S = 1.0
+
+
+class DirectoryController(Controller):
+    """Own the roster and what is derived from it: owners and a ranking per service."""
+
+    def __init__(self, clock: Clock, own_host: HostName) -> None:
+        super().__init__(clock)
+        self._own_host = own_host
+        self._roster = Roster()
+        self._config = ConfigSet()
+        self._owners: dict[TargetName, Host] = {}
+        self._rankings: dict[ServiceName, Ranking] = {}
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: RosterRead, now: float) -> None:
+        if msg.roster == self._roster:
+            return
+        self._roster = msg.roster
+        emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
+        self._derive()
+
+    @handle.register
+    def _(self, msg: ConfigChanged, now: float) -> None:
+        self._config = msg.config
+        self._derive()
+
+    @handle.register
+    def _(self, msg: GetRoster, now: float) -> Roster:
+        return self._roster
+
+    @handle.register
+    def _(self, msg: RankTargets, now: float) -> Outcome[tuple[Candidate, ...]]:
+        ranking = self._rankings.get(msg.service)
+        names = ranking.rank(msg.key, CANDIDATES) if ranking else []
+        candidates = tuple(self._candidate(name) for name in names if name in self._owners)
+        if not candidates:
+            return refused(
+                RefusalCode.NO_TARGET,
+                f"no target of service {msg.service!r} is in service",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return Ok(candidates)
+
+    @handle.register
+    def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
+        target = self._roster.targets.get(msg.target)
+        owner = self._owners.get(msg.target)
+        if target is None or owner is None or owner.name != self._own_host:
+            return refused(RefusalCode.NOT_OWNER, f"this host does not own {msg.target!r}")
+        code = self._out_of_service(target)
+        if code is not None:
+            return refused(code, f"target {msg.target!r} takes no new work")
+        return Ok(target)
+
+    def _candidate(self, name: TargetName) -> Candidate:
+        owner = self._owners[name]
+        return Candidate(name, owner.name, owner.address)
+
+    def _out_of_service(self, target: Target) -> RefusalCode | None:
+        if self._config.zone_intent(target.zone) is Intent.OUT:
+            return RefusalCode.ZONE_OUT
+        if self._config.target_intent(target.name) is Intent.OUT:
+            return RefusalCode.LEAVING
+        if target.state is TargetState.LEAVING:
+            return RefusalCode.LEAVING
+        return None
+
+    def _derive(self) -> None:
+        hosts = list(self._roster.hosts.values())
+        self._owners = {}
+        by_service: dict[ServiceName, list[TargetName]] = {}
+        for target in self._roster.targets.values():
+            owner = owner_of(target, hosts)
+            if owner is not None:
+                self._owners[target.name] = owner
+            if self._out_of_service(target) is None:
+                by_service.setdefault(target.service, []).append(target.name)
+        self._rankings = {name: RendezvousScan(names) for name, names in by_service.items()}
--- /dev/null
+++ b/almondspindle/controllers/targets/messages.py
@@ -0,0 +1,44 @@
+"""Messages of the controllers that know targets."""
+
+from dataclasses import dataclass
+
+from almondspindle.controllers.base import Question
+from almondspindle.core.calls import Candidate
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.identifiers import ServiceName, TargetName
+from almondspindle.core.outcomes import Outcome
+from almondspindle.core.roster import Roster, Target
+
+
+@dataclass(frozen=True, slots=True)
+class RosterRead:
+    """A new set of hosts and targets."""
+
+    roster: Roster
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """A new configuration came into force."""
+
+    config: ConfigSet
+
+
+@dataclass(frozen=True, slots=True)
+class RankTargets(Question[Outcome[tuple[Candidate, ...]]]):
+    """Ask for the candidates for `key` among the targets of `service`, best first."""
+
+    service: ServiceName
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class FindOwned(Question[Outcome[Target]]):
+    """Ask for a target that this host owns and that is in service."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class GetRoster(Question[Roster]):
+    """Ask for the hosts and targets in view."""
--- /dev/null
+++ b/almondspindle/core/calls.py
@@ -0,0 +1,126 @@
+"""The request that walks the filter chain, and the parts of its answer."""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Protocol
+
+from almondspindle.core.identifiers import (
+    ChatId,
+    HostName,
+    RequestId,
+    ServiceName,
+    TargetName,
+    TeamName,
+)
+from almondspindle.core.outcomes import Refusal
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class WorkKind(StrEnum):
+    """How a request may be treated when an attempt fails."""
+
+    CHAT = "chat"
+    READ = "read"
+    COMMIT = "commit"
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that may serve a request, with the host that owns it.
+
+    `owner_address` is the peer address of the owner as "ip:port".
+    """
+
+    target: TargetName
+    owner: HostName
+    owner_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request. Each filter returns a copy with what it has found out.
+
+    `deadline_at` is in seconds on this process's monotonic clock.
+    """
+
+    request_id: RequestId
+    deadline_at: float
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b""
+    bearer_token: str | None = None
+    team: TeamName | None = None
+    service: ServiceName | None = None
+    target_path: str = ""
+    work: WorkKind | None = None
+    chat_id: ChatId | None = None
+    idempotency_key: str | None = None
+    claim_nonce: str | None = None
+    candidates: tuple[Candidate, ...] = ()
+    target: TargetName | None = None
+    target_address: str = ""
+    ticket: int | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return the first header called `name`, compared without case, or None."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return None
+
+    def with_(self, **changes: object) -> "Call":
+        """Return a copy of the call with `changes` applied."""
+        return replace(self, **changes)  # type: ignore[arg-type]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The status and headers of an answer, and the target that gives it."""
+
+    status: int
+    headers: Headers
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerChunk:
+    """A piece of an answer's body, in order."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The end mark: the whole answer has been passed on."""
+
+
+AnswerPart = AnswerHead | AnswerChunk | AnswerEnd
+
+
+class AnswerSink(Protocol):
+    """Where a chain's terminal writes the answer. A write waits while the reader is slow."""
+
+    async def write(self, part: AnswerPart) -> None:
+        """Pass on `part`.
+
+        Raise `CallerGone` when nobody reads the answer any more.
+        """
+        ...
+
+
+class CallerGone(Exception):
+    """The reader of an answer has closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """How a terminal ended: `refusal` is None after a whole answer.
+
+    `started` tells whether an answer head was passed on.
+    """
+
+    started: bool
+    refusal: Refusal | None = None
--- /dev/null
+++ b/almondspindle/core/events.py
@@ -0,0 +1,52 @@
+"""The catalogue of numbered log events. docs/ref/events.md is made from it."""
+
+from dataclasses import dataclass
+
+EVENTS: dict[int, "Event"] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log message: its number, short name and meaning."""
+
+    number: int
+    name: str
+    meaning: str
+
+
+def event(number: int, name: str, meaning: str) -> Event:
+    """Add an event to the catalogue and return it.
+
+    Raise `ValueError` when the number is taken.
+    """
+    if number in EVENTS:
+        raise ValueError(f"event number {number} is taken by {EVENTS[number].name}")
+    EVENTS[number] = Event(number, name, meaning)
+    return EVENTS[number]
+
+
+# 1000 to 1099: processes.
+PROCESS_READY = event(1000, "process_ready", "The process listens and has its first configuration.")
+PROCESS_STOPPING = event(1001, "process_stopping", "A signal asked for a planned stop.")
+PROCESS_STOPPED = event(1002, "process_stopped", "The process ended with nothing in flight.")
+STOP_CUT_STREAMS = event(1003, "stop_cut_streams", "The bound on the stop cut requests in flight.")
+TASK_FAILED = event(1004, "task_failed", "A task met a broken invariant; the process stops.")
+
+# 1100 to 1199: requests.
+REQUEST_REFUSED = event(
+    1100, "request_refused", "A request was refused; code and run state say why."
+)
+REQUEST_DONE = event(1101, "request_done", "A request was answered whole.")
+ATTEMPT_FAILED = event(1102, "attempt_failed", "One attempt at a request failed at the entry.")
+RELAY_DONE = event(1103, "relay_done", "The owner passed a whole answer on.")
+CALLER_GONE = event(1104, "caller_gone", "The caller left before the answer was whole.")
+
+# 1200 to 1299: configuration.
+CONFIG_APPLIED = event(1200, "config_applied", "A higher configuration version came into force.")
+CONFIG_IGNORED = event(1201, "config_ignored", "A version not above the one in force was ignored.")
+CONFIG_INVALID = event(1202, "config_invalid", "A stored configuration failed validation.")
+STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
+
+# 1300 to 1399: membership, ownership and targets.
+HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
+ROSTER_CHANGED = event(1301, "roster_changed", "The set of hosts or targets changed.")
--- /dev/null
+++ b/almondspindle/core/identifiers.py
@@ -0,0 +1,19 @@
+"""Names of the things the system handles, as distinct string types."""
+
+import secrets
+from typing import NewType
+
+HostName = NewType("HostName", str)
+ZoneName = NewType("ZoneName", str)
+TeamName = NewType("TeamName", str)
+TargetName = NewType("TargetName", str)
+ServiceName = NewType("ServiceName", str)
+ChatId = NewType("ChatId", str)
+RequestId = NewType("RequestId", str)
+
+REQUEST_ID_BYTES = 12
+
+
+def new_request_id() -> RequestId:
+    """Return a random request identifier of 24 hexadecimal digits."""
+    return RequestId(secrets.token_hex(REQUEST_ID_BYTES))
--- /dev/null
+++ b/almondspindle/core/logs.py
@@ -0,0 +1,25 @@
+"""Write numbered events as eliot messages."""
+
+import sys
+
+from eliot import FileDestination, add_destinations, log_message
+
+from almondspindle.core.events import Event
+
+
+def log_to_stderr(program: str, host: str) -> None:
+    """Send log messages as JSON lines to standard error, marked with `program` and `host`."""
+    add_destinations(FileDestination(file=sys.stderr))
+    add_global_fields(program=program, host=host)
+
+
+def add_global_fields(**fields: str) -> None:
+    """Add `fields` to every message that this process writes."""
+    from eliot import add_global_fields as add
+
+    add(**fields)
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Write `event` with `fields`."""
+    log_message(message_type=f"almondspindle:{event.number}", event=event.name, **fields)
--- /dev/null
+++ b/almondspindle/core/outcomes.py
@@ -0,0 +1,93 @@
+"""Outcomes as values: refusals with a code and a statement of whether the work ran."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+
+T = TypeVar("T")
+
+
+class RunState(StrEnum):
+    """What is known of the execution of the work when an answer is refused."""
+
+    NOT_RUN = "not run"
+    ATTEMPT_NOT_RUN = "this attempt not run, earlier attempts unknown"
+    IN_PROGRESS = "in progress"
+    UNKNOWN = "outcome unknown"
+    RUN = "run"
+
+
+class RefusalCode(StrEnum):
+    """Why a request was refused, as told to the caller."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    KEY_MISSING = "idempotency_key_missing"
+    KEY_MALFORMED = "idempotency_key_malformed"
+    KEY_EXPIRED = "idempotency_key_expired"
+    KEY_REUSED = "idempotency_key_reused"
+    IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    RATE_LIMITED = "rate_limited"
+    NO_TARGET = "no_target"
+    NOT_OWNER = "not_owner"
+    FULL = "full"
+    STARTING = "starting"
+    LEAVING = "leaving"
+    ZONE_OUT = "zone_out"
+    STOPPING = "stopping"
+    NOT_READY = "not_ready"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    PEER_UNREACHABLE = "peer_unreachable"
+    TARGET_UNREACHABLE = "target_unreachable"
+    ANSWER_BROKEN = "answer_broken"
+    STORE_UNAVAILABLE = "store_unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was not answered, and why.
+
+    `retry_after_s` is in seconds; None where waiting does not help.
+    """
+
+    code: RefusalCode
+    message: str
+    run_state: RunState = RunState.NOT_RUN
+    retry_after_s: float | None = None
+
+
+Outcome = Result[T, Refusal]
+
+
+def refused(
+    code: RefusalCode,
+    message: str,
+    run_state: RunState = RunState.NOT_RUN,
+    retry_after_s: float | None = None,
+) -> Result[T, Refusal]:
+    """Return the error outcome for a refusal built from the arguments."""
+    return Error(Refusal(code, message, run_state, retry_after_s))
+
+
+class InvariantError(Exception):
+    """A state that the code rules out. It stops the process."""
+
+
+__all__ = [
+    "Error",
+    "InvariantError",
+    "Ok",
+    "Outcome",
+    "Refusal",
+    "RefusalCode",
+    "Result",
+    "RunState",
+    "refused",
+]
--- /dev/null
+++ b/almondspindle/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: wiring only."""
--- /dev/null
+++ b/almondspindle/programs/base.py
@@ -0,0 +1,41 @@
+"""What the daemons share: the run until a signal, and the line that tells the address."""
+
+import asyncio
+import signal
+import sys
+
+from almondspindle.core.events import PROCESS_READY, PROCESS_STOPPING
+from almondspindle.core.logs import emit
+from almondspindle.utils.tasks import TaskSet
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+def announce(program: str, address: str) -> None:
+    """Print the address that `program` listens on, for whoever started it."""
+    print(f"{program} listens on {address}", flush=True)
+    emit(PROCESS_READY, address=address)
+
+
+class StopSignal:
+    """Wait for SIGTERM or SIGINT. Later signals change nothing: streams are not cut."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._event.set)
+
+    async def wait(self, tasks: TaskSet) -> int:
+        """Return the exit status once a signal came (0) or a task failed (1)."""
+        stop = asyncio.ensure_future(self._event.wait())
+        failed = asyncio.ensure_future(tasks.wait_failed())
+        done, pending = await asyncio.wait({stop, failed}, return_when=asyncio.FIRST_COMPLETED)
+        for fut in pending:
+            fut.cancel()
+        if failed in done:
+            print(f"task {failed.result()} failed", file=sys.stderr)
+            return EXIT_FAILED
+        emit(PROCESS_STOPPING)
+        return EXIT_OK
--- /dev/null
+++ b/almondspindle/programs/cli.py
@@ -0,0 +1,24 @@
+"""almondspindle: the operators' command line."""
+
+import sys
+
+from cleo.application import Application
+
+from almondspindle import __version__
+from almondspindle.commands.status import StatusCommand
+
+
+def make_application() -> Application:
+    """Return the application with all its commands."""
+    app = Application("almondspindle", __version__)
+    app.add(StatusCommand())
+    return app
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(make_application().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondspindle/programs/entry.py
@@ -0,0 +1,137 @@
+"""almondspindle-entry: the HTTP front for callers."""
+
+import asyncio
+import sys
+from functools import partial, singledispatch
+
+from almondspindle.adapters.http_front.handlers import Front
+from almondspindle.adapters.http_front.server import listen, make_app
+from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
+from almondspindle.adapters.peer.subscription import Subscription
+from almondspindle.chain.base import Chain
+from almondspindle.chain.classify import ClassifyWork
+from almondspindle.chain.deadline import CheckDeadline
+from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.rank import RankCandidates
+from almondspindle.chain.relay import RelayToOwner
+from almondspindle.chain.require_key import RequireKey
+from almondspindle.conf.base import load
+from almondspindle.conf.entry import EntryCfg
+from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
+from almondspindle.core.identifiers import HostName
+from almondspindle.core.logs import emit, log_to_stderr
+from almondspindle.core.metrics import make_metrics
+from almondspindle.core.outcomes import InvariantError
+from almondspindle.core.roster import Roster
+from almondspindle.programs.base import StopSignal, announce
+from almondspindle.utils.tasks import TaskSet
+
+PROGRAM = "almondspindle-entry"
+
+
+class Entry:
+    """The controllers, chain and server of one entry."""
+
+    def __init__(self, cfg: EntryCfg) -> None:
+        self._cfg = cfg
+        self._clock = SystemClock()
+        self._tasks = TaskSet()
+        self._channels = Channels()
+        self._configuration = ConfigurationController(self._clock)
+        self._directory = DirectoryController(self._clock, HostName(cfg.host))
+        metrics = make_metrics(cfg.statsd)
+        owners = PeerOwnerLink(self._channels, self._clock)
+        filters = (
+            CheckDeadline(),
+            IdentifyTeam(self._configuration),
+            ClassifyWork(self._configuration),
+            RequireKey(),
+            RankCandidates(self._directory),
+        )
+        chain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        self._front = Front(cfg, chain, self._clock, metrics)
+
+    async def run(self) -> int:
+        """Serve until a signal, finish what is in flight, and return the exit status."""
+        stop = StopSignal()
+        self._start_tasks()
+        app = make_app(self._front, self.why_not_ready)
+        server, port = listen(app, self._cfg.listen, self._cfg.max_header_bytes)
+        announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
+        status = await stop.wait(self._tasks)
+        self._front.stopping = True
+        await asyncio.sleep(self._cfg.balancer_lag_s)
+        server.stop()
+        await self._drain()
+        await self._tasks.cancel_all()
+        await self._channels.close()
+        emit(PROCESS_STOPPED)
+        return status
+
+    async def why_not_ready(self) -> str | None:
+        """Return None when the entry can serve, else the reason."""
+        config = await self._configuration.ask(GetConfig())
+        if config.version == 0:
+            return "no configuration has been read yet"
+        roster = await self._directory.ask(GetRoster())
+        return None if roster.hosts else "no host is known yet"
+
+    def _start_tasks(self) -> None:
+        self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
+        listener = partial(pass_update, entry=self)
+        host = HostName(self._cfg.host)
+        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        self._tasks.start("configuration", self._configuration.run())
+        self._tasks.start("directory", self._directory.run())
+        self._tasks.start("subscription", subscription.run())
+
+    async def _drain(self) -> None:
+        left = await self._front.in_flight.wait_idle(self._cfg.stop_bound_s)
+        if left:
+            emit(STOP_CUT_STREAMS, streams=left)
+
+    def take_config(self, config: ConfigSet) -> None:
+        """Pass a configuration from a router to the controller."""
+        self._configuration.tell(ConfigRead(config))
+
+    def take_roster(self, roster: Roster) -> None:
+        """Pass a roster from a router to the directory."""
+        self._directory.tell(RosterRead(roster))
+
+
+@singledispatch
+def pass_update(update: object, *, entry: Entry) -> None:
+    """Pass an update from a router to the controller it concerns."""
+    raise InvariantError(f"unexpected update {type(update).__name__}")
+
+
+@pass_update.register
+def _(update: ConfigSet, *, entry: Entry) -> None:
+    entry.take_config(update)
+
+
+@pass_update.register
+def _(update: Roster, *, entry: Entry) -> None:
+    entry.take_roster(update)
+
+
+async def serve(cfg: EntryCfg) -> int:
+    """Run an entry with the settings `cfg` and return the exit status."""
+    return await Entry(cfg).run()
+
+
+def main() -> None:
+    """Run the program."""
+    cfg = load(EntryCfg)
+    log_to_stderr(PROGRAM, cfg.host)
+    sys.exit(asyncio.run(serve(cfg)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondspindle/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state of their own."""
--- /dev/null
+++ b/almondspindle/utils/in_flight.py
@@ -0,0 +1,36 @@
+"""Count requests in flight and wait until there are none."""
+
+import asyncio
+
+
+class InFlight:
+    """A count that tells when it is back at zero."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def count(self) -> int:
+        """Return the number of requests in flight."""
+        return self._count
+
+    def enter(self) -> None:
+        """Count a request that begins."""
+        self._count += 1
+        self._idle.clear()
+
+    def leave(self) -> None:
+        """Count a request that has ended."""
+        self._count -= 1
+        if self._count == 0:
+            self._idle.set()
+
+    async def wait_idle(self, bound_s: float) -> int:
+        """Wait until nothing is in flight, for `bound_s` seconds at most; return the count."""
+        try:
+            await asyncio.wait_for(self._idle.wait(), bound_s)
+        except TimeoutError:
+            return self._count
+        return 0
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,27 @@
+"""Run the demonstration; exit 0 when every answer was right, else 1."""
+
+import argparse
+import asyncio
+import sys
+
+from demo.scenario import DemoFailed, keep_up, run_scenario
+
+
+def main() -> int:
+    """Run the demonstration and return the exit status."""
+    parser = argparse.ArgumentParser(prog="demo")
+    parser.add_argument("--up", action="store_true", help="keep the fleet up until interrupted")
+    args = parser.parse_args()
+    try:
+        asyncio.run(keep_up() if args.up else run_scenario())
+    except (DemoFailed, TimeoutError, OSError, RuntimeError) as exc:
+        print(f"demo: failed: {exc}")
+        return 1
+    except KeyboardInterrupt:
+        return 0
+    print("demo: passed")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the packages."""
--- /dev/null
+++ b/tests/adapters/test_codec.py
@@ -0,0 +1,34 @@
+"""The contract of the peer codec."""
+
+import pytest
+
+from almondspindle.adapters.peer.codec import WIRE_TYPES, MalformedMessage, decode, encode
+from almondspindle.adapters.peer.messages import RelayRequest
+from almondspindle.core.calls import AnswerChunk, AnswerHead, WorkKind
+from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
+from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode
+
+MESSAGES = [
+    RelayRequest("r1", 1.5, "t1", "team", WorkKind.CHAT, "POST", "/x", (("a", "b"),), b"\x00\xff"),
+    AnswerHead(200, (("Content-Type", "text/plain"),), "t1"),
+    AnswerChunk(b"\x80data"),
+    Refusal(RefusalCode.FULL, "no room", retry_after_s=1.0),
+    ConfigSet(3, {"a": Team("a", "0" * 64)}, {"s": Service("s", ServiceKind.PLAIN)}),
+]
+
+
+@pytest.mark.parametrize("msg", MESSAGES, ids=lambda msg: type(msg).__name__)
+def test_a_message_comes_back_as_it_was(msg):
+    assert decode(encode(msg)) == msg
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x92\x01\x80", b"\x92\x7f\x80", b"junk"])
+def test_malformed_bytes_are_refused(data):
+    with pytest.raises(MalformedMessage):
+        decode(data)
+
+
+def test_numbers_are_unique_and_unknown_types_break_an_invariant():
+    assert len(set(WIRE_TYPES.values())) == len(WIRE_TYPES)
+    with pytest.raises(InvariantError):
+        encode(object())
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's service, engines and plain services."""
--- /dev/null
+++ b/tests/standins/caller.py
@@ -0,0 +1,102 @@
+"""A caller of the system: chats, reads and commits over HTTP."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+WAIT_S = 20.0
+POLL_S = 0.05
+
+
+@dataclass
+class Answer:
+    """What a caller got back."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    chunks: list[bytes] = field(default_factory=list)
+
+    @property
+    def target(self) -> str:
+        """Return the name of the target that answered."""
+        return self.headers.get("X-Served-By", "")
+
+    @property
+    def error(self) -> dict:
+        """Return the refusal in the body."""
+        return json.loads(self.body)["error"]
+
+    def is_whole_stream(self, text: str, tokens: int) -> bool:
+        """Return whether the body is the whole stream for `text` with its end mark."""
+        events = [e for e in self.body.decode().split("\n\n") if e]
+        if len(events) != tokens + 1 or events[-1] != "data: [DONE]":
+            return False
+        parts = [json.loads(e[6:])["choices"][0]["delta"]["content"] for e in events[:-1]]
+        return parts == [f"{text}:{index} " for index in range(tokens)]
+
+
+class Caller:
+    """Send requests to an entry with a team's token."""
+
+    def __init__(self, address: str, token: str = "grid-desk-token") -> None:
+        self.address = address
+        self.token = token
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1000)
+
+    async def send(
+        self, method: str, path: str, body: bytes | None = None, **headers: str
+    ) -> Answer:
+        """Send one request; header names are given with `_` for `-`."""
+        chunks: list[bytes] = []
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("Authorization", f"Bearer {self.token}")
+        req = HTTPRequest(
+            f"http://{self.address}{path}",
+            method=method,
+            body=body,
+            headers=named,
+            request_timeout=60.0,
+            streaming_callback=chunks.append,
+            allow_nonstandard_methods=True,
+        )
+        response = await self._client.fetch(req, raise_error=False)
+        return Answer(response.code, dict(response.headers), b"".join(chunks), chunks)
+
+    async def chat(self, chat_id: str, text: str, tokens: int = 8, **headers: str) -> Answer:
+        """Send one streamed turn of a chat."""
+        messages = [{"role": "user", "content": text}]
+        doc = {"model": "forecast-llm", "messages": messages, "stream": True, "max_tokens": tokens}
+        body = json.dumps(doc).encode()
+        return await self.send("POST", "/v1/chat/completions", body, X_Chat_Id=chat_id, **headers)
+
+    async def commit(self, key: str, body: bytes = b"{}", path: str = "orders") -> Answer:
+        """Send one dispatch commit."""
+        return await self.send("POST", f"/services/dispatch-app/{path}", body, Idempotency_Key=key)
+
+    async def read(self, path: str = "status") -> Answer:
+        """Send one status read."""
+        return await self.send("GET", f"/services/dispatch-app/{path}")
+
+
+async def wait_until(condition: Callable[[], Awaitable[bool]], what: str) -> None:
+    """Wait until `condition` holds. Raise `TimeoutError` after `WAIT_S` seconds."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + WAIT_S
+    while not await condition():
+        if loop.time() > ends_at:
+            raise TimeoutError(what)
+        await asyncio.sleep(POLL_S)
+
+
+async def wait_ready(caller: Caller) -> None:
+    """Wait until the caller's entry says that it is ready."""
+
+    async def is_ready() -> bool:
+        return (await caller.send("GET", "/readyz")).status == 200
+
+    await wait_until(is_ready, f"entry {caller.address} is not ready")
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,155 @@
+"""A stand-in for a model engine: streams tokens, caches prefixes, starts cold."""
+
+import asyncio
+import json
+import secrets
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+COLD_SECONDS = 3.0
+
+
+@dataclass
+class EngineFaults:
+    """Faults that a test switches on; each applies to the next answers until switched off."""
+
+    truncate: bool = False
+    cross: bool = False
+    silent_after_tokens: int | None = None
+    refuse_connections: bool = False
+
+
+@dataclass
+class EngineState:
+    """What the engine counts and remembers."""
+
+    name: str
+    token_pause_s: float = 0.002
+    cache_size: int = 100
+    cold_limit: int = 4
+    boot_id: str = field(default_factory=lambda: secrets.token_hex(4))
+    booted_at: float = 0.0
+    in_flight: int = 0
+    peak_in_flight: int = 0
+    cold_overloads: int = 0
+    requests: int = 0
+    cancelled: int = 0
+    cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    faults: EngineFaults = field(default_factory=EngineFaults)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the engine has started a short while ago."""
+        return now - self.booted_at < COLD_SECONDS
+
+    def restart(self, now: float) -> None:
+        """Turn cold with an empty cache, as after a crash."""
+        self.boot_id = secrets.token_hex(4)
+        self.booted_at = now
+        self.cache.clear()
+
+    def begin(self, now: float) -> None:
+        """Count a request in flight."""
+        self.requests += 1
+        self.in_flight += 1
+        self.peak_in_flight = max(self.peak_in_flight, self.in_flight)
+        if self.is_cold(now) and self.in_flight > self.cold_limit:
+            self.cold_overloads += 1
+
+    def remember(self, chat_id: str) -> bool:
+        """Put a chat's prefix into the cache and return whether it was there."""
+        hit = chat_id in self.cache
+        self.cache[chat_id] = None
+        self.cache.move_to_end(chat_id)
+        while len(self.cache) > self.cache_size:
+            self.cache.popitem(last=False)
+        return hit
+
+
+class _Chat(RequestHandler):
+    def initialize(self, state: EngineState) -> None:
+        self.state = state
+
+    async def post(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.state.begin(now)
+        try:
+            await self._answer(json.loads(self.request.body))
+        except (StreamClosedError, asyncio.CancelledError):
+            self.state.cancelled += 1
+        finally:
+            self.state.in_flight -= 1
+
+    async def _answer(self, req: dict) -> None:
+        hit = self.state.remember(self.request.headers.get("X-Chat-Id", ""))
+        count = int(req.get("max_tokens", 8))
+        answered_id = self.request.headers.get("X-Request-Id", "")
+        if self.state.faults.cross:
+            answered_id = "another-request"
+        self.set_header("X-Request-Id", answered_id)
+        self.set_header("X-Cache", "hit" if hit else "miss")
+        text = req["messages"][-1].get("content", "")
+        if not req.get("stream"):
+            await asyncio.sleep(self.state.token_pause_s * count)
+            self.finish({"choices": [{"message": {"content": f"{text}:{count}"}}]})
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        await self._stream(text, count)
+
+    async def _stream(self, text: str, count: int) -> None:
+        faults = self.state.faults
+        for index in range(count):
+            if faults.silent_after_tokens == index:
+                await asyncio.sleep(3600)
+            delta = {"choices": [{"delta": {"content": f"{text}:{index} "}}]}
+            self.write(f"data: {json.dumps(delta)}\n\n")
+            await self.flush()
+            await asyncio.sleep(self.state.token_pause_s)
+        if not faults.truncate:
+            self.write("data: [DONE]\n\n")
+
+
+class _Load(RequestHandler):
+    def initialize(self, state: EngineState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.finish(
+            {
+                "boot_id": self.state.boot_id,
+                "uptime_s": now - self.state.booted_at,
+                "in_flight": self.state.in_flight,
+                "cached_prefixes": len(self.state.cache),
+            }
+        )
+
+
+class Engine:
+    """The running stand-in."""
+
+    def __init__(self, name: str, **settings: float) -> None:
+        self.state = EngineState(name, **settings)  # type: ignore[arg-type]
+        self.address = ""
+
+    def start(self) -> None:
+        """Listen on a port that the system chooses."""
+        shared = {"state": self.state}
+        app = Application(
+            [(r"/v1/chat/completions", _Chat, shared), (r"/load", _Load, shared)],
+            log_function=lambda handler: None,
+        )
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server = HTTPServer(app)
+        self._server.add_sockets(sockets)
+        self.state.booted_at = asyncio.get_running_loop().time()
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,193 @@
+"""Start stand-ins and real entries and routers as processes, for the demo and for tests.
+
+Ports are reserved by binding port 0 and closing the socket, since a router's address must stand
+in the platform's list before the process starts.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from tests.standins.engine import Engine
+from tests.standins.plain import PlainService, PlainState
+from tests.standins.store import Store
+
+CONFIG_OBJECT = "config/current"
+STOP_WAIT_S = 15.0
+START_WAIT_S = 20.0
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def token_hash(token: str) -> str:
+    """Return the digest under which a team's token is stored."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+BUREAU_CONFIG = {
+    "teams": [
+        {"name": "grid-desk", "token_sha256": token_hash("grid-desk-token")},
+        {"name": "plant-crews", "token_sha256": token_hash("plant-crews-token"), "weight": 2.0},
+    ],
+    "services": [
+        {"name": "forecast-llm", "kind": "chat"},
+        {"name": "dispatch-app", "kind": "plain"},
+    ],
+    "zones": [
+        {"name": "walvis-a", "region": "erongo"},
+        {"name": "walvis-b", "region": "erongo"},
+        {"name": "swakop-a", "region": "erongo"},
+        {"name": "henties", "region": "erongo"},
+    ],
+    "targets": [],
+}
+
+
+@dataclass
+class Process:
+    """A program of ours that runs as a process."""
+
+    name: str
+    proc: asyncio.subprocess.Process
+    address: str
+
+    async def stop(self) -> int:
+        """Ask for a planned stop and return the exit status."""
+        with suppress(ProcessLookupError):
+            self.proc.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.proc.wait(), STOP_WAIT_S)
+
+    async def kill(self) -> None:
+        """End the process at once, as a host failure would."""
+        with suppress(ProcessLookupError):
+            self.proc.kill()
+        await self.proc.wait()
+
+
+async def start_program(
+    module: str, args: Sequence[str], log_path: str | None = None
+) -> tuple[asyncio.subprocess.Process, str]:
+    """Start `python -m module args`; return the process and the address it announces."""
+    with open(log_path or os.devnull, "ab") as log:  # noqa: ASYNC230
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, *args, stdout=asyncio.subprocess.PIPE, stderr=log
+        )
+    assert proc.stdout is not None
+    line = await asyncio.wait_for(proc.stdout.readline(), START_WAIT_S)
+    if not line:
+        raise RuntimeError(f"{module} ended at its start with status {await proc.wait()}")
+    return proc, line.decode().split()[-1]
+
+
+@dataclass
+class HostProcesses:
+    """The entry and router of one host."""
+
+    name: str
+    zone: str
+    router: Process
+    entry: Process
+
+
+@dataclass
+class Fleet:
+    """Stand-ins and hosts. Use as an async context manager so that nothing is left running."""
+
+    log_dir: str | None = None
+    store: Store = field(default_factory=Store)
+    engines: dict[str, Engine] = field(default_factory=dict)
+    services: dict[str, PlainService] = field(default_factory=dict)
+    commits: PlainState = field(default_factory=PlainState)
+    hosts: dict[str, HostProcesses] = field(default_factory=dict)
+    entry_args: tuple[str, ...] = ("--balancer-lag-s", "0")
+    router_args: tuple[str, ...] = ()
+
+    async def __aenter__(self) -> "Fleet":
+        self.store.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        processes = [p for h in self.hosts.values() for p in (h.entry, h.router)]
+        await asyncio.gather(*(p.kill() for p in processes))
+        for standin in (*self.engines.values(), *self.services.values(), self.store):
+            await standin.stop()
+
+    def configure(self, config: dict) -> int:
+        """Store a configuration and return its version."""
+        return self.store.state.put(CONFIG_OBJECT, json.dumps(config).encode())
+
+    def add_engine(
+        self, name: str, zone: str, service: str = "forecast-llm", **kw: float
+    ) -> Engine:
+        """Start an engine and put it into the platform's list."""
+        engine = Engine(name, **kw)
+        engine.start()
+        self.engines[name] = engine
+        self._list_target(name, service, zone, engine.address)
+        return engine
+
+    def add_service(self, name: str, zone: str, service: str = "dispatch-app") -> PlainService:
+        """Start a replica of the plain service and put it into the platform's list."""
+        replica = PlainService(self.commits)
+        replica.start()
+        self.services[name] = replica
+        self._list_target(name, service, zone, replica.address)
+        return replica
+
+    def _list_target(self, name: str, service: str, zone: str, address: str) -> None:
+        entry = {"role": "target", "name": name, "service": service, "zone": zone}
+        self.store.state.entries.append({**entry, "address": address})
+
+    def unlist(self, name: str) -> None:
+        """Remove a host or target from the platform's list."""
+        kept = [entry for entry in self.store.state.entries if entry["name"] != name]
+        self.store.state.entries[:] = kept
+
+    async def add_hosts(self, zones: dict[str, str]) -> None:
+        """Start an entry and a router for each host name in `zones`, all at once."""
+        addresses = {name: f"127.0.0.1:{free_port()}" for name in zones}
+        for name, zone in zones.items():
+            entry = {"role": "router", "name": name, "zone": zone, "address": addresses[name]}
+            self.store.state.entries.append(entry)
+        started = await asyncio.gather(
+            *(self._start_host(name, zone, addresses) for name, zone in zones.items())
+        )
+        self.hosts.update({host.name: host for host in started})
+
+    async def _start_host(self, name: str, zone: str, addresses: dict[str, str]) -> HostProcesses:
+        router = await self.start_router(name, zone, addresses[name])
+        others = [address for other, address in addresses.items() if other != name]
+        entry = await self.start_entry(name, zone, [addresses[name], *others])
+        return HostProcesses(name, zone, router, entry)
+
+    async def start_router(self, name: str, zone: str, address: str) -> Process:
+        """Start a router process."""
+        args = ["--host", name, "--zone", zone, "--listen", address, "--platform", self.store.url]
+        module = "almondspindle.programs.router"
+        proc, listens = await start_program(
+            module, [*args, *self.router_args], self._log(f"router-{name}")
+        )
+        return Process(f"router-{name}", proc, listens)
+
+    async def start_entry(self, name: str, zone: str, routers: list[str]) -> Process:
+        """Start an entry process on a port that the system chooses."""
+        args = ["--host", name, "--zone", zone, "--listen", "127.0.0.1:0"]
+        args += ["--routers", json.dumps(routers), *self.entry_args]
+        module = "almondspindle.programs.entry"
+        proc, listens = await start_program(module, args, self._log(f"entry-{name}"))
+        return Process(f"entry-{name}", proc, listens)
+
+    def _log(self, name: str) -> str | None:
+        return f"{self.log_dir}/{name}.log" if self.log_dir else None
