Write configuration changes as one conditional update

Cause: operators had no way to change the configuration. Change: one object carries the objects, its revision, and the latest changes with nonce, operator, time and old values; a writer finds its own write there after a lost answer. A small feed object is what hosts will watch. A stale read first gave a refusal for an object that exists; a writer that knows the version in force now reads again.

--- a/almondspindle/adapters/platform/models.py
+++ b/almondspindle/adapters/platform/models.py
@@ -136,7 +136,8 @@
     entries: list[Annotated[RouterEntryModel | TargetEntryModel, Field(discriminator="role")]]
 
 
-def _service(model: ServiceModel) -> Service:
+def service_from_model(model: ServiceModel) -> Service:
+    """Return the service in `model`."""
     return Service(
         name=ServiceName(model.name),
         kind=model.kind,
@@ -151,20 +152,12 @@
     return ConfigSet(
         version=version,
         teams={TeamName(m.name): Team(**m.model_dump()) for m in model.teams},
-        services={ServiceName(m.name): _service(m) for m in model.services},
+        services={ServiceName(m.name): service_from_model(m) for m in model.services},
         zones={ZoneName(m.name): AvailabilityZone(**m.model_dump()) for m in model.zones},
         targets={TargetName(m.name): TargetOverride(**m.model_dump()) for m in model.targets},
     )
 
 
-def parse_config(value: bytes, version: int) -> Result[ConfigSet, str]:
-    """Return the stored configuration `value`, or what is wrong with it."""
-    try:
-        return Ok(config_from_model(ConfigModel.model_validate_json(value), version))
-    except ValidationError as exc:
-        return Error(describe(exc))
-
-
 def parse_roster(value: bytes) -> Result[Roster, str]:
     """Return the hosts and targets in the platform's list `value`, or what is wrong with it."""
     try:
--- /dev/null
+++ b/almondspindle/adapters/platform/stored_config.py
@@ -0,0 +1,165 @@
+"""The configuration as it is stored: the objects, their version, and the latest changes."""
+
+from typing import Annotated, Any
+
+from pydantic import Field, ValidationError
+
+from almondspindle.adapters.platform.models import (
+    ConfigModel,
+    Name,
+    ServiceModel,
+    StrictModel,
+    TargetModel,
+    TeamModel,
+    ZoneModel,
+    config_from_model,
+    describe,
+    service_from_model,
+)
+from almondspindle.core.changes import ConfigDelta, HistoryEntry
+from almondspindle.core.config import AvailabilityZone, ConfigSet, TargetOverride, Team
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.stored import ChangeFeed, StoredConfig
+
+CONFIG_OBJECT = "config/current"
+FEED_OBJECT = "config/changes"
+HISTORY_PREFIX = "config/history/"
+Version = Annotated[int, Field(ge=0)]
+
+
+class DeltaModel(StrictModel):
+    """The objects that a change created, changed or deleted (null)."""
+
+    base: Version
+    version: Version
+    teams: dict[Name, TeamModel | None] = {}
+    services: dict[Name, ServiceModel | None] = {}
+    zones: dict[Name, ZoneModel | None] = {}
+    targets: dict[Name, TargetModel | None] = {}
+
+
+class HistoryModel(StrictModel):
+    """An accepted change as stored."""
+
+    version: Version
+    previous: Version
+    nonce: str
+    operator: str
+    at: float
+    forward: DeltaModel
+    backward: DeltaModel
+
+
+class StoredConfigModel(ConfigModel):
+    """The stored object. Without a `revision` the store's own version counts."""
+
+    revision: Version = 0
+    recent: list[HistoryModel] = []
+
+
+class FeedModel(StrictModel):
+    """The latest changes, in an object that is small enough to watch."""
+
+    version: Version
+    entries: list[HistoryModel] = []
+
+
+def parse_stored(value: bytes, store_version: int) -> Result[StoredConfig, str]:
+    """Return the stored configuration `value`, or what is wrong with it."""
+    try:
+        model = StoredConfigModel.model_validate_json(value)
+    except ValidationError as exc:
+        return Error(describe(exc))
+    config = config_from_model(model, model.revision or store_version)
+    return Ok(StoredConfig(config, store_version, tuple(_entry(item) for item in model.recent)))
+
+
+def parse_config(value: bytes, version: int) -> Result[ConfigSet, str]:
+    """Return the configuration in the stored object `value`, or what is wrong with it."""
+    return parse_stored(value, version).map(lambda stored: stored.config)
+
+
+def check_config(config: ConfigSet) -> Result[ConfigSet, str]:
+    """Return `config` with every value checked and in its own type, or what is wrong with it."""
+    try:
+        model = ConfigModel.model_validate(_lists(config), from_attributes=True)
+    except ValidationError as exc:
+        return Error(describe(exc))
+    return Ok(config_from_model(model, config.version))
+
+
+def parse_document(value: bytes) -> Result[ConfigSet, str]:
+    """Return the configuration in an exported document, or what is wrong with it."""
+    try:
+        return Ok(config_from_model(ConfigModel.model_validate_json(value), 0))
+    except ValidationError as exc:
+        return Error(describe(exc))
+
+
+def dump_stored(config: ConfigSet, recent: tuple[HistoryEntry, ...]) -> bytes:
+    """Return the object that stores `config` with its latest changes."""
+    parts = {**_lists(config), "revision": config.version, "recent": list(recent)}
+    model = StoredConfigModel.model_validate(parts, from_attributes=True)
+    return model.model_dump_json(exclude_defaults=True).encode()
+
+
+def dump_feed(version: int, recent: tuple[HistoryEntry, ...]) -> bytes:
+    """Return the object that hosts watch for changes."""
+    model = FeedModel.model_validate(
+        {"version": version, "entries": list(recent)}, from_attributes=True
+    )
+    return model.model_dump_json(exclude_defaults=True).encode()
+
+
+def parse_feed(value: bytes) -> Result[ChangeFeed, str]:
+    """Return the latest changes in `value`, or what is wrong with it."""
+    try:
+        model = FeedModel.model_validate_json(value)
+    except ValidationError as exc:
+        return Error(describe(exc))
+    return Ok(ChangeFeed(model.version, tuple(_entry(item) for item in model.entries)))
+
+
+def dump_history(entry: HistoryEntry) -> bytes:
+    """Return the object that keeps one accepted change."""
+    model = HistoryModel.model_validate(entry, from_attributes=True)
+    return model.model_dump_json(exclude_defaults=True).encode()
+
+
+def parse_history(value: bytes) -> Result[HistoryEntry, str]:
+    """Return the accepted change in `value`, or what is wrong with it."""
+    try:
+        return Ok(_entry(HistoryModel.model_validate_json(value)))
+    except ValidationError as exc:
+        return Error(describe(exc))
+
+
+def _lists(config: ConfigSet) -> dict[str, list[Any]]:
+    return {
+        "teams": list(config.teams.values()),
+        "services": list(config.services.values()),
+        "zones": list(config.zones.values()),
+        "targets": list(config.targets.values()),
+    }
+
+
+def _entry(model: HistoryModel) -> HistoryEntry:
+    return HistoryEntry(
+        model.version,
+        model.previous,
+        model.nonce,
+        model.operator,
+        model.at,
+        _delta(model.forward),
+        _delta(model.backward),
+    )
+
+
+def _delta(model: DeltaModel) -> ConfigDelta:
+    parts: dict[str, Any] = {
+        "teams": {k: m and Team(**m.model_dump()) for k, m in model.teams.items()},
+        "services": {k: m and service_from_model(m) for k, m in model.services.items()},
+        "zones": {k: m and AvailabilityZone(**m.model_dump()) for k, m in model.zones.items()},
+        "targets": {k: m and TargetOverride(**m.model_dump()) for k, m in model.targets.items()},
+    }
+    return ConfigDelta(model.base, model.version, **parts)
--- a/almondspindle/controllers/configuration/watcher.py
+++ b/almondspindle/controllers/configuration/watcher.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from almondspindle.adapters.platform.base import Platform, StoredObject
-from almondspindle.adapters.platform.models import parse_config
+from almondspindle.adapters.platform.stored_config import parse_config
 from almondspindle.controllers.configuration.messages import ConfigRead
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.core.events import CONFIG_INVALID, STORE_FAILED
--- /dev/null
+++ b/almondspindle/controllers/configuration/writer.py
@@ -0,0 +1,237 @@
+"""Write changes of the configuration to the platform's store."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+from random import Random
+
+from almondspindle.adapters.platform.base import (
+    ABSENT,
+    Platform,
+    StoredObject,
+    StoreError,
+    StoreErrorCode,
+)
+from almondspindle.adapters.platform.stored_config import (
+    CONFIG_OBJECT,
+    FEED_OBJECT,
+    HISTORY_PREFIX,
+    check_config,
+    dump_feed,
+    dump_history,
+    dump_stored,
+    parse_feed,
+    parse_stored,
+)
+from almondspindle.core.changes import (
+    Change,
+    ChangeError,
+    ChangeErrorCode,
+    HistoryEntry,
+    ReplaceAll,
+)
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.events import CONFIG_FEED_LATE, CONFIG_WRITTEN
+from almondspindle.core.logs import emit
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.stored import StoredConfig
+from almondspindle.decisions.configuration.writing import (
+    Accepted,
+    Planned,
+    WriteRequest,
+    may_have_passed,
+    plan_write,
+)
+
+NONCE_BYTES = 12
+HISTORY_DIGITS = 12
+
+Written = Result[Accepted, ChangeError]
+
+
+@dataclass(frozen=True, slots=True)
+class WriterCfg:
+    """Bounds on the tries of one write. Pauses are in seconds and drawn with full jitter."""
+
+    attempts: int = 8
+    pause_s: float = 0.05
+    longest_pause_s: float = 1.0
+    seed: int | None = None
+
+
+class ConfigWriter:
+    """Apply lists of changes as conditional updates.
+
+    A refused list changes nothing. After a lost answer the writer reads the object back and looks
+    for its own nonce; it never reports a change as refused that may be in force.
+    """
+
+    def __init__(self, platform: Platform, clock: Clock, cfg: WriterCfg | None = None) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._cfg = cfg or WriterCfg()
+        self._random = Random(self._cfg.seed)
+
+    async def read(self) -> Result[StoredConfig, ChangeError]:
+        """Return the stored configuration with its latest changes."""
+        found = await self._platform.read(CONFIG_OBJECT)
+        return found.map_error(_unavailable).bind(_parse)
+
+    async def submit(
+        self,
+        changes: tuple[Change, ...],
+        operator: str,
+        expected_version: int | None = None,
+        in_force: int = 0,
+    ) -> Written:
+        """Write `changes` as one update and return the version that holds them.
+
+        `in_force` is the highest version known to be in force on a host.
+        """
+        nonce = secrets.token_hex(NONCE_BYTES)
+        return await self._write(WriteRequest(changes, operator, nonce, expected_version, in_force))
+
+    async def restore(self, config: ConfigSet, operator: str) -> Written:
+        """Write the configuration in force back to a store that has lost it."""
+        nonce = secrets.token_hex(NONCE_BYTES)
+        changes = (ReplaceAll(config),)
+        req = WriteRequest(changes, operator, nonce, in_force=config.version, restoring=True)
+        return await self._write(req)
+
+    async def _write(self, req: WriteRequest) -> Written:
+        tried_over: int | None = None
+        last = ChangeError(ChangeErrorCode.STORE_UNAVAILABLE, "the store was not asked")
+        for attempt in range(self._cfg.attempts):
+            await self._pause(attempt)
+            stored = await self.read()
+            if stored.is_error():
+                last = stored.error
+                if last.code is not ChangeErrorCode.STORE_UNAVAILABLE:
+                    return Error(last)
+                continue
+            if tried_over is not None and may_have_passed(tried_over, stored.ok):
+                return Error(_unknown(req, "many other changes were made since"))
+            plan = plan_write(req, stored.ok, check_config, self._clock.wall())
+            if plan.is_error():
+                last = plan.error
+                if last.code is ChangeErrorCode.STORE_BEHIND:
+                    continue  # the read may have been stale
+                return Error(last)
+            if isinstance(plan.ok, Accepted):
+                return await self._accepted(plan.ok, stored.ok.recent)
+            if tried_over is not None and stored.ok.config.version > tried_over:
+                tried_over = None  # another write came first, so the earlier try had no effect
+            kept = await self._archive_all(plan.ok.archive)
+            if kept.is_error():
+                last = _failed(kept.error)
+                continue
+            written = await self._update(plan.ok, stored.ok.store_version)
+            if written.is_ok():
+                return await self._accepted(written.ok, plan.ok.recent)
+            if written.error.code is StoreErrorCode.TOO_LARGE:
+                return Error(_too_large(written.error))
+            if written.error.code is StoreErrorCode.UNAVAILABLE:
+                tried_over = stored.ok.config.version
+            last = _failed(written.error)
+        return Error(_unknown(req, last.message) if tried_over is not None else last)
+
+    async def _update(self, plan: Planned, expected: int) -> Result[Accepted, StoreError]:
+        value = dump_stored(plan.config, plan.recent)
+        written = await self._platform.write(CONFIG_OBJECT, value, expected)
+        return written.map(lambda _: Accepted(plan.config.version, plan.entry))
+
+    async def _archive_all(self, entries: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
+        for entry in entries:
+            kept = await self._archive(entry)
+            if kept.is_error():
+                return kept
+        return Ok(None)
+
+    async def _archive(self, entry: HistoryEntry) -> Result[None, StoreError]:
+        name = history_name(entry.version)
+        kept = await self._platform.write(name, dump_history(entry), ABSENT)
+        if kept.is_error() and kept.error.code is not StoreErrorCode.CONFLICT:
+            return Error(kept.error)
+        return Ok(None)
+
+    async def _accepted(self, accepted: Accepted, recent: tuple[HistoryEntry, ...]) -> Written:
+        # What follows only speeds up the spread and fills the history: the object itself holds
+        # both, and the watchers ask for its version now and then.
+        if accepted.entry is None:
+            return Ok(accepted)
+        emit(CONFIG_WRITTEN, version=accepted.version, operator=accepted.entry.operator)
+        fed = await self._feed(recent)
+        kept = await self._archive(accepted.entry)
+        for outcome in (fed, kept):
+            if outcome.is_error():
+                emit(CONFIG_FEED_LATE, version=accepted.version, reason=outcome.error.message)
+        return Ok(accepted)
+
+    async def _feed(self, recent: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
+        version = recent[-1].version
+        for _ in range(self._cfg.attempts):
+            found = await self._platform.read(FEED_OBJECT)
+            if found.is_error():
+                return Error(found.error)
+            if _feed_version(found.ok) >= version:
+                return Ok(None)
+            value = dump_feed(version, recent)
+            written = await self._platform.write(FEED_OBJECT, value, found.ok.version)
+            if written.is_ok():
+                return Ok(None)
+            if written.error.code is not StoreErrorCode.CONFLICT:
+                return Error(written.error)
+        return Error(StoreError(StoreErrorCode.CONFLICT, "other writers kept changing the feed"))
+
+    async def _pause(self, attempt: int) -> None:
+        if attempt > 0:
+            bound = min(self._cfg.longest_pause_s, self._cfg.pause_s * 2**attempt)
+            await asyncio.sleep(self._random.uniform(0.0, bound))
+
+
+def history_name(version: int) -> str:
+    """Return the name of the object that keeps the change to `version`."""
+    return f"{HISTORY_PREFIX}{version:0{HISTORY_DIGITS}d}"
+
+
+def _parse(found: StoredObject) -> Result[StoredConfig, ChangeError]:
+    if found.version == ABSENT:
+        return Ok(StoredConfig(ConfigSet(), ABSENT))
+    return parse_stored(found.value, found.version).map_error(
+        lambda text: ChangeError(
+            ChangeErrorCode.STORED_INVALID,
+            f"the stored configuration is not valid: {text}",
+            "mend the stored object, or write the configuration in force back",
+        )
+    )
+
+
+def _feed_version(found: StoredObject) -> int:
+    if found.version == ABSENT:
+        return 0
+    parsed = parse_feed(found.value)
+    return parsed.ok.version if parsed.is_ok() else 0
+
+
+def _unavailable(error: StoreError) -> ChangeError:
+    text = f"the store does not answer, nothing was changed: {error.message}"
+    hint = "the last configuration stays in force; repeat the command when the store is back"
+    return ChangeError(ChangeErrorCode.STORE_UNAVAILABLE, text, hint)
+
+
+def _unknown(req: WriteRequest, reason: str) -> ChangeError:
+    text = f"the change may or may not have been accepted: {reason}"
+    hint = f"look for nonce {req.nonce} in the history before you repeat it"
+    return ChangeError(ChangeErrorCode.OUTCOME_UNKNOWN, text, hint)
+
+
+def _too_large(error: StoreError) -> ChangeError:
+    return ChangeError(ChangeErrorCode.TOO_LARGE, error.message, "delete objects that are unused")
+
+
+def _failed(error: StoreError) -> ChangeError:
+    if error.code is StoreErrorCode.CONFLICT:
+        hint = "repeat the command"
+        return ChangeError(ChangeErrorCode.TOO_MANY_CONFLICTS, error.message, hint)
+    return _unavailable(error)
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -46,6 +46,19 @@
 CONFIG_IGNORED = event(1201, "config_ignored", "A version not above the one in force was ignored.")
 CONFIG_INVALID = event(1202, "config_invalid", "A stored configuration failed validation.")
 STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
+CONFIG_WRITTEN = event(1204, "config_written", "A change of the configuration was accepted.")
+CONFIG_FEED_LATE = event(
+    1205, "config_feed_late", "A change was accepted; the note to watchers or history failed."
+)
+CONFIG_STORE_BEHIND = event(
+    1206, "config_store_behind", "The store holds a lower version than the one in force."
+)
+CONFIG_PULLED = event(1207, "config_pulled", "A higher version was pulled from a peer.")
+CONFIG_PULL_FAILED = event(1208, "config_pull_failed", "A peer did not give its configuration.")
+CONFIG_ROLE_CHANGED = event(
+    1209, "config_role_changed", "This host began or ceased to watch the store."
+)
+TARGETS_RETURNED = event(1210, "targets_returned", "Targets receive new work again, as cold ones.")
 
 # 1300 to 1399: membership, ownership and targets.
 HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
--- /dev/null
+++ b/almondspindle/core/stored.py
@@ -0,0 +1,26 @@
+"""What the store holds of the configuration."""
+
+from dataclasses import dataclass
+
+from almondspindle.core.changes import HistoryEntry
+from almondspindle.core.config import ConfigSet
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfig:
+    """The stored configuration, the store's version of the object, and the latest changes.
+
+    `recent` is in the order of the versions, the latest change last.
+    """
+
+    config: ConfigSet
+    store_version: int
+    recent: tuple[HistoryEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeFeed:
+    """The latest changes up to `version`."""
+
+    version: int
+    entries: tuple[HistoryEntry, ...] = ()
--- /dev/null
+++ b/almondspindle/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on configuration: changes, differences, references and spread."""
--- /dev/null
+++ b/almondspindle/decisions/configuration/apply.py
@@ -0,0 +1,200 @@
+"""Apply operators' changes to a configuration.
+
+The values of fields are checked at the border, by the models of the stored document; here only
+names and the presence of fields and objects are.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import MISSING, fields, is_dataclass, replace
+from functools import singledispatch
+from typing import Any
+
+from almondspindle.core.changes import (
+    BringBack,
+    Change,
+    ChangeError,
+    ChangeErrorCode,
+    CreateObject,
+    DeleteObject,
+    Kind,
+    ReplaceAll,
+    SetFields,
+    TakeOut,
+)
+from almondspindle.core.config import (
+    AvailabilityZone,
+    ConfigSet,
+    Intent,
+    Objectives,
+    Policy,
+    Service,
+    TargetOverride,
+    Team,
+)
+from almondspindle.core.outcomes import Error, InvariantError, Ok, Result
+
+COLLECTIONS = {
+    Kind.TEAM: "teams",
+    Kind.SERVICE: "services",
+    Kind.ZONE: "zones",
+    Kind.TARGET: "targets",
+}
+CLASSES: dict[Kind, type] = {
+    Kind.TEAM: Team,
+    Kind.SERVICE: Service,
+    Kind.ZONE: AvailabilityZone,
+    Kind.TARGET: TargetOverride,
+}
+NESTED: dict[str, Any] = {"policy": Policy, "objectives": Objectives}
+
+Changed = Result[ConfigSet, ChangeError]
+
+
+def apply_all(config: ConfigSet, changes: Iterable[Change]) -> Changed:
+    """Return `config` after all `changes` in order, or the error of the first refused one."""
+    for change in changes:
+        outcome = apply_change(change, config)
+        if outcome.is_error():
+            return outcome
+        config = outcome.ok
+    return Ok(config)
+
+
+@singledispatch
+def apply_change(change: object, config: ConfigSet) -> Changed:
+    """Return `config` with `change` applied, or why it can't be."""
+    raise InvariantError(f"unexpected change {type(change).__name__}")
+
+
+@apply_change.register
+def _(change: CreateObject, config: ConfigSet) -> Changed:
+    if change.name in _objects(config, change.kind):
+        text = f"{change.kind} {change.name!r} exists already"
+        return Error(ChangeError(ChangeErrorCode.EXISTS, text, "set its fields instead"))
+    missing = [name for name in _required(change.kind) if name not in change.fields]
+    if missing:
+        text = f"{change.kind} {change.name!r} lacks: {', '.join(missing)}"
+        return Error(ChangeError(ChangeErrorCode.INVALID, text, "give a value for each"))
+    plain = {key: value for key, value in change.fields.items() if "." not in key}
+    dotted = {key: value for key, value in change.fields.items() if "." in key}
+    unknown = _unknown_fields(CLASSES[change.kind], plain)
+    if unknown is not None:
+        return Error(unknown)
+    created = CLASSES[change.kind](name=change.name, **_typed(plain))
+    return _with_fields(created, dotted).map(
+        lambda made: put_object(config, change.kind, change.name, made)
+    )
+
+
+@apply_change.register
+def _(change: SetFields, config: ConfigSet) -> Changed:
+    return _find(config, change.kind, change.name).bind(
+        lambda found: _with_fields(found, change.fields).map(
+            lambda made: put_object(config, change.kind, change.name, made)
+        )
+    )
+
+
+@apply_change.register
+def _(change: DeleteObject, config: ConfigSet) -> Changed:
+    return _find(config, change.kind, change.name).map(
+        lambda _: put_object(config, change.kind, change.name, None)
+    )
+
+
+@apply_change.register
+def _(change: TakeOut, config: ConfigSet) -> Changed:
+    return _set_intent(config, change.kind, change.name, Intent.OUT)
+
+
+@apply_change.register
+def _(change: BringBack, config: ConfigSet) -> Changed:
+    return _set_intent(config, change.kind, change.name, Intent.IN)
+
+
+@apply_change.register
+def _(change: ReplaceAll, config: ConfigSet) -> Changed:
+    return Ok(replace(change.config, version=config.version))
+
+
+def put_object(config: ConfigSet, kind: Kind, name: str, value: object | None) -> ConfigSet:
+    """Return `config` with the object `value` under `name`, or without it when it is None."""
+    objects = dict(_objects(config, kind))
+    if value is None:
+        objects.pop(name, None)
+    else:
+        objects[name] = value
+    parts: dict[str, Any] = {COLLECTIONS[kind]: objects}
+    return replace(config, **parts)
+
+
+def _objects(config: ConfigSet, kind: Kind) -> dict[str, Any]:
+    return getattr(config, COLLECTIONS[kind])
+
+
+def _find(config: ConfigSet, kind: Kind, name: str) -> Result[Any, ChangeError]:
+    objects = _objects(config, kind)
+    if name in objects:
+        return Ok(objects[name])
+    known = ", ".join(sorted(objects)) or "none"
+    text = f"no {kind} is called {name!r}"
+    return Error(ChangeError(ChangeErrorCode.UNKNOWN_OBJECT, text, f"known: {known}"))
+
+
+def _set_intent(config: ConfigSet, kind: Kind, name: str, intent: Intent) -> Changed:
+    if kind not in (Kind.ZONE, Kind.TARGET):
+        text = f"a {kind} can't be taken out or brought back"
+        return Error(ChangeError(ChangeErrorCode.INVALID, text, "name a zone or a target"))
+    if kind is Kind.TARGET and name not in config.targets:
+        # A target needs no object of its own until an operator says something about it.
+        return Ok(put_object(config, kind, name, CLASSES[kind](name=name, intent=intent)))
+    return _find(config, kind, name).map(
+        lambda found: put_object(config, kind, name, replace(found, intent=intent))
+    )
+
+
+def _required(kind: Kind) -> list[str]:
+    return [
+        item.name
+        for item in fields(CLASSES[kind])
+        if item.name != "name" and item.default is MISSING and item.default_factory is MISSING
+    ]
+
+
+def _unknown_fields(cls: type, names: Mapping[str, object]) -> ChangeError | None:
+    known = {item.name for item in fields(cls)} - {"name"}
+    unknown = sorted(set(names) - known)
+    if not unknown:
+        return None
+    text = f"unknown field: {', '.join(unknown)}"
+    return ChangeError(ChangeErrorCode.UNKNOWN_FIELD, text, f"known: {', '.join(sorted(known))}")
+
+
+def _typed(values: Mapping[str, object]) -> dict[str, Any]:
+    return {key: _nested(key, value) for key, value in values.items()}
+
+
+def _nested(key: str, value: object) -> object:
+    if key in NESTED and isinstance(value, Mapping):
+        return NESTED[key](**value)
+    return tuple(value) if isinstance(value, list) else value
+
+
+def _with_fields(found: Any, values: Mapping[str, object]) -> Result[Any, ChangeError]:
+    for key, value in values.items():
+        head, _, rest = key.partition(".")
+        unknown = _unknown_fields(type(found), {head: value})
+        if unknown is not None:
+            return Error(unknown)
+        if not rest:
+            found = replace(found, **{head: _nested(head, value)})
+            continue
+        inner = getattr(found, head)
+        if not is_dataclass(inner):
+            text = f"{head!r} has no fields of its own"
+            return Error(ChangeError(ChangeErrorCode.UNKNOWN_FIELD, text, f"set {head} itself"))
+        changed = _with_fields(inner, {rest: value})
+        if changed.is_error():
+            return changed
+        found = replace(found, **{head: changed.ok})
+    return Ok(found)
--- /dev/null
+++ b/almondspindle/decisions/configuration/delta.py
@@ -0,0 +1,63 @@
+"""Differences of two configurations, and their application."""
+
+from typing import Any
+
+from almondspindle.core.changes import ConfigDelta, Kind
+from almondspindle.core.config import ConfigSet
+from almondspindle.decisions.configuration.apply import COLLECTIONS
+
+
+def diff(old: ConfigSet, new: ConfigSet) -> ConfigDelta:
+    """Return what leads from `old` to `new`."""
+    parts = {name: _diff(getattr(old, name), getattr(new, name)) for name in COLLECTIONS.values()}
+    return ConfigDelta(old.version, new.version, **parts)
+
+
+def apply_delta(config: ConfigSet, delta: ConfigDelta) -> ConfigSet | None:
+    """Return `config` after `delta`, or None when the delta has another base version."""
+    if delta.base != config.version:
+        return None
+    parts = {
+        name: _patched(getattr(config, name), getattr(delta, name)) for name in COLLECTIONS.values()
+    }
+    return ConfigSet(delta.version, **parts)
+
+
+def is_empty(delta: ConfigDelta) -> bool:
+    """Return whether the two configurations hold the same objects."""
+    return not any(getattr(delta, name) for name in COLLECTIONS.values())
+
+
+def is_newer(config: ConfigSet, than: ConfigSet) -> bool:
+    """Return whether `config` may replace `than`: a configuration never goes back."""
+    return config.version > than.version
+
+
+def describe_delta(old: ConfigSet, delta: ConfigDelta) -> list[str]:
+    """Return a line for each object that `delta` creates, changes or deletes in `old`."""
+    lines = []
+    for kind, name in COLLECTIONS.items():
+        before = getattr(old, name)
+        for key, value in sorted(getattr(delta, name).items()):
+            lines.append(_line(kind, key, before.get(key), value))
+    return lines
+
+
+def _diff(old: dict[Any, Any], new: dict[Any, Any]) -> dict[Any, Any]:
+    changed = {key: value for key, value in new.items() if key not in old or old[key] != value}
+    return changed | {key: None for key in old if key not in new}
+
+
+def _patched(old: dict[Any, Any], changes: dict[Any, Any]) -> dict[Any, Any]:
+    if not changes:
+        return old
+    merged = {**old, **changes}
+    return {key: value for key, value in merged.items() if value is not None}
+
+
+def _line(kind: Kind, key: str, before: object | None, after: object | None) -> str:
+    if before is None:
+        return f"create {kind} {key}: {after}"
+    if after is None:
+        return f"delete {kind} {key}: was {before}"
+    return f"change {kind} {key}: from {before} to {after}"
--- /dev/null
+++ b/almondspindle/decisions/configuration/references.py
@@ -0,0 +1,35 @@
+"""Whether the objects of a configuration name only objects that exist."""
+
+from almondspindle.core.changes import ChangeError, ChangeErrorCode
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.outcomes import Error, Ok, Result
+
+
+def check_references(config: ConfigSet) -> Result[ConfigSet, ChangeError]:
+    """Return `config`, or every team that names an unknown service, and what to mend."""
+    broken = [
+        f"team {team.name!r} names service {service!r}"
+        for team in config.teams.values()
+        for service in team.services
+        if service not in config.services
+    ]
+    twice = _shared_tokens(config)
+    if twice:
+        text = f"teams share one bearer token: {', '.join(twice)}"
+        return Error(ChangeError(ChangeErrorCode.INVALID, text, "give each team its own token"))
+    if not broken:
+        return Ok(config)
+    known = ", ".join(sorted(config.services)) or "none"
+    hint = f"create the service or change the team first; known services: {known}"
+    text = f"{'; '.join(broken)}, which does not exist"
+    return Error(ChangeError(ChangeErrorCode.BROKEN_REFERENCE, text, hint))
+
+
+def _shared_tokens(config: ConfigSet) -> list[str]:
+    first: dict[str, str] = {}
+    shared = []
+    for team in config.teams.values():
+        other = first.setdefault(team.token_sha256, team.name)
+        if other != team.name:
+            shared += [other, team.name]
+    return sorted(set(shared))
--- /dev/null
+++ b/tests/standins/memory_platform.py
@@ -0,0 +1,109 @@
+"""The platform's object API in memory, with faults per call, for tests without sockets."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from almondspindle.adapters.platform.base import StoredObject, StoreError, StoreErrorCode
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.roster import Roster
+
+
+@dataclass
+class MemoryFaults:
+    """Faults that a test switches on; the counts are of calls that fail next."""
+
+    down: bool = False
+    lose_answers: int = 0
+    drop_writes: int = 0
+    stale_reads: int = 0
+    before_write: list[Callable[[], None]] = field(default_factory=list)
+
+
+@dataclass
+class MemoryPlatform:
+    """Objects with versions. Several writers may share one."""
+
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+    earlier: dict[str, StoredObject] = field(default_factory=dict)
+    faults: MemoryFaults = field(default_factory=MemoryFaults)
+    hosts: Roster = field(default_factory=Roster)
+    calls: Counter[str] = field(default_factory=Counter)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, name: str, value: bytes, version: int | None = None) -> int:
+        """Store `value` under `version`, by default the next one."""
+        old = self.objects.get(name, StoredObject(b"", 0))
+        self.earlier[name] = old
+        self.objects[name] = StoredObject(value, version or old.version + 1)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.objects[name].version
+
+    async def read(self, name: str) -> Result[StoredObject, StoreError]:
+        """Return the object, or an earlier one while reads are stale."""
+        self.calls["read"] += 1
+        if self.faults.down:
+            return _down()
+        if self.faults.stale_reads and name in self.earlier:
+            self.faults.stale_reads -= 1
+            return Ok(self.earlier[name])
+        return Ok(self.objects.get(name, StoredObject(b"", 0)))
+
+    async def write(self, name: str, value: bytes, expected: int) -> Result[int, StoreError]:
+        """Write on condition, with the faults that are switched on."""
+        self.calls["write"] += 1
+        await asyncio.sleep(0)
+        if self.faults.before_write:
+            self.faults.before_write.pop(0)()
+        if self.faults.down:
+            return _down()
+        if self.faults.drop_writes:
+            self.faults.drop_writes -= 1
+            return _down()
+        if self.objects.get(name, StoredObject(b"", 0)).version != expected:
+            return Error(StoreError(StoreErrorCode.CONFLICT, "another version"))
+        version = self.put(name, value)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return _down()
+        return Ok(version)
+
+    async def delete(self, name: str, expected: int) -> Result[None, StoreError]:
+        """Delete the object."""
+        self.calls["delete"] += 1
+        self.objects.pop(name, None)
+        return Ok(None)
+
+    async def watch(
+        self, name: str, after: int, wait_s: float
+    ) -> Result[StoredObject | None, StoreError]:
+        """Return the object once it is newer than `after`, or None after `wait_s`."""
+        self.calls["watch"] += 1
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self.faults.down and self._version(name) <= after:
+                    await self.changed.wait()
+        except TimeoutError:
+            return Ok(None)
+        return _down() if self.faults.down else Ok(self.objects[name])
+
+    async def list_names(self, prefix: str) -> Result[dict[str, int], StoreError]:
+        """Return names and versions."""
+        self.calls["list"] += 1
+        if self.faults.down:
+            return _down()
+        return Ok({n: o.version for n, o in self.objects.items() if n.startswith(prefix)})
+
+    async def roster(self) -> Result[Roster, StoreError]:
+        """Return the list of hosts and targets."""
+        self.calls["roster"] += 1
+        return _down() if self.faults.down else Ok(self.hosts)
+
+    def _version(self, name: str) -> int:
+        return self.objects[name].version if name in self.objects else 0
+
+
+def _down() -> Result:
+    return Error(StoreError(StoreErrorCode.UNAVAILABLE, "the store is down"))
