--- a/almondspindle/adapters/peer/base.py
+++ b/almondspindle/adapters/peer/base.py
@@ -3,6 +3,10 @@
 SERVICE = "almondspindle.Peer"
 RELAY = "Relay"
 SUBSCRIBE = "Subscribe"
+GET_CONFIG = "GetConfig"
+PUSH_CONFIG = "PushConfig"
+GET_STATUS = "GetStatus"
+ACK_CONFIG = "AckConfig"
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 KEEPALIVE_INTERVAL_MS = 2_000
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -10,9 +10,19 @@
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigPush,
+    ConfigUpToDate,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
 
 WIRE_TYPES: dict[int, type] = {
     1: RelayRequest,
@@ -23,6 +33,14 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    30: GetConfigRequest,
+    31: ConfigDelta,
+    32: ConfigUpToDate,
+    33: ConfigPush,
+    34: ConfigVersionNote,
+    35: StatusRequest,
+    36: HostStatus,
+    37: ConfigAck,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/adapters/peer/server.py
+++ b/almondspindle/adapters/peer/server.py
@@ -15,6 +15,7 @@
 from almondspindle.core.calls import AnswerPart
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import RELAY_DONE, REQUEST_REFUSED
+from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Refusal
 
@@ -39,11 +40,14 @@
         self._latest: dict[type, object] = {}
         self._queues: set[asyncio.Queue[object]] = set()
 
-    def publish(self, update: object) -> None:
-        """Send `update` to all subscribers, and to later ones until a newer one comes."""
+    def publish(self, update: object, change: object | None = None) -> None:
+        """Send `update` to all subscribers, and to later ones until a newer one comes.
+
+        Present subscribers, who have the update before it, get `change` instead if it is given.
+        """
         self._latest[type(update)] = update
         for queue in self._queues:
-            queue.put_nowait(update)
+            queue.put_nowait(update if change is None else change)
 
     async def updates(self) -> AsyncIterator[object]:
         """Yield the newest update of each type, then every later one."""
@@ -67,6 +71,11 @@
         self._clock = clock
         self._server = aio.server(options=OPTIONS)
         self._unary: dict[str, Callable[[Any], Awaitable[object]]] = {}
+        self._on_subscriber: Callable[[HostName, bool], None] = lambda subscriber, present: None
+
+    def on_subscriber(self, listener: Callable[[HostName, bool], None]) -> None:
+        """Call `listener` with True when a subscriber comes and with False when it goes."""
+        self._on_subscriber = listener
 
     def add_method(self, name: str, handler: Callable[[Any], Awaitable[object]]) -> None:
         """Serve the unary method `name` with `handler`. Call before `start`."""
@@ -103,8 +112,12 @@
         await context.write(finished.refusal)
 
     async def _subscribe(self, req: SubscribeRequest, context: Any) -> None:
-        async for update in self._publisher.updates():
-            await context.write(update)
+        self._on_subscriber(req.subscriber, True)
+        try:
+            async for update in self._publisher.updates():
+                await context.write(update)
+        finally:
+            self._on_subscriber(req.subscriber, False)
 
 
 def _unary(handler: Callable[[Any], Awaitable[object]]) -> Callable[[Any, Any], Awaitable[object]]:
--- a/almondspindle/adapters/peer/subscription.py
+++ b/almondspindle/adapters/peer/subscription.py
@@ -28,13 +28,14 @@
         self._addresses = list(addresses)
         self._subscriber = subscriber
         self._listener = listener
+        self.address = self._addresses[0]
 
     async def run(self) -> None:
         """Pass updates to the listener until cancelled."""
         turn = 0
         while True:
-            address = self._addresses[turn % len(self._addresses)]
-            await self._follow(address)
+            self.address = self._addresses[turn % len(self._addresses)]
+            await self._follow(self.address)
             turn += 1
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
--- a/almondspindle/adapters/platform/stored_config.py
+++ b/almondspindle/adapters/platform/stored_config.py
@@ -61,6 +61,7 @@
     """The latest changes, in an object that is small enough to watch."""
 
     version: Version
+    store_version: Version
     entries: list[HistoryModel] = []
 
 
@@ -103,11 +104,9 @@
     return model.model_dump_json(exclude_defaults=True).encode()
 
 
-def dump_feed(version: int, recent: tuple[HistoryEntry, ...]) -> bytes:
+def dump_feed(feed: ChangeFeed) -> bytes:
     """Return the object that hosts watch for changes."""
-    model = FeedModel.model_validate(
-        {"version": version, "entries": list(recent)}, from_attributes=True
-    )
+    model = FeedModel.model_validate(feed, from_attributes=True)
     return model.model_dump_json(exclude_defaults=True).encode()
 
 
@@ -117,7 +116,7 @@
         model = FeedModel.model_validate_json(value)
     except ValidationError as exc:
         return Error(describe(exc))
-    return Ok(ChangeFeed(model.version, tuple(_entry(item) for item in model.entries)))
+    return Ok(ChangeFeed(model.version, model.store_version, tuple(map(_entry, model.entries))))
 
 
 def dump_history(entry: HistoryEntry) -> bytes:
--- a/almondspindle/commands/status.py
+++ b/almondspindle/commands/status.py
@@ -8,7 +8,7 @@
 from cleo.io.inputs.option import Option
 
 from almondspindle.adapters.platform.http import HttpPlatform
-from almondspindle.controllers.configuration.watcher import CONFIG_OBJECT
+from almondspindle.adapters.platform.stored_config import CONFIG_OBJECT
 
 EXIT_UNAVAILABLE = 3
 
--- a/almondspindle/conf/router.py
+++ b/almondspindle/conf/router.py
@@ -15,7 +15,10 @@
     roster_interval_s: float = Field(
         1.0, gt=0, description="Time between readings of the platform's host list, seconds."
     )
-    watch_wait_s: float = Field(20.0, gt=0, description="Longest wait of one watch, seconds.")
+    watch_wait_s: float = Field(5.0, gt=0, description="Longest wait of one watch, seconds.")
+    seeds: list[Address] = Field(
+        [], description="Peer addresses to ask while no host is known, as a JSON list."
+    )
     stop_bound_s: float = Field(
         600.0, ge=0, description="Longest wait for requests in flight at a stop, seconds."
     )
--- a/almondspindle/controllers/configuration/messages.py
+++ b/almondspindle/controllers/configuration/messages.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from almondspindle.controllers.base import Question
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet, Service, Team
-from almondspindle.core.identifiers import ServiceName, TeamName
+from almondspindle.core.identifiers import HostName, ServiceName, TeamName
 from almondspindle.core.outcomes import Outcome
+from almondspindle.core.roster import Host
+from almondspindle.core.spread import ConfigAnswer, HostStatus
 
 ConfigListener = Callable[[ConfigSet], None]
 
@@ -43,3 +47,91 @@
 
     team: TeamName
     service: ServiceName
+
+
+class Taken(StrEnum):
+    """What became of a difference that was offered."""
+
+    APPLIED = "applied"
+    OLD = "old"
+    GAP = "gap"
+
+
+@dataclass(frozen=True, slots=True)
+class TakeDelta(Question[Taken]):
+    """Apply a difference if it starts at the version in force."""
+
+    delta: ConfigDelta
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigInForce:
+    """A configuration came into force on this host."""
+
+    config: ConfigSet
+
+
+@dataclass(frozen=True, slots=True)
+class HostsRead:
+    """The hosts of the system, as this host sees them."""
+
+    hosts: tuple[Host, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerVersion:
+    """A peer was heard to have `version` in force."""
+
+    host: HostName
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class PullDue(Question[float]):
+    """Ask one random peer for a newer version; the answer is the time to the next such pull, s."""
+
+
+@dataclass(frozen=True, slots=True)
+class PullEnded:
+    """The pull in flight has ended, with or without a configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class FindNewer(Question[ConfigAnswer]):
+    """Ask what leads from version `have` to the version in force."""
+
+    have: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryJoined:
+    """An entry subscribed."""
+
+    entry: HostName
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLeft:
+    """A subscription of an entry ended."""
+
+    entry: HostName
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAcked:
+    """An entry has `version` in force."""
+
+    entry: HostName
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class GetHostStatus(Question[HostStatus]):
+    """Ask for the versions in force on this host and its entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class SamplePeers(Question[list[str]]):
+    """Ask for the addresses of up to `count` random peers, or of the seeds if none is known."""
+
+    count: int
--- /dev/null
+++ b/almondspindle/controllers/configuration/starter.py
@@ -0,0 +1,91 @@
+"""Find the first configuration of a router: the highest among the store and some peers.
+
+Until one is found no work passes the owner's gate, so a restarted router can't serve a zone that
+operators took out while it was down.
+"""
+
+import asyncio
+from typing import Protocol
+
+from almondspindle.adapters.platform.base import ABSENT, Platform
+from almondspindle.adapters.platform.stored_config import CONFIG_OBJECT, parse_config
+from almondspindle.controllers.configuration.courier import ConfigLink
+from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SamplePeers
+from almondspindle.controllers.configuration.spreader import SpreadController
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.core.changes import ConfigDelta
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.events import CONFIG_INVALID, STORE_FAILED
+from almondspindle.core.logs import emit
+from almondspindle.core.spread import GetConfigRequest, HostStatus
+from almondspindle.decisions.configuration.delta import apply_delta
+
+PEERS_ASKED = 8  # hosts
+PAUSE_S = 0.3
+
+
+class StartLink(ConfigLink, Protocol):
+    """The way to peers at the start."""
+
+    async def status(self, address: str) -> HostStatus | None:
+        """Return the versions in force on a host, or None without an answer in time."""
+        ...
+
+
+class ConfigStarter:
+    """Ask the store and some peers until one of them gives a configuration."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        spread: SpreadController,
+        controller: ConfigurationController,
+        link: StartLink,
+    ) -> None:
+        self._platform = platform
+        self._spread = spread
+        self._controller = controller
+        self._link = link
+
+    async def run(self) -> None:
+        """Return once a configuration is in force."""
+        while not await self.start_once():
+            await asyncio.sleep(PAUSE_S)
+
+    async def start_once(self) -> bool:
+        """Put the highest configuration that can be found in force; return whether one is."""
+        stored, peers = await asyncio.gather(self._read_store(), self._ask_peers())
+        if peers.version > stored.version:
+            self._controller.tell(ConfigRead(peers))
+        elif stored.version > 0:
+            self._controller.tell(ConfigRead(stored))
+        return (await self._controller.ask(GetConfig())).version > 0
+
+    async def _read_store(self) -> ConfigSet:
+        found = await self._platform.read(CONFIG_OBJECT)
+        if found.is_error():
+            emit(STORE_FAILED, call="read", reason=found.error.message)
+            return ConfigSet()
+        if found.ok.version == ABSENT:
+            return ConfigSet()
+        config = parse_config(found.ok.value, found.ok.version)
+        if config.is_error():
+            emit(CONFIG_INVALID, version=found.ok.version, reason=config.error)
+            return ConfigSet()
+        return config.ok
+
+    async def _ask_peers(self) -> ConfigSet:
+        addresses = await self._spread.ask(SamplePeers(PEERS_ASKED))
+        statuses = await asyncio.gather(*(self._link.status(address) for address in addresses))
+        found = [
+            (status.version, address)
+            for status, address in zip(statuses, addresses, strict=True)
+            if status is not None and status.version > 0
+        ]
+        for _, address in sorted(found, reverse=True):
+            answer = await self._link.get_config(address, GetConfigRequest(0))
+            if isinstance(answer, ConfigDelta):
+                answer = apply_delta(ConfigSet(), answer)
+            if isinstance(answer, ConfigSet):
+                return answer
+        return ConfigSet()
--- a/almondspindle/controllers/configuration/task.py
+++ b/almondspindle/controllers/configuration/task.py
@@ -11,12 +11,15 @@
     FindTeam,
     GetConfig,
     SubscribeConfig,
+    TakeDelta,
+    Taken,
 )
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet, Service, Team
 from almondspindle.core.events import CONFIG_APPLIED, CONFIG_IGNORED
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+from almondspindle.decisions.configuration.delta import apply_delta, is_newer
 
 
 class ConfigurationController(Controller):
@@ -35,15 +38,20 @@
 
     @handle.register
     def _(self, msg: ConfigRead, now: float) -> None:
-        if msg.config.version <= self._config.version:
-            if msg.config.version < self._config.version:
-                emit(CONFIG_IGNORED, version=msg.config.version, in_force=self._config.version)
-            return
-        self._config = msg.config
-        self._teams_by_token = {team.token_sha256: team for team in msg.config.teams.values()}
-        emit(CONFIG_APPLIED, version=msg.config.version)
-        for listener in self._listeners:
-            listener(msg.config)
+        if is_newer(msg.config, self._config):
+            self._put_in_force(msg.config)
+        elif msg.config.version < self._config.version:
+            emit(CONFIG_IGNORED, version=msg.config.version, in_force=self._config.version)
+
+    @handle.register
+    def _(self, msg: TakeDelta, now: float) -> Taken:
+        if msg.delta.version <= self._config.version:
+            return Taken.OLD
+        config = apply_delta(self._config, msg.delta)
+        if config is None:
+            return Taken.GAP
+        self._put_in_force(config)
+        return Taken.APPLIED
 
     @handle.register
     def _(self, msg: SubscribeConfig, now: float) -> None:
@@ -78,3 +86,10 @@
                 RefusalCode.FORBIDDEN, f"team {msg.team!r} may not use service {msg.service!r}"
             )
         return Ok(service)
+
+    def _put_in_force(self, config: ConfigSet) -> None:
+        self._config = config
+        self._teams_by_token = {team.token_sha256: team for team in config.teams.values()}
+        emit(CONFIG_APPLIED, version=config.version)
+        for listener in self._listeners:
+            listener(config)
--- a/almondspindle/controllers/configuration/watcher.py
+++ b/almondspindle/controllers/configuration/watcher.py
@@ -1,20 +1,34 @@
-"""Follow the configuration object in the platform's store."""
+"""Follow the configuration in the platform's store, on the hosts that watch it.
+
+The whole configuration is large, so the watch waits for the small feed of latest changes. A list
+call between two watches finds a configuration that was stored without its feed.
+"""
 
 import asyncio
 
-from almondspindle.adapters.platform.base import Platform, StoredObject
-from almondspindle.adapters.platform.stored_config import parse_config
-from almondspindle.controllers.configuration.messages import ConfigRead
+from almondspindle.adapters.platform.base import Platform, StoredObject, StoreError
+from almondspindle.adapters.platform.stored_config import (
+    CONFIG_OBJECT,
+    FEED_OBJECT,
+    parse_config,
+    parse_feed,
+)
+from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, TakeDelta
 from almondspindle.controllers.configuration.task import ConfigurationController
-from almondspindle.core.events import CONFIG_INVALID, STORE_FAILED
+from almondspindle.core.events import (
+    CONFIG_INVALID,
+    CONFIG_ROLE_CHANGED,
+    CONFIG_STORE_BEHIND,
+    STORE_FAILED,
+)
 from almondspindle.core.logs import emit
 
-CONFIG_OBJECT = "config/current"
 PAUSE_AFTER_FAILURE_S = 0.5
+LISTED_PREFIX = "config/c"  # both objects, and not the history
 
 
 class ConfigWatcher:
-    """Watch the configuration object and tell the controller of each version."""
+    """Watch the store while this host has that role, and tell the controller of each version."""
 
     def __init__(
         self, platform: Platform, controller: ConfigurationController, wait_s: float
@@ -22,22 +36,87 @@
         self._platform = platform
         self._controller = controller
         self._wait_s = wait_s
-        self._seen = 0
+        self._feed_seen = 0
+        self._whole_seen = 0
+        self._watching = asyncio.Event()
+        self._watching.set()
+
+    def set_watching(self, watching: bool) -> None:
+        """Begin or cease to watch. A watch in flight runs to its end."""
+        if watching == self._watching.is_set():
+            return
+        emit(CONFIG_ROLE_CHANGED, watching=watching)
+        if watching:
+            self._watching.set()
+        else:
+            self._watching.clear()
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Watch until cancelled, while this host has the role."""
         while True:
-            found = await self._platform.watch(CONFIG_OBJECT, self._seen, self._wait_s)
-            if found.is_error():
-                emit(STORE_FAILED, call="watch", reason=found.error.message)
+            await self._watching.wait()
+            if not await self.follow_once():
                 await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
-            elif found.ok is not None:
-                self._take(found.ok)
 
-    def _take(self, stored: StoredObject) -> None:
-        self._seen = max(self._seen, stored.version)
-        config = parse_config(stored.value, stored.version)
+    async def follow_once(self) -> bool:
+        """Look for an unannounced version, then wait for one change; return False on failure."""
+        if not await self._check_whole():
+            return False
+        found = await self._platform.watch(FEED_OBJECT, self._feed_seen, self._wait_s)
+        if found.is_error():
+            return _failed("watch", found.error)
+        if found.ok is not None:
+            await self._take_feed(found.ok)
+        return True
+
+    async def _check_whole(self) -> bool:
+        names = await self._platform.list_names(LISTED_PREFIX)
+        if names.is_error():
+            return _failed("list", names.error)
+        if names.ok.get(FEED_OBJECT, 0) < self._feed_seen:
+            self._feed_seen = 0
+        version = names.ok.get(CONFIG_OBJECT, 0)
+        if version == self._whole_seen:
+            return True
+        if version == 0:
+            self._whole_seen = 0
+            await self._warn_if_behind(0)
+            return True
+        return await self._read_whole()
+
+    async def _read_whole(self) -> bool:
+        found = await self._platform.read(CONFIG_OBJECT)
+        if found.is_error():
+            return _failed("read", found.error)
+        self._whole_seen = found.ok.version
+        if found.ok.version == 0:
+            return True
+        config = parse_config(found.ok.value, found.ok.version)
         if config.is_error():
-            emit(CONFIG_INVALID, version=stored.version, reason=config.error)
-            return
+            emit(CONFIG_INVALID, version=found.ok.version, reason=config.error)
+            return True
+        await self._warn_if_behind(config.ok.version)
         self._controller.tell(ConfigRead(config.ok))
+        return True
+
+    async def _take_feed(self, stored: StoredObject) -> None:
+        self._feed_seen = stored.version
+        feed = parse_feed(stored.value)
+        if feed.is_error():
+            emit(CONFIG_INVALID, version=stored.version, reason=feed.error)
+            return
+        for entry in feed.ok.entries:
+            await self._controller.ask(TakeDelta(entry.forward))
+        in_force = await self._controller.ask(GetConfig())
+        if in_force.version >= feed.ok.version:
+            self._whole_seen = max(self._whole_seen, feed.ok.store_version)
+
+    async def _warn_if_behind(self, version: int) -> None:
+        in_force = await self._controller.ask(GetConfig())
+        if version < in_force.version:
+            emit(CONFIG_STORE_BEHIND, version=version, in_force=in_force.version)
+
+
+def _failed(call: str, error: StoreError) -> bool:
+    emit(STORE_FAILED, call=call, reason=error.message)
+    return False
--- a/almondspindle/controllers/configuration/writer.py
+++ b/almondspindle/controllers/configuration/writer.py
@@ -35,7 +35,7 @@
 from almondspindle.core.events import CONFIG_FEED_LATE, CONFIG_WRITTEN
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Error, Ok, Result
-from almondspindle.core.stored import StoredConfig
+from almondspindle.core.stored import ChangeFeed, StoredConfig
 from almondspindle.decisions.configuration.writing import (
     Accepted,
     Planned,
@@ -119,7 +119,7 @@
                     continue  # the read may have been stale
                 return Error(last)
             if isinstance(plan.ok, Accepted):
-                return await self._accepted(plan.ok, stored.ok.recent)
+                return await self._accepted(plan.ok, _feed_of(stored.ok))
             if tried_over is not None and stored.ok.config.version > tried_over:
                 tried_over = None  # another write came first, so the earlier try had no effect
             kept = await self._archive_all(plan.ok.archive)
@@ -128,7 +128,8 @@
                 continue
             written = await self._update(plan.ok, stored.ok.store_version)
             if written.is_ok():
-                return await self._accepted(written.ok, plan.ok.recent)
+                feed = ChangeFeed(plan.ok.config.version, written.ok, plan.ok.recent)
+                return await self._accepted(Accepted(feed.version, plan.ok.entry), feed)
             if written.error.code is StoreErrorCode.TOO_LARGE:
                 return Error(_too_large(written.error))
             if written.error.code is StoreErrorCode.UNAVAILABLE:
@@ -136,10 +137,9 @@
             last = _failed(written.error)
         return Error(_unknown(req, last.message) if tried_over is not None else last)
 
-    async def _update(self, plan: Planned, expected: int) -> Result[Accepted, StoreError]:
+    async def _update(self, plan: Planned, expected: int) -> Result[int, StoreError]:
         value = dump_stored(plan.config, plan.recent)
-        written = await self._platform.write(CONFIG_OBJECT, value, expected)
-        return written.map(lambda _: Accepted(plan.config.version, plan.entry))
+        return await self._platform.write(CONFIG_OBJECT, value, expected)
 
     async def _archive_all(self, entries: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
         for entry in entries:
@@ -155,28 +155,27 @@
             return Error(kept.error)
         return Ok(None)
 
-    async def _accepted(self, accepted: Accepted, recent: tuple[HistoryEntry, ...]) -> Written:
+    async def _accepted(self, accepted: Accepted, feed: ChangeFeed) -> Written:
         # What follows only speeds up the spread and fills the history: the object itself holds
         # both, and the watchers ask for its version now and then.
         if accepted.entry is None:
             return Ok(accepted)
         emit(CONFIG_WRITTEN, version=accepted.version, operator=accepted.entry.operator)
-        fed = await self._feed(recent)
+        fed = await self._write_feed(feed)
         kept = await self._archive(accepted.entry)
         for outcome in (fed, kept):
             if outcome.is_error():
                 emit(CONFIG_FEED_LATE, version=accepted.version, reason=outcome.error.message)
         return Ok(accepted)
 
-    async def _feed(self, recent: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
-        version = recent[-1].version
+    async def _write_feed(self, feed: ChangeFeed) -> Result[None, StoreError]:
         for _ in range(self._cfg.attempts):
             found = await self._platform.read(FEED_OBJECT)
             if found.is_error():
                 return Error(found.error)
-            if _feed_version(found.ok) >= version:
+            if _feed_version(found.ok) >= feed.version:
                 return Ok(None)
-            value = dump_feed(version, recent)
+            value = dump_feed(feed)
             written = await self._platform.write(FEED_OBJECT, value, found.ok.version)
             if written.is_ok():
                 return Ok(None)
@@ -207,6 +206,10 @@
     )
 
 
+def _feed_of(stored: StoredConfig) -> ChangeFeed:
+    return ChangeFeed(stored.config.version, stored.store_version, stored.recent)
+
+
 def _feed_version(found: StoredObject) -> int:
     if found.version == ABSENT:
         return 0
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -1,5 +1,6 @@
 """The controller that knows all targets, their owners, and their order for a key."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -10,11 +11,13 @@
     GetRoster,
     RankTargets,
     RosterRead,
+    SubscribeReturned,
+    TargetsReturned,
 )
 from almondspindle.core.calls import Candidate
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet, Intent
-from almondspindle.core.events import ROSTER_CHANGED
+from almondspindle.core.events import ROSTER_CHANGED, TARGETS_RETURNED
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
@@ -24,6 +27,7 @@
 
 CANDIDATES = 6  # targets tried for one request at the most
 RETRY_AFTER_S = 1.0
+ZONE_RETRY_AFTER_S = 5.0  # operators act in minutes rather than seconds
 
 
 class DirectoryController(Controller):
@@ -36,6 +40,8 @@
         self._config = ConfigSet()
         self._owners: dict[TargetName, Host] = {}
         self._rankings: dict[ServiceName, Ranking] = {}
+        self._out: dict[TargetName, RefusalCode] = {}
+        self._on_returned: list[Callable[[TargetsReturned], None]] = []
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -65,15 +71,18 @@
         names = ranking.rank(msg.key, CANDIDATES) if ranking else []
         candidates = tuple(self._candidate(name) for name in names if name in self._owners)
         if not candidates:
-            return refused(
-                RefusalCode.NO_TARGET,
-                f"no target of service {msg.service!r} is in service",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            return self._refuse(msg.service)
         return Ok(candidates)
 
+    @handle.register
+    def _(self, msg: SubscribeReturned, now: float) -> None:
+        self._on_returned.append(msg.listener)
+
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
+        if self._config.version == 0:
+            text = "this router has no configuration yet"
+            return refused(RefusalCode.NOT_READY, text, retry_after_s=RETRY_AFTER_S)
         target = self._roster.targets.get(msg.target)
         owner = self._owners.get(msg.target)
         if target is None or owner is None or owner.name != self._own_host:
@@ -87,6 +96,18 @@
         owner = self._owners[name]
         return Candidate(name, owner.name, owner.address)
 
+    def _refuse(self, service: ServiceName) -> Outcome[tuple[Candidate, ...]]:
+        targets = [t for t in self._roster.targets.values() if t.service == service]
+        zones = {t.zone for t in targets if self._out.get(t.name) is RefusalCode.ZONE_OUT}
+        if not zones:
+            text = f"no target of service {service!r} is in service"
+            return refused(RefusalCode.NO_TARGET, text, retry_after_s=RETRY_AFTER_S)
+        text = (
+            f"no target of service {service!r} is in service; availability zones that operators"
+            f" have taken out: {', '.join(sorted(zones))}"
+        )
+        return refused(RefusalCode.ZONE_OUT, text, retry_after_s=ZONE_RETRY_AFTER_S)
+
     def _out_of_service(self, target: Target) -> RefusalCode | None:
         if self._config.zone_intent(target.zone) is Intent.OUT:
             return RefusalCode.ZONE_OUT
@@ -100,10 +121,25 @@
         hosts = list(self._roster.hosts.values())
         self._owners = {}
         by_service: dict[ServiceName, list[TargetName]] = {}
+        was_out = self._out
+        self._out = {}
         for target in self._roster.targets.values():
             owner = owner_of(target, hosts)
             if owner is not None:
                 self._owners[target.name] = owner
-            if self._out_of_service(target) is None:
+            code = self._out_of_service(target)
+            if code is None:
                 by_service.setdefault(target.service, []).append(target.name)
+            else:
+                self._out[target.name] = code
+        self._tell_returned(was_out)
         self._rankings = {name: RendezvousScan(names) for name, names in by_service.items()}
+
+    def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
+        known = self._roster.targets
+        returned = frozenset(name for name in was_out if name in known and name not in self._out)
+        if not returned:
+            return
+        emit(TARGETS_RETURNED, targets=sorted(returned))
+        for listener in self._on_returned:
+            listener(TargetsReturned(returned))
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -1,5 +1,6 @@
 """Messages of the controllers that know targets."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import Question
@@ -42,3 +43,20 @@
 @dataclass(frozen=True, slots=True)
 class GetRoster(Question[Roster]):
     """Ask for the hosts and targets in view."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsReturned:
+    """Targets that were out of service and may now receive new work again, as cold ones.
+
+    The directory tells its listeners before it ranks these targets again.
+    """
+
+    targets: frozenset[TargetName]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeReturned:
+    """Call `listener` with each set of targets that returns to service."""
+
+    listener: Callable[[TargetsReturned], None]
--- a/almondspindle/core/stored.py
+++ b/almondspindle/core/stored.py
@@ -20,7 +20,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeFeed:
-    """The latest changes up to `version`."""
+    """The latest changes up to `version`.
+
+    `store_version` is the store's version of the object that holds the whole configuration.
+    """
 
     version: int
+    store_version: int
     entries: tuple[HistoryEntry, ...] = ()
--- a/almondspindle/decisions/configuration/delta.py
+++ b/almondspindle/decisions/configuration/delta.py
@@ -61,3 +61,8 @@
     if after is None:
         return f"delete {kind} {key}: was {before}"
     return f"change {kind} {key}: from {before} to {after}"
+
+
+def size(delta: ConfigDelta) -> int:
+    """Return the number of objects that `delta` creates, changes or deletes."""
+    return sum(len(getattr(delta, name)) for name in COLLECTIONS.values())
--- a/almondspindle/decisions/configuration/writing.py
+++ b/almondspindle/decisions/configuration/writing.py
@@ -40,11 +40,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """Changes that are in the store. `changed` is False when there was nothing to do."""
+    """Changes that are in the store.
+
+    `version` is the configuration version that holds them; `entry` is None when there was nothing
+    to do.
+    """
 
     version: int
-    entry: HistoryEntry | None
-    changed: bool = True
+    entry: HistoryEntry | None = None
+
+    @property
+    def changed(self) -> bool:
+        """Return whether there was anything to do."""
+        return self.entry is not None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +125,7 @@
 def _plan(req: WriteRequest, stored: StoredConfig, config: ConfigSet, now: float) -> Plan:
     old = stored.config
     if is_empty(diff(old, config)) and not req.restoring:
-        return Accepted(old.version, None, changed=False)
+        return Accepted(old.version)
     new = replace(config, version=max(old.version, req.in_force) + 1)
     entry = HistoryEntry(
         version=new.version,
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -1,12 +1,14 @@
 """almondspindle-entry: the HTTP front for callers."""
 
 import asyncio
+import secrets
 import sys
 from functools import partial, singledispatch
 
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
+from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
 from almondspindle.chain.base import Chain
 from almondspindle.chain.classify import ClassifyWork
@@ -17,10 +19,12 @@
 from almondspindle.chain.require_key import RequireKey
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
-from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
+from almondspindle.controllers.configuration.follower import ConfigFollower
+from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
@@ -33,6 +37,7 @@
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-entry"
+INSTANCE_BYTES = 4  # of the identifier that tells the entries of one host apart
 
 
 class Entry:
@@ -85,10 +90,18 @@
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
         listener = partial(pass_update, entry=self)
-        host = HostName(self._cfg.host)
-        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
+        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        self._follower = ConfigFollower(
+            subscriber,
+            self._configuration,
+            PeerConfigLink(),
+            lambda: subscription.address,
+            lambda: self._directory.ask(GetRoster()),
+        )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("config-follower", self._follower.run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
@@ -96,9 +109,9 @@
         if left:
             emit(STOP_CUT_STREAMS, streams=left)
 
-    def take_config(self, config: ConfigSet) -> None:
-        """Pass a configuration from a router to the controller."""
-        self._configuration.tell(ConfigRead(config))
+    def take_config(self, update: ConfigSet | ConfigDelta) -> None:
+        """Pass a configuration, or a change of it, from a router to the follower."""
+        self._follower.tell(update)
 
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
@@ -116,6 +129,11 @@
     entry.take_config(update)
 
 
+@pass_update.register
+def _(update: ConfigDelta, *, entry: Entry) -> None:
+    entry.take_config(update)
+
+
 @pass_update.register
 def _(update: Roster, *, entry: Entry) -> None:
     entry.take_roster(update)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,6 +3,8 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.base import ACK_CONFIG, GET_CONFIG, GET_STATUS, PUSH_CONFIG
+from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
@@ -15,18 +17,39 @@
 from almondspindle.conf.router import RouterCfg
 from almondspindle.controllers.admission.messages import PolicyChanged
 from almondspindle.controllers.admission.task import AdmissionController
-from almondspindle.controllers.configuration.messages import SubscribeConfig
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    EntryAcked,
+    EntryJoined,
+    EntryLeft,
+    FindNewer,
+    GetHostStatus,
+    HostsRead,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
-from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
-from almondspindle.core.identifiers import HostName
+from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.roster import Roster
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigAnswer,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
+from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -45,6 +68,15 @@
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
         self._admission = AdmissionController(clock)
+        host = HostName(cfg.host)
+        self._published = ConfigSet()
+        self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
+        spread_cfg = SpreadCfg(host, ZoneName(cfg.zone), tuple(cfg.seeds))
+        self._spread = SpreadController(clock, spread_cfg, self._watcher.set_watching)
+        link = PeerConfigLink()
+        self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
+        self._courier = ConfigCourier(self._spread, self._configuration, link)
+        self._receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
@@ -52,6 +84,7 @@
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        self._add_methods()
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -67,23 +100,55 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
-        watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
-        self._tasks.start("config-watcher", watcher.run())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("config-courier", self._courier.run())
+        self._tasks.start("config-start", self._follow_config())
         self._tasks.start("roster-reader", reader.run())
 
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
-        self._publisher.publish(config)
+        self._spread.tell(ConfigInForce(config))
+        old = self._published
+        self._published = config
+        self._publisher.publish(config, diff(old, config) if old.version else None)
 
     def _spread_roster(self, roster: Roster) -> None:
         self._directory.tell(RosterRead(roster))
+        self._spread.tell(HostsRead(tuple(roster.hosts.values())))
         self._publisher.publish(roster)
 
+    async def _follow_config(self) -> None:
+        await self._starter.run()
+        self._tasks.start("config-watcher", self._watcher.run())
+        self._tasks.start("config-pulls", self._courier.run_pulls())
+
+    def _add_methods(self) -> None:
+        self._server.add_method(GET_CONFIG, self._answer_config)
+        self._server.add_method(PUSH_CONFIG, self._receiver.take_push)
+        self._server.add_method(GET_STATUS, self._answer_status)
+        self._server.add_method(ACK_CONFIG, self._take_ack)
+        self._server.on_subscriber(self._note_subscriber)
+
+    async def _answer_config(self, req: GetConfigRequest) -> ConfigAnswer:
+        return await self._spread.ask(FindNewer(req.have))
+
+    async def _answer_status(self, req: StatusRequest) -> HostStatus:
+        status = await self._spread.ask(GetHostStatus())
+        await self._directory.ask(GetRoster())  # the owner's gate has the version by now
+        return status
+
+    async def _take_ack(self, ack: ConfigAck) -> ConfigVersionNote:
+        self._spread.tell(EntryAcked(ack.subscriber, ack.version))
+        return ConfigVersionNote(HostName(self._cfg.host), self._published.version)
+
+    def _note_subscriber(self, subscriber: HostName, present: bool) -> None:
+        self._spread.tell(EntryJoined(subscriber) if present else EntryLeft(subscriber))
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
