Report service-level burn from the merged histograms of all hosts

Cause: objectives stood in the configuration and nothing measured against them.

Ruled out: averaging percentiles of hosts (wrong: in the test, the mean of two 95th percentiles is 505 ms where the merged one is 10 ms); full histograms per minute over 6 hours (80 MB at 7 services; slots of three sizes hold 28); entries answering the report themselves (they have no peer server; they hand sums to a router every 5 s and at their stop).

Change: a measured chain at the entry, a collector and a pusher, windows at the router, the report.

--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -18,7 +18,7 @@
     refusal_body,
 )
 from almondspindle.adapters.http_front.models import parse_chat
-from almondspindle.chain.base import Chain
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.conf.entry import EntryCfg
 from almondspindle.core.calls import (
     AnswerChunk,
@@ -48,7 +48,7 @@
     """What the handlers of one entry share."""
 
     cfg: EntryCfg
-    chain: Chain
+    chain: MeasuredChain
     clock: Clock
     metrics: MetricSender
     in_flight: InFlight = field(default_factory=InFlight)
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,12 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.telemetry_messages import (
+    Accepted,
+    GetTelemetry,
+    HostTelemetry,
+    PushTelemetry,
+)
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
@@ -23,6 +29,10 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    60: PushTelemetry,
+    61: Accepted,
+    62: GetTelemetry,
+    63: HostTelemetry,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- /dev/null
+++ b/almondspindle/adapters/peer/telemetry_methods.py
@@ -0,0 +1,38 @@
+"""Serve the telemetry methods of a router."""
+
+from almondspindle.adapters.peer.server import PeerServer
+from almondspindle.adapters.peer.telemetry import GET_TELEMETRY, PUSH_TELEMETRY
+from almondspindle.adapters.peer.telemetry_messages import (
+    Accepted,
+    GetTelemetry,
+    HostTelemetry,
+    PushTelemetry,
+    from_wire,
+    host_telemetry,
+)
+from almondspindle.controllers.telemetry.messages import AddTallies, GetWindows
+from almondspindle.controllers.telemetry.task import TelemetryController
+from almondspindle.core.identifiers import HostName
+
+
+class TelemetryMethods:
+    """Hand peers' telemetry messages to the controller."""
+
+    def __init__(self, host: HostName, telemetry: TelemetryController) -> None:
+        self._host = host
+        self._telemetry = telemetry
+
+    def register(self, server: PeerServer) -> None:
+        """Add the methods to `server`."""
+        server.add_method(PUSH_TELEMETRY, self.push)
+        server.add_method(GET_TELEMETRY, self.get)
+
+    async def push(self, msg: PushTelemetry) -> Accepted:
+        """Add an entry's sums to the windows."""
+        self._telemetry.tell(AddTallies(from_wire(msg.tallies)))
+        return Accepted()
+
+    async def get(self, msg: GetTelemetry) -> HostTelemetry:
+        """Return the windows."""
+        totals = await self._telemetry.ask(GetWindows())
+        return host_telemetry(self._host, totals)
--- a/almondspindle/chain/base.py
+++ b/almondspindle/chain/base.py
@@ -6,7 +6,7 @@
 
 from almondspindle.core.calls import AnswerSink, Call, Finished
 from almondspindle.core.clock import Clock
-from almondspindle.core.outcomes import Outcome
+from almondspindle.core.outcomes import Outcome, Refusal
 
 
 class Filter(Protocol):
@@ -28,6 +28,14 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Walked:
+    """A call after the filters; `refusal` is set when one of them ended the walk."""
+
+    call: Call
+    refusal: Refusal | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Chain:
     """Filters in order, then a terminal. A call walks from left to right and never back."""
@@ -38,9 +46,20 @@
 
     async def run(self, call: Call, sink: AnswerSink) -> Finished:
         """Walk `call` through the chain and return how its answer ended."""
+        walked = await self.walk(call)
+        return await self.finish(walked, sink)
+
+    async def walk(self, call: Call) -> Walked:
+        """Walk `call` through the filters and return how far it got."""
         for step in self.filters:
             outcome = await step.apply(call, self.clock.monotonic())
             if outcome.is_error():
-                return Finished(started=False, refusal=outcome.error)
+                return Walked(call, outcome.error)
             call = outcome.ok
-        return await self.terminal.finish(call, sink, self.clock.monotonic())
+        return Walked(call)
+
+    async def finish(self, walked: Walked, sink: AnswerSink) -> Finished:
+        """Have the terminal answer a call that passed all filters; return how that ended."""
+        if walked.refusal is not None:
+            return Finished(started=False, refusal=walked.refusal)
+        return await self.terminal.finish(walked.call, sink, self.clock.monotonic())
--- /dev/null
+++ b/almondspindle/chain/measure.py
@@ -0,0 +1,96 @@
+"""Measure each request that walks a chain, for the service-level objectives."""
+
+import math
+from dataclasses import dataclass, field
+
+from almondspindle.chain.base import Chain
+from almondspindle.controllers.telemetry.collector import CollectorController
+from almondspindle.core.calls import AnswerChunk, AnswerPart, AnswerSink, Call, Finished, WorkKind
+from almondspindle.core.clock import Clock
+from almondspindle.core.outcomes import RefusalCode
+from almondspindle.core.telemetry import RequestMeasured
+
+MS_PER_S = 1000.0
+
+# Refusals that the caller can mend, or that a limit set for its team asks for.
+CALLER_FAULTS = frozenset(
+    {
+        RefusalCode.MALFORMED_REQUEST,
+        RefusalCode.BODY_TOO_LARGE,
+        RefusalCode.UNAUTHENTICATED,
+        RefusalCode.FORBIDDEN,
+        RefusalCode.UNKNOWN_SERVICE,
+        RefusalCode.UNKNOWN_PATH,
+        RefusalCode.KEY_MISSING,
+        RefusalCode.KEY_MALFORMED,
+        RefusalCode.KEY_EXPIRED,
+        RefusalCode.KEY_REUSED,
+        RefusalCode.IN_PROGRESS,
+        RefusalCode.RATE_LIMITED,
+    }
+)
+
+
+@dataclass(slots=True)
+class TimedSink:
+    """Pass parts on and note when they came.
+
+    A gap runs from the end of one write to the next part, so a caller that reads slowly does not
+    count as a slow target.
+    """
+
+    sink: AnswerSink
+    clock: Clock
+    first_at: float | None = None
+    idle_since: float | None = None
+    gaps_ms: dict[int, int] = field(default_factory=dict)
+
+    async def write(self, part: AnswerPart) -> None:
+        """Pass `part` on."""
+        if isinstance(part, AnswerChunk):
+            self._note(self.clock.monotonic())
+        await self.sink.write(part)
+        self.idle_since = self.clock.monotonic()
+
+    def _note(self, now: float) -> None:
+        if self.first_at is None:
+            self.first_at = now
+        elif self.idle_since is not None:
+            gap_ms = math.ceil((now - self.idle_since) * MS_PER_S)
+            self.gaps_ms[gap_ms] = self.gaps_ms.get(gap_ms, 0) + 1
+
+
+@dataclass(frozen=True, slots=True)
+class MeasuredChain:
+    """A chain that tells the collector of each request that has ended."""
+
+    chain: Chain
+    collector: CollectorController
+    clock: Clock
+
+    async def run(self, call: Call, sink: AnswerSink) -> Finished:
+        """Walk `call` through the chain and return how its answer ended."""
+        began_at = self.clock.monotonic()
+        timed = TimedSink(sink, self.clock)
+        walked = await self.chain.walk(call)
+        finished = await self.chain.finish(walked, timed)
+        if not is_caller_fault(finished):
+            self.collector.tell(measured(walked.call, finished, timed, began_at))
+        return finished
+
+
+def is_caller_fault(finished: Finished) -> bool:
+    """Return whether the request ended as it did because of what the caller sent."""
+    return finished.refusal is not None and finished.refusal.code in CALLER_FAULTS
+
+
+def measured(call: Call, finished: Finished, timed: TimedSink, began_at: float) -> RequestMeasured:
+    """Return what was measured of a request that has ended."""
+    # A call that was refused before it was classified counts as a read.
+    work = call.work or WorkKind.READ
+    first_ms = None
+    if work is WorkKind.CHAT and timed.first_at is not None:
+        first_ms = math.ceil((timed.first_at - began_at) * MS_PER_S)
+    gaps = timed.gaps_ms if work is WorkKind.CHAT else {}
+    assert call.service is not None
+    return RequestMeasured(call.service, work, finished.refusal is not None, first_ms, gaps)
--- a/almondspindle/conf/base.py
+++ b/almondspindle/conf/base.py
@@ -13,16 +13,20 @@
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 
-C = TypeVar("C", bound="DaemonCfg")
+C = TypeVar("C", bound="ProgramCfg")
 
 
-class DaemonCfg(BaseSettings):
-    """Settings of every daemon."""
+class ProgramCfg(BaseSettings):
+    """How every program reads its settings: flags first, then the environment."""
 
     model_config = SettingsConfigDict(
         env_prefix=ENV_PREFIX, cli_kebab_case=True, cli_implicit_flags=True, extra="ignore"
     )
 
+
+class DaemonCfg(ProgramCfg):
+    """Settings of every daemon."""
+
     host: Name = Field(description="Name of this host.")
     zone: Name = Field(description="Availability zone of this host.")
     statsd: Address | None = Field(None, description="Address of the statsd server, ip:port.")
--- /dev/null
+++ b/almondspindle/conf/report.py
@@ -0,0 +1,16 @@
+"""Settings of almondspindle-report."""
+
+from typing import Literal
+
+from pydantic import Field
+
+from almondspindle.conf.base import ProgramCfg
+
+
+class ReportCfg(ProgramCfg):
+    """Settings of the report."""
+
+    platform: str = Field(
+        pattern=r"^http://[^/]+/?$", description="Base URL of the platform's service."
+    )
+    output: Literal["text", "json"] = Field("text", description="Form of the report.")
--- /dev/null
+++ b/almondspindle/controllers/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Collect what is measured of requests."""
--- /dev/null
+++ b/almondspindle/controllers/telemetry/collector.py
@@ -0,0 +1,37 @@
+"""The controller that sums up requests at an entry until a router takes the sums."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.telemetry.messages import ReturnTallies, TakeTallies
+from almondspindle.core.clock import Clock
+from almondspindle.core.telemetry import RequestMeasured, Tally
+from almondspindle.decisions.windows import Tallies, merge_into
+
+
+class CollectorController(Controller):
+    """Own the sums since they were last taken."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._tallies: Tallies = {}
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: RequestMeasured, now: float) -> None:
+        self._tallies.setdefault(msg.service, Tally()).add(msg)
+
+    @handle.register
+    def _(self, msg: TakeTallies, now: float) -> Tallies:
+        taken = self._tallies
+        self._tallies = {}
+        return taken
+
+    @handle.register
+    def _(self, msg: ReturnTallies, now: float) -> None:
+        merge_into(self._tallies, msg.tallies)
--- /dev/null
+++ b/almondspindle/decisions/burn.py
@@ -0,0 +1,83 @@
+"""How fast a service uses up its error budgets."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from hdrh.histogram import HdrHistogram
+
+from almondspindle.core.config import Objectives
+from almondspindle.core.telemetry import Tally
+
+MS_PER_S = 1000.0
+PERCENT = 100.0
+
+
+class Objective(StrEnum):
+    """What an objective is about."""
+
+    AVAILABILITY = "availability"
+    FIRST_TOKEN = "first token"
+    BETWEEN_TOKENS = "between tokens"
+    COMMITS = "commits answered"
+
+
+@dataclass(frozen=True, slots=True)
+class Burn:
+    """The use of one error budget over one window.
+
+    `bad` of `total` events missed the objective; `allowed` is the share that may. `rate` is the
+    share that missed divided by the allowed one: at 1 the budget lasts just the objective's
+    period. `measured_ms` is the latency at the objective's percentile; None for shares.
+    """
+
+    objective: Objective
+    total: int
+    bad: int
+    allowed: float
+    rate: float
+    target_ms: float | None = None
+    measured_ms: float | None = None
+
+
+def burn_of(tally: Tally, objectives: Objectives) -> tuple[Burn, ...]:
+    """Return the burn of every objective that `tally` has events for."""
+    burns = (
+        _share(Objective.AVAILABILITY, tally.requests, tally.failed, objectives.availability),
+        _latency(Objective.FIRST_TOKEN, tally.first_token, objectives.first_token_s, objectives),
+        _latency(Objective.BETWEEN_TOKENS, tally.gaps, objectives.between_tokens_s, objectives),
+        _share(Objective.COMMITS, tally.commits, tally.commits_failed, objectives.commits_answered),
+    )
+    return tuple(burn for burn in burns if burn.total > 0)
+
+
+def burn_rate(bad: int, total: int, allowed: float) -> float:
+    """Return the share of bad events divided by the allowed share; infinite if none is."""
+    if total == 0 or bad == 0:
+        return 0.0
+    return (bad / total) / allowed if allowed > 0 else float("inf")
+
+
+def _share(objective: Objective, total: int, bad: int, wanted: float) -> Burn:
+    allowed = 1.0 - wanted
+    return Burn(objective, total, bad, allowed, burn_rate(bad, total, allowed))
+
+
+def _latency(
+    objective: Objective, histogram: HdrHistogram, target_s: float, objectives: Objectives
+) -> Burn:
+    target_ms = target_s * MS_PER_S
+    allowed = 1.0 - objectives.latency_share
+    total = histogram.get_total_count()
+    bad = count_above(histogram, target_ms)
+    measured = histogram.get_value_at_percentile(objectives.latency_share * PERCENT)
+    rate = burn_rate(bad, total, allowed)
+    return Burn(objective, total, bad, allowed, rate, target_ms, float(measured))
+
+
+def count_above(histogram: HdrHistogram, bound_ms: float) -> int:
+    """Return how many recorded values lie above `bound_ms`."""
+    return sum(
+        item.count_added_in_this_iter_step
+        for item in histogram.get_recorded_iterator()
+        if item.value_iterated_from > bound_ms or item.value_iterated_to > bound_ms
+    )
--- /dev/null
+++ b/almondspindle/decisions/windows.py
@@ -0,0 +1,66 @@
+"""Sums over the last 5 minutes, hour and 6 hours, at a bounded size."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from almondspindle.core.identifiers import ServiceName
+from almondspindle.core.telemetry import Tally
+
+Tallies = dict[ServiceName, Tally]
+
+
+@dataclass(frozen=True, slots=True)
+class WindowShape:
+    """A window of `slots` slots of `slot_s` seconds each."""
+
+    name: str
+    slot_s: float
+    slots: int
+
+    @property
+    def length_s(self) -> float:
+        """Return the length of the window in seconds."""
+        return self.slot_s * self.slots
+
+
+SHAPES = (
+    WindowShape("5m", 30.0, 10),
+    WindowShape("1h", 300.0, 12),
+    WindowShape("6h", 3600.0, 6),
+)
+
+
+@dataclass(slots=True)
+class _Slot:
+    number: int
+    tallies: Tallies = field(default_factory=dict)
+
+
+class Window:
+    """Sums in slots of fixed length. The oldest slot is dropped when a new one begins."""
+
+    def __init__(self, shape: WindowShape) -> None:
+        self.shape = shape
+        self._slots: deque[_Slot] = deque(maxlen=shape.slots)
+
+    def add(self, tallies: Tallies, now: float) -> None:
+        """Add `tallies` to the slot of the time `now`."""
+        number = int(now // self.shape.slot_s)
+        if not self._slots or self._slots[-1].number != number:
+            self._slots.append(_Slot(number))
+        merge_into(self._slots[-1].tallies, tallies)
+
+    def total(self, now: float) -> Tallies:
+        """Return the sums of all slots that lie within the window at `now`."""
+        oldest = int(now // self.shape.slot_s) - self.shape.slots + 1
+        total: Tallies = {}
+        for slot in self._slots:
+            if slot.number >= oldest:
+                merge_into(total, slot.tallies)
+        return total
+
+
+def merge_into(total: Tallies, more: Tallies) -> None:
+    """Add each service's sums in `more` to those in `total`."""
+    for service, tally in more.items():
+        total.setdefault(service, Tally()).merge(tally)
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -8,10 +8,12 @@
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
 from almondspindle.adapters.peer.subscription import Subscription
+from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
@@ -21,6 +23,8 @@
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.controllers.telemetry.collector import CollectorController
+from almondspindle.controllers.telemetry.pusher import TallyPusher
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
@@ -54,7 +58,11 @@
             RequireKey(),
             RankCandidates(self._directory),
         )
-        chain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        plain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        self._collector = CollectorController(self._clock)
+        link = PeerTallyLink(self._channels, cfg.routers)
+        self._pusher = TallyPusher(self._collector, link)
+        chain = MeasuredChain(plain, self._collector, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
     async def run(self) -> int:
@@ -69,6 +77,7 @@
         await asyncio.sleep(self._cfg.balancer_lag_s)
         server.stop()
         await self._drain()
+        await self._pusher.push_once()
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -89,6 +98,8 @@
         subscription = Subscription(self._channels, self._cfg.routers, host, listener)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("collector", self._collector.run())
+        self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -4,6 +4,7 @@
 import sys
 
 from almondspindle.adapters.peer.server import PeerServer, Publisher
+from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
 from almondspindle.chain.admit import AdmitToTarget
@@ -21,6 +22,7 @@
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
@@ -51,7 +53,9 @@
             AdmitToTarget(self._admission),
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -72,6 +76,7 @@
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("config-watcher", watcher.run())
         self._tasks.start("roster-reader", reader.run())
 
--- /dev/null
+++ b/almondspindle/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn: gather, merge, show."""
--- a/tests/programs/test_whole_path.py
+++ b/tests/programs/test_whole_path.py
@@ -1,11 +1,12 @@
 """The whole path through real processes: caller, entry, owner, target and back."""
 
 import asyncio
+import json
 
 import uuid_utils
 
 from tests.standins.caller import Caller, wait_ready
-from tests.standins.fleet import BUREAU_CONFIG, Fleet
+from tests.standins.fleet import BUREAU_CONFIG, Fleet, run_program
 
 ZONES = {"entry-1": "walvis-a", "entry-2": "swakop-a"}
 
@@ -26,6 +27,8 @@
             await check_refusal(callers[0], *case)
         for host in fleet.hosts.values():
             assert await host.entry.stop() == 0
+        await check_report(fleet)
+        for host in fleet.hosts.values():
             assert await host.router.stop() == 0
 
 
@@ -46,6 +49,21 @@
     assert (await callers[1].read()).status == 200
 
 
+async def check_report(fleet: Fleet) -> None:
+    """An entry hands its last sums over when it stops, so the report has every request."""
+    module = "almondspindle.programs.report"
+    args = ["--platform", fleet.store.url, "--output", "json"]
+    report = json.loads(await run_program(module, args))
+    assert report["answered"] == ["entry-1", "entry-2"]
+    services = report["windows"][0]["services"]
+    first = {burn["objective"]: burn for burn in services["forecast-llm"]}
+    assert first["first token"]["total"] == 2
+    assert {burn["objective"] for burn in services["dispatch-app"]} == {
+        "availability",
+        "commits answered",
+    }
+
+
 CHAT = "/v1/chat/completions"
 ORDERS = "/services/dispatch-app/orders"
 GOOD = b'{"model": "forecast-llm", "messages": [{"role": "user", "content": "x"}]}'
--- /dev/null
+++ b/tests/report/test_merge.py
@@ -0,0 +1,35 @@
+"""The report merges histograms of all hosts and tells what is missing."""
+
+from almondspindle.adapters.peer.codec import decode, encode
+from almondspindle.adapters.peer.telemetry_messages import host_telemetry
+from almondspindle.controllers.telemetry.messages import WindowTotal
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.identifiers import HostName, ServiceName
+from almondspindle.core.telemetry import RequestMeasured, Tally
+from almondspindle.decisions.burn import Objective
+from almondspindle.report.merge import make_report
+from almondspindle.report.show import as_json, as_text
+
+SERVICE = ServiceName("forecast-llm")
+
+
+def answer(host: str, first_token_ms: int, times: int, covered_s: float):
+    tally = Tally()
+    for _ in range(times):
+        tally.add(RequestMeasured(SERVICE, WorkKind.CHAT, False, first_token_ms))
+    total = WindowTotal("5m", covered_s, {SERVICE: tally})
+    return decode(encode(host_telemetry(HostName(host), [total])))
+
+
+def test_histograms_are_merged_and_not_averaged():
+    # The mean of the hosts' 95th percentiles would be 505 ms; of all requests 96 in 100 are fast.
+    answers = [answer("a", 10, 96, 300.0), answer("b", 1000, 4, 120.0)]
+    report = make_report(ConfigSet(version=3), answers, {HostName("c"): "UNAVAILABLE: x"})
+    burns = {burn.objective: burn for burn in report.windows[0].services[SERVICE]}
+    first = burns[Objective.FIRST_TOKEN]
+    assert (first.total, first.bad, first.measured_ms) == (100, 4, 10.0)
+    assert [item.host for item in report.windows[0].partial] == ["b"]
+    assert "no answer from c" in as_text(report)
+    assert "b has seen 120 of 300 s" in as_text(report)
+    assert '"silent"' in as_json(report)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -91,6 +91,17 @@
     return proc, line.decode().split()[-1]
 
 
+async def run_program(module: str, args: Sequence[str]) -> str:
+    """Run `python -m module args` to its end and return what it printed; it must exit with 0."""
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", module, *args, stdout=asyncio.subprocess.PIPE
+    )
+    printed, _ = await asyncio.wait_for(proc.communicate(), STOP_WAIT_S)
+    if proc.returncode != 0:
+        raise RuntimeError(f"{module} ended with status {proc.returncode}")
+    return printed.decode()
+
+
 @dataclass
 class HostProcesses:
     """The entry and router of one host."""
