--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,12 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.telemetry_messages import (
+    Accepted,
+    GetTelemetry,
+    HostTelemetry,
+    PushTelemetry,
+)
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet
@@ -41,6 +47,10 @@
     35: StatusRequest,
     36: HostStatus,
     37: ConfigAck,
+    60: PushTelemetry,
+    61: Accepted,
+    62: GetTelemetry,
+    63: HostTelemetry,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/controllers/configuration/starter.py
+++ b/almondspindle/controllers/configuration/starter.py
@@ -49,8 +49,10 @@
 
     async def run(self) -> None:
         """Return once a configuration is in force."""
-        while not await self.start_once():
+        started = await self.start_once()
+        while not started:
             await asyncio.sleep(PAUSE_S)
+            started = await self.start_once()
 
     async def start_once(self) -> bool:
         """Put the highest configuration that can be found in force; return whether one is."""
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -10,10 +10,12 @@
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
+from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
@@ -24,6 +26,8 @@
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.controllers.telemetry.collector import CollectorController
+from almondspindle.controllers.telemetry.pusher import TallyPusher
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
@@ -59,7 +63,11 @@
             RequireKey(),
             RankCandidates(self._directory),
         )
-        chain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        plain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        self._collector = CollectorController(self._clock)
+        link = PeerTallyLink(self._channels, cfg.routers)
+        self._pusher = TallyPusher(self._collector, link)
+        chain = MeasuredChain(plain, self._collector, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
     async def run(self) -> int:
@@ -74,6 +82,7 @@
         await asyncio.sleep(self._cfg.balancer_lag_s)
         server.stop()
         await self._drain()
+        await self._pusher.push_once()
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -102,6 +111,8 @@
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("config-follower", self._follower.run())
+        self._tasks.start("collector", self._collector.run())
+        self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,9 +3,10 @@
 import asyncio
 import sys
 
-from almondspindle.adapters.peer.base import ACK_CONFIG, GET_CONFIG, GET_STATUS, PUSH_CONFIG
 from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.server import PeerServer, Publisher
+from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
 from almondspindle.chain.admit import AdmitToTarget
@@ -20,11 +21,6 @@
 from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
 from almondspindle.controllers.configuration.messages import (
     ConfigInForce,
-    EntryAcked,
-    EntryJoined,
-    EntryLeft,
-    FindNewer,
-    GetHostStatus,
     HostsRead,
     SubscribeConfig,
 )
@@ -34,21 +30,14 @@
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
-from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.roster import Roster
-from almondspindle.core.spread import (
-    ConfigAck,
-    ConfigAnswer,
-    ConfigVersionNote,
-    GetConfigRequest,
-    HostStatus,
-    StatusRequest,
-)
 from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
@@ -76,15 +65,17 @@
         link = PeerConfigLink()
         self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
         self._courier = ConfigCourier(self._spread, self._configuration, link)
-        self._receiver = ConfigReceiver(host, self._spread, self._configuration)
+        receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
-        self._add_methods()
+        ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -107,6 +98,7 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("config-courier", self._courier.run())
         self._tasks.start("config-start", self._follow_config())
+        self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
     def _spread_config(self, config: ConfigSet) -> None:
@@ -127,28 +119,6 @@
         self._tasks.start("config-watcher", self._watcher.run())
         self._tasks.start("config-pulls", self._courier.run_pulls())
 
-    def _add_methods(self) -> None:
-        self._server.add_method(GET_CONFIG, self._answer_config)
-        self._server.add_method(PUSH_CONFIG, self._receiver.take_push)
-        self._server.add_method(GET_STATUS, self._answer_status)
-        self._server.add_method(ACK_CONFIG, self._take_ack)
-        self._server.on_subscriber(self._note_subscriber)
-
-    async def _answer_config(self, req: GetConfigRequest) -> ConfigAnswer:
-        return await self._spread.ask(FindNewer(req.have))
-
-    async def _answer_status(self, req: StatusRequest) -> HostStatus:
-        status = await self._spread.ask(GetHostStatus())
-        await self._directory.ask(GetRoster())  # the owner's gate has the version by now
-        return status
-
-    async def _take_ack(self, ack: ConfigAck) -> ConfigVersionNote:
-        self._spread.tell(EntryAcked(ack.subscriber, ack.version))
-        return ConfigVersionNote(HostName(self._cfg.host), self._published.version)
-
-    def _note_subscriber(self, subscriber: HostName, present: bool) -> None:
-        self._spread.tell(EntryJoined(subscriber) if present else EntryLeft(subscriber))
-
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
