Let operators change, wait for and restore the configuration

Cause: a write over a store that had lost changes was accepted under a version that hosts ignore. Change: a command first asks some hosts for the version in force, and refuses such a write; restore writes the highest configuration in force back. A pull that no peer answers goes to another peer: with two zones parted and 12 of 60 hosts dead, six rounds had left some hosts behind.

--- a/almondspindle/controllers/configuration/courier.py
+++ b/almondspindle/controllers/configuration/courier.py
@@ -87,7 +87,7 @@
         else:
             await self.take(answer)
             await self._configuration.ask(GetConfig())  # the version is in force by now
-        self._spread.tell(PullEnded())
+        self._spread.tell(PullEnded(answer is not None))
 
     @singledispatchmethod
     async def take(self, answer: object) -> None:
--- a/almondspindle/controllers/configuration/messages.py
+++ b/almondspindle/controllers/configuration/messages.py
@@ -93,7 +93,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PullEnded:
-    """The pull in flight has ended, with or without a configuration."""
+    """The pull in flight has ended. `answered` tells whether the peer gave an answer."""
+
+    answered: bool
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/almondspindle/controllers/configuration/operators.py
@@ -0,0 +1,146 @@
+"""What operators' commands do with the configuration: change it, wait for it, restore it.
+
+This is the whole interface that a command language needs; it holds no text and parses none.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from almondspindle.adapters.platform.base import Platform
+from almondspindle.adapters.platform.stored_config import check_config
+from almondspindle.controllers.configuration.rollout import (
+    Rollout,
+    RolloutWaiter,
+    highest_version,
+)
+from almondspindle.controllers.configuration.writer import ConfigWriter, Written, store_unavailable
+from almondspindle.core.changes import Change, ChangeError, ChangeErrorCode, Kind, TakeOut
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.roster import Host, Roster
+from almondspindle.core.spread import ConfigAnswer, GetConfigRequest, HostStatus
+from almondspindle.core.stored import StoredConfig
+from almondspindle.decisions.configuration.apply import apply_all
+from almondspindle.decisions.configuration.delta import describe_delta, diff
+from almondspindle.decisions.configuration.references import check_references
+from almondspindle.decisions.configuration.writing import invalid_values
+
+HOSTS_ASKED = 16  # hosts asked for the version in force before a write
+WHOLE = GetConfigRequest(have=-1)  # below every version, so that no difference can be given
+
+
+class OperatorLink(Protocol):
+    """The way to hosts. None stands for no answer in time."""
+
+    async def status(self, address: str) -> HostStatus | None:
+        """Return the versions in force on a host and its entries."""
+        ...
+
+    async def get_config(self, address: str, req: GetConfigRequest) -> ConfigAnswer | None:
+        """Return the configuration in force on a host."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class DryRun:
+    """What changes would do to the stored version: one line an object."""
+
+    version: int
+    lines: tuple[str, ...]
+    config: ConfigSet
+
+
+class ConfigOperator:
+    """Change the configuration, knowing what is in force on the hosts."""
+
+    def __init__(
+        self, platform: Platform, link: OperatorLink, clock: Clock, seed: int | None = None
+    ) -> None:
+        self._platform = platform
+        self._link = link
+        self._writer = ConfigWriter(platform, clock)
+        self._waiter = RolloutWaiter(link, clock)
+        self._random = Random(seed)
+
+    async def read(self) -> Result[StoredConfig, ChangeError]:
+        """Return the stored configuration with its latest changes."""
+        return await self._writer.read()
+
+    async def submit(
+        self, changes: Sequence[Change], operator: str, expected_version: int | None = None
+    ) -> Written:
+        """Write `changes` as one update; return the version that holds them, or a refusal."""
+        roster = await self._roster()
+        if roster.is_error():
+            return Error(roster.error)
+        unknown = _unknown_target(changes, roster.ok)
+        if unknown is not None:
+            return Error(unknown)
+        in_force = await self._in_force(list(roster.ok.hosts.values()))
+        return await self._writer.submit(tuple(changes), operator, expected_version, in_force)
+
+    async def dry_run(self, changes: Sequence[Change]) -> Result[DryRun, ChangeError]:
+        """Return what `changes` would do, and write nothing."""
+        stored = await self.read()
+        return stored.bind(lambda found: _dry_run(found.config, changes))
+
+    async def wait(self, version: int, bound_s: float) -> Result[Rollout, ChangeError]:
+        """Wait until all live hosts and their entries have `version`; list those that lag."""
+        roster = await self._roster()
+        if roster.is_error():
+            return Error(roster.error)
+        return Ok(await self._waiter.wait(version, roster.ok.hosts.values(), bound_s))
+
+    async def restore(self, operator: str) -> Written:
+        """Write the highest configuration in force on a host back to the store."""
+        roster = await self._roster()
+        if roster.is_error():
+            return Error(roster.error)
+        found = await self._highest(list(roster.ok.hosts.values()))
+        if found is None:
+            text = "no host answers with a configuration"
+            hint = "start the hosts' routers, then repeat the command"
+            return Error(ChangeError(ChangeErrorCode.UNKNOWN_OBJECT, text, hint))
+        return await self._writer.restore(found, operator)
+
+    async def _roster(self) -> Result[Roster, ChangeError]:
+        return (await self._platform.roster()).map_error(store_unavailable)
+
+    async def _in_force(self, hosts: list[Host]) -> int:
+        asked = self._random.sample(hosts, min(HOSTS_ASKED, len(hosts)))
+        return highest_version(await self._waiter.survey(asked))
+
+    async def _highest(self, hosts: list[Host]) -> ConfigSet | None:
+        found = [(status, host) for host, status in await self._waiter.survey(hosts) if status]
+        for _, host in sorted(found, key=lambda pair: pair[0].version, reverse=True):
+            answer = await self._link.get_config(host.address, WHOLE)
+            if isinstance(answer, ConfigSet):
+                return answer
+        return None
+
+
+def _dry_run(config: ConfigSet, changes: Sequence[Change]) -> Result[DryRun, ChangeError]:
+    return (
+        apply_all(config, changes)
+        .bind(check_references)
+        .bind(lambda new: check_config(new).map_error(invalid_values))
+        .map(
+            lambda new: DryRun(
+                config.version, tuple(describe_delta(config, diff(config, new))), new
+            )
+        )
+    )
+
+
+def _unknown_target(changes: Sequence[Change], roster: Roster) -> ChangeError | None:
+    for change in changes:
+        if isinstance(change, TakeOut) and change.kind is Kind.TARGET:
+            if change.name in roster.targets:
+                continue
+            text = f"the platform lists no target called {change.name!r}"
+            hint = "look at the listed targets with `almondspindle status`"
+            return ChangeError(ChangeErrorCode.UNKNOWN_OBJECT, text, hint)
+    return None
--- a/almondspindle/controllers/configuration/spreader.py
+++ b/almondspindle/controllers/configuration/spreader.py
@@ -37,6 +37,7 @@
 KEPT_VERSIONS = 16  # configurations from which a difference can still be given
 PUSHED_OBJECTS = 40  # a larger change is announced, and pulled by whoever lacks it
 PULL_INTERVAL_S = 5.0
+PULL_TRIES = 3  # peers, while none of them answers
 PULL_JITTER = 0.2  # share of the interval
 
 
@@ -87,6 +88,7 @@
         self._kept: OrderedDict[int, ConfigSet] = OrderedDict()
         self._hosts: tuple[Host, ...] = ()
         self._pulling = False
+        self._tries_left = 0
         self._wanted: tuple[int, str] = (0, "")
         self._entries: dict[HostName, int] = {}
         self._streams: dict[HostName, int] = {}
@@ -122,8 +124,8 @@
 
     @handle.register
     def _(self, msg: PullDue, now: float) -> float:
-        for address in self._sample(1):
-            self._pull(address)
+        self._tries_left = PULL_TRIES
+        self._pull_from_any()
         return PULL_INTERVAL_S * self._random.uniform(1.0 - PULL_JITTER, 1.0 + PULL_JITTER)
 
     @handle.register
@@ -133,6 +135,8 @@
         self._wanted = (0, "")
         if version > self._config.version:
             self._pull(address)
+        elif not msg.answered:
+            self._pull_from_any()
 
     @handle.register
     def _(self, msg: FindNewer, now: float) -> ConfigAnswer:
@@ -176,6 +180,13 @@
         addresses = peers or list(self._cfg.seeds)
         return self._random.sample(addresses, min(count, len(addresses)))
 
+    def _pull_from_any(self) -> None:
+        if self._tries_left == 0:
+            return
+        self._tries_left -= 1
+        for address in self._sample(1):
+            self._pull(address)
+
     def _pull(self, address: str) -> None:
         if not self._pulling:
             self._pulling = True
--- a/almondspindle/controllers/configuration/writer.py
+++ b/almondspindle/controllers/configuration/writer.py
@@ -76,7 +76,13 @@
     async def read(self) -> Result[StoredConfig, ChangeError]:
         """Return the stored configuration with its latest changes."""
         found = await self._platform.read(CONFIG_OBJECT)
-        return found.map_error(_unavailable).bind(_parse)
+        return found.map_error(store_unavailable).bind(_parse)
+
+    async def _read_for(self, req: WriteRequest) -> Result[StoredConfig, ChangeError]:
+        if not req.restoring:
+            return await self.read()
+        found = await self._platform.read(CONFIG_OBJECT)
+        return found.map_error(store_unavailable).map(_parse_or_empty)
 
     async def submit(
         self,
@@ -104,7 +110,7 @@
         last = ChangeError(ChangeErrorCode.STORE_UNAVAILABLE, "the store was not asked")
         for attempt in range(self._cfg.attempts):
             await self._pause(attempt)
-            stored = await self.read()
+            stored = await self._read_for(req)
             if stored.is_error():
                 last = stored.error
                 if last.code is not ChangeErrorCode.STORE_UNAVAILABLE:
@@ -206,6 +212,11 @@
     )
 
 
+def _parse_or_empty(found: StoredObject) -> StoredConfig:
+    parsed = _parse(found)
+    return parsed.ok if parsed.is_ok() else StoredConfig(ConfigSet(), found.version)
+
+
 def _feed_of(stored: StoredConfig) -> ChangeFeed:
     return ChangeFeed(stored.config.version, stored.store_version, stored.recent)
 
@@ -217,7 +228,8 @@
     return parsed.ok.version if parsed.is_ok() else 0
 
 
-def _unavailable(error: StoreError) -> ChangeError:
+def store_unavailable(error: StoreError) -> ChangeError:
+    """Return the refusal of a command while the store gives no answer."""
     text = f"the store does not answer, nothing was changed: {error.message}"
     hint = "the last configuration stays in force; repeat the command when the store is back"
     return ChangeError(ChangeErrorCode.STORE_UNAVAILABLE, text, hint)
@@ -237,4 +249,4 @@
     if error.code is StoreErrorCode.CONFLICT:
         hint = "repeat the command"
         return ChangeError(ChangeErrorCode.TOO_MANY_CONFLICTS, error.message, hint)
-    return _unavailable(error)
+    return store_unavailable(error)
--- a/almondspindle/decisions/configuration/writing.py
+++ b/almondspindle/decisions/configuration/writing.py
@@ -87,7 +87,7 @@
     return (
         apply_all(stored.config, req.changes)
         .bind(check_references)
-        .bind(lambda config: check(config).map_error(_invalid))
+        .bind(lambda config: check(config).map_error(invalid_values))
         .map(lambda config: _plan(req, stored, config, now))
     )
 
@@ -118,7 +118,8 @@
     return None
 
 
-def _invalid(text: str) -> ChangeError:
+def invalid_values(text: str) -> ChangeError:
+    """Return the refusal of values that the checks at the border named in `text`."""
     return ChangeError(ChangeErrorCode.INVALID, text, "mend the values that are named")
 
 
--- /dev/null
+++ b/tests/controllers/configuration/test_spread.py
@@ -0,0 +1,319 @@
+"""How versions spread among routers, under faults."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from almondspindle.adapters.platform.stored_config import CONFIG_OBJECT, FEED_OBJECT, dump_stored
+from almondspindle.controllers.configuration.follower import ConfigFollower
+from almondspindle.controllers.configuration.messages import (
+    ConfigRead,
+    EntryJoined,
+    EntryLeft,
+    GetConfig,
+    GetHostStatus,
+    PeerVersion,
+)
+from almondspindle.controllers.configuration.rollout import RolloutWaiter
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.configuration.writer import ConfigWriter, WriterCfg
+from almondspindle.core.changes import BringBack, CreateObject, Kind, TakeOut
+from almondspindle.core.clock import ManualClock, SystemClock
+from almondspindle.core.config import AvailabilityZone, ConfigSet, Intent
+from almondspindle.core.spread import ConfigPush
+from almondspindle.decisions.configuration.delta import diff
+from almondspindle.decisions.configuration.spread import is_watching, push_order, push_targets
+from tests.standins.config_nodes import (
+    MemoryLink,
+    Network,
+    Node,
+    make_hosts,
+    start_nodes,
+    stop_nodes,
+)
+from tests.standins.memory_platform import MemoryPlatform
+
+PULL_ROUNDS = 3  # within 17 s at one pull in 6 s at the most
+OUT = TakeOut(Kind.ZONE, "swakop-a")
+BACK = BringBack(Kind.ZONE, "swakop-a")
+
+
+def config(version: int, zones: int = 3) -> ConfigSet:
+    made = {f"zone-{n}": AvailabilityZone(f"zone-{n}") for n in range(zones)}
+    made["mark"] = AvailabilityZone("mark", region=f"r{version}")
+    return ConfigSet(version, zones=made)
+
+
+async def write(platform: MemoryPlatform, *changes) -> int:
+    cfg = WriterCfg(pause_s=0.0, seed=1)
+    outcome = await ConfigWriter(platform, ManualClock(), cfg).submit(changes, "op")
+    return outcome.ok.version
+
+
+def fleet_test(count: int, zones: int):
+    """Run a check over `count` nodes that have version 1 in force."""
+
+    def decorate(check):
+        def run():
+            async def body():
+                net, platform = Network(), MemoryPlatform()
+                hosts = make_hosts(count, zones)
+                nodes = await start_nodes(net, platform, hosts)
+                await write(platform, CreateObject(Kind.ZONE, "swakop-a"))
+                for node in nodes:
+                    assert await node.starter.start_once()
+                await net.settle()
+                net.calls.clear()
+                try:
+                    await check(net, platform, nodes, hosts)
+                finally:
+                    await stop_nodes(net)
+
+            asyncio.run(body())
+
+        run.__name__ = check.__name__
+        return run
+
+    return decorate
+
+
+async def watch_all(nodes: list[Node]) -> None:
+    """Have the hosts that watch follow the store once."""
+    watching = [node for node in nodes if node.watcher._watching.is_set()]
+    await asyncio.gather(*(node.watcher.follow_once() for node in watching))
+
+
+@fleet_test(60, 3)
+async def test_a_change_reaches_all_by_pushes_alone(net, platform, nodes, hosts):
+    version = await write(platform, OUT)
+    await watch_all(nodes)
+    await net.settle()
+    assert await net.versions() == {version}
+    assert sum(node.watcher._watching.is_set() for node in nodes) == 6
+    assert platform.calls["watch"] == 6
+
+
+@fleet_test(60, 3)
+async def test_dead_hosts_and_cut_zones_are_made_up_for_by_pulls(net, platform, nodes, hosts):
+    net.down.update(host.name for host in push_order(2, hosts)[6:18])  # inner nodes of the tree
+    for near in hosts:
+        for far in hosts:
+            if near.zone == "z0" and far.zone == "z1":
+                net.cut.add(frozenset({near.name, far.name}))
+    version = await write(platform, OUT)
+    await watch_all([node for node in net.running() if node.host.zone == "z0"])
+    await net.settle()
+    for _ in range(PULL_ROUNDS * 2):
+        await net.pull_round()
+    assert await net.versions() == {version}
+
+
+@fleet_test(40, 2)
+async def test_a_large_change_is_announced_and_pulled(net, platform, nodes, hosts):
+    changes = [CreateObject(Kind.ZONE, f"zone-{n}") for n in range(100)]
+    version = await write(platform, *changes)
+    await watch_all(nodes)
+    await net.settle()
+    assert await net.versions() == {version}
+    assert net.calls["answer"] >= 30
+
+
+@fleet_test(12, 3)
+async def test_a_host_cut_off_from_the_store_learns_from_peers(net, platform, nodes, hosts):
+    cut_off = next(node for node in nodes if node.watcher._watching.is_set())
+    cut_off.watcher._platform = MemoryPlatform()
+    cut_off.watcher._platform.faults.down = True
+    assert not await cut_off.watcher.follow_once()
+    version = await write(platform, OUT)
+    await watch_all([node for node in nodes if node is not cut_off])
+    await net.settle()
+    assert await net.versions() == {version}
+
+
+@fleet_test(12, 3)
+async def test_watching_moves_when_a_watching_host_leaves(net, platform, nodes, hosts):
+    first = next(node for node in nodes if node.watcher._watching.is_set())
+    net.down.add(first.host.name)
+    left = [host for host in hosts if host is not first.host]
+    for node in net.running():
+        node.see(left)
+        await node.spread.ask(GetHostStatus())
+    watching = [n for n in net.running() if n.watcher._watching.is_set()]
+    assert sum(node.host.zone == first.host.zone for node in watching) == 2
+
+
+@fleet_test(6, 2)
+async def test_a_version_heard_of_during_a_pull_is_pulled_next(net, platform, nodes, hosts):
+    newest = config(9)
+    nodes[0].configuration.tell(ConfigRead(newest))
+    net.cut.update(frozenset({"h0", f"h{n}"}) for n in range(2, 6))
+    nodes[1].spread.tell(PeerVersion("h2", 8))  # a stale note; the pull finds nothing
+    nodes[1].spread.tell(PeerVersion("h0", 9))
+    await net.settle()
+    assert (await nodes[1].configuration.ask(GetConfig())) == newest
+
+
+@fleet_test(10, 2)
+async def test_a_restart_in_an_outage_takes_the_highest_peer(net, platform, nodes, hosts):
+    version = await write(platform, OUT)
+    platform.faults.down = True
+    await nodes[3].starter.start_once()  # a stale peer stays stale
+    fresh = config(version)
+    for node in nodes[5:7]:
+        node.configuration.tell(ConfigRead(fresh))
+        await node.configuration.ask(GetConfig())
+    net.calls.clear()
+    for seeds, view in (((), hosts), (("h1", "h5"), [])):
+        again = Node(net, replace(hosts[9], name="again", address="again"), platform, seeds)
+        again.start()
+        again.see(view)
+        assert await again.starter.start_once()
+        assert again.applied[-1] == version
+        await again.tasks.cancel_all()
+
+
+def test_a_start_without_store_and_peers_puts_nothing_in_force():
+    async def check():
+        net, platform = Network(), MemoryPlatform()
+        platform.faults.down = True
+        node = Node(net, make_hosts(1, 1)[0], platform)
+        node.start()
+        assert not await node.starter.start_once()
+        platform.faults.down = False
+        platform.put(CONFIG_OBJECT, dump_stored(config(4), ()))
+        assert await node.starter.start_once()
+        assert node.applied[-1] == 4
+        await stop_nodes(net)
+
+    asyncio.run(check())
+
+
+async def put_lower(platform, node):
+    platform.put(CONFIG_OBJECT, dump_stored(config(2), ()), version=1)
+
+
+async def delete(platform, node):
+    await platform.delete(CONFIG_OBJECT, 0)
+    await platform.delete(FEED_OBJECT, 0)
+
+
+async def put_invalid(platform, node):
+    platform.put(CONFIG_OBJECT, b"{")
+
+
+async def late_feed(platform, node):
+    feed = platform.earlier[FEED_OBJECT]
+    platform.put(FEED_OBJECT, feed.value)
+
+
+async def late_whole(platform, node):
+    stored = platform.earlier[CONFIG_OBJECT]
+    platform.put(CONFIG_OBJECT, stored.value)
+
+
+async def late_push(platform, node):
+    await node.receiver.take_push(ConfigPush("h1", 2, diff(config(1), config(2))))
+
+
+async def stale_read(platform, node):
+    node.configuration.tell(ConfigRead(config(1)))
+
+
+REVERTS = [
+    (put_lower, "store_behind"),
+    (delete, "store_behind"),
+    (late_whole, "store_behind"),
+    (put_invalid, "stored_invalid"),
+    (late_feed, "ok"),
+    (late_push, "ok"),
+    (stale_read, "ok"),
+]
+
+
+@pytest.mark.parametrize(("fault", "code"), REVERTS)
+def test_a_version_in_force_never_goes_back(fault, code):
+    @fleet_test(2, 1)
+    async def run(net, platform, nodes, hosts):
+        for change in (OUT, BACK, OUT):
+            version = await write(platform, change)
+            await watch_all(nodes)
+        node = nodes[0]
+        await fault(platform, node)
+        await watch_all(nodes)
+        await net.settle()
+        in_force = await node.configuration.ask(GetConfig())
+        assert (in_force.version, in_force.zone_intent("swakop-a")) == (version, Intent.OUT)
+        assert node.applied == sorted(node.applied)
+        writer = ConfigWriter(platform, ManualClock(), WriterCfg(attempts=3, pause_s=0.0))
+        outcome = await writer.submit((BACK,), "op", in_force=version)
+        assert (outcome.error.code if outcome.is_error() else "ok") == code
+        if outcome.is_error():
+            outcome = await writer.restore(in_force, "op")
+        later = outcome.ok.version
+        assert later == version + 1
+        await watch_all(nodes)
+        await net.settle()
+        assert await net.versions() == {later}
+
+    run()
+
+
+@fleet_test(4, 1)
+async def test_a_change_whose_writer_stopped_before_the_feed_is_found(net, platform, nodes, hosts):
+    original = platform.write
+
+    async def stop_before_feed(name, value, expected):
+        if name == FEED_OBJECT:
+            raise asyncio.CancelledError
+        return await original(name, value, expected)
+
+    platform.write = stop_before_feed
+    with pytest.raises(asyncio.CancelledError):
+        await write(platform, OUT)
+    await watch_all(nodes)
+    await net.settle()
+    assert await net.versions() == {2}
+
+
+@fleet_test(3, 1)
+async def test_an_entry_follows_and_acknowledges(net, platform, nodes, hosts):
+    controller = ConfigurationController(ManualClock())
+    task = asyncio.ensure_future(controller.run())
+    for node in nodes:
+        node.spread.tell(EntryJoined("entry"))
+    follower = ConfigFollower(
+        "entry", controller, MemoryLink(net, "entry"), lambda: "h0", lambda: asyncio.sleep(0)
+    )
+    base = await nodes[0].configuration.ask(GetConfig())
+    await follower.follow(base)
+    for change in (OUT, BACK):
+        await write(platform, change)
+        await watch_all(nodes)
+    await net.settle()
+    newest = await nodes[0].configuration.ask(GetConfig())
+    await follower.follow(diff(config(2), config(3)))  # starts elsewhere: pulled from the router
+    assert await controller.ask(GetConfig()) == newest
+    waiter = RolloutWaiter(MemoryLink(net, "cli"), SystemClock(), 0.0)
+    status = {host.name: status for host, status in await waiter.survey(hosts)}
+    assert status["h0"].entries == {"entry": newest.version}
+    rollout = await waiter.wait(newest.version, hosts, 0.0)
+    assert [(lag.host.name, lag.reason) for lag in rollout.lagging] == [
+        ("h1", "entries without it: entry"),
+        ("h2", "entries without it: entry"),
+    ]
+    net.down.add("h2")
+    nodes[1].spread.tell(EntryLeft("entry"))
+    rollout = await waiter.wait(newest.version, hosts, 0.0)
+    assert [(lag.host.name, lag.reason) for lag in rollout.lagging] == [("h2", "no answer")]
+    task.cancel()
+
+
+def test_the_tree_covers_every_host_once():
+    hosts = make_hosts(500, 10)
+    reached: list[str] = []
+    for host in hosts:
+        reached += [peer.name for peer in push_targets(7, host.name, hosts, 0)[:-1]]
+    roots = [host.name for host in hosts if is_watching(host.name, hosts)]
+    assert set(reached) >= {host.name for host in hosts} - set(roots)
+    assert len(roots) == 20
--- /dev/null
+++ b/tests/programs/test_configuration.py
@@ -0,0 +1,124 @@
+"""Operators' changes through real processes: zones out and back, and a store that is down."""
+
+import asyncio
+import json
+
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.platform.http import HttpPlatform
+from almondspindle.controllers.configuration.operators import ConfigOperator
+from almondspindle.core.changes import BringBack, Kind, TakeOut
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.config import Intent
+from tests.standins.caller import Caller, wait_ready, wait_until
+from tests.standins.fleet import BUREAU_CONFIG, Fleet
+
+ZONES = {"entry-1": "walvis-a", "entry-2": "swakop-a", "entry-3": "henties"}
+# The floor keeps the load bound out of the way: these are tests of configuration.
+ROOMY = {"name": "forecast-llm", "kind": "chat", "policy": {"load_floor": 64}}
+CONFIG = {**BUREAU_CONFIG, "services": [ROOMY, BUREAU_CONFIG["services"][1]]}
+EVERYWHERE_S = 17.0
+TOKENS = 60
+CHATS = 24
+AT_ONCE = 4
+
+
+def operator_of(fleet: Fleet) -> ConfigOperator:
+    return ConfigOperator(HttpPlatform(fleet.store.url), PeerConfigLink(), SystemClock(), seed=1)
+
+
+async def change(fleet: Fleet, *changes) -> int:
+    operator = operator_of(fleet)
+    accepted = await operator.submit(changes, "maria")
+    assert accepted.is_ok(), accepted
+    rollout = (await operator.wait(accepted.ok.version, EVERYWHERE_S)).ok
+    assert rollout.everywhere, rollout.lagging
+    assert sum(len(status.entries) for status in rollout.done) == len(ZONES)
+    return accepted.ok.version
+
+
+async def chats(callers: list[Caller], name: str) -> set[str]:
+    """Send chats through all entries; return the targets that served them."""
+    served = set()
+    for start in range(0, CHATS, AT_ONCE):
+        turns = [
+            callers[n % len(callers)].chat(f"{name}-{n}", "turn", 4)
+            for n in range(start, start + AT_ONCE)
+        ]
+        for answer in await asyncio.gather(*turns):
+            assert answer.is_whole_stream("turn", 4), (answer.status, answer.body)
+            served.add(answer.target)
+    return served
+
+
+async def check_zone_out(fleet: Fleet, callers: list[Caller]) -> None:
+    out = fleet.engines["forecast-1"].state
+    streams = [
+        asyncio.ensure_future(callers[n % 3].chat(f"long-{n}", "long", TOKENS)) for n in range(9)
+    ]
+
+    async def is_busy() -> bool:
+        return out.in_flight > 0
+
+    await wait_until(is_busy, "no stream runs in the zone")
+    await change(fleet, TakeOut(Kind.ZONE, "swakop-a"))
+    seen = out.requests
+    assert "forecast-1" not in await chats(callers, "out")
+    assert out.requests == seen
+    for answer in await asyncio.gather(*streams):
+        assert answer.is_whole_stream("long", TOKENS)
+    await change(fleet, *(TakeOut(Kind.ZONE, zone) for zone in ZONES.values()))
+    for caller in callers:
+        answer = await caller.chat("none", "turn")
+        assert (answer.status, answer.error["code"]) == (503, "zone_out")
+        assert answer.error["run_state"] == "not run"
+        assert int(answer.headers["Retry-After"]) > 0
+    await change(fleet, *(BringBack(Kind.ZONE, zone) for zone in ZONES.values()))
+    assert "forecast-1" in await chats(callers, "back")
+
+
+async def check_target_out(fleet: Fleet, callers: list[Caller]) -> None:
+    await change(fleet, TakeOut(Kind.TARGET, "forecast-0"))
+    assert "forecast-0" not in await chats(callers, "target")
+    await change(fleet, BringBack(Kind.TARGET, "forecast-0"))
+
+
+async def check_outage(fleet: Fleet, callers: list[Caller]) -> None:
+    version = await change(fleet, TakeOut(Kind.ZONE, "swakop-a"))
+    operator = operator_of(fleet)
+    fleet.store.state.faults.down = True
+    refused = await operator.submit((BringBack(Kind.ZONE, "swakop-a"),), "maria")
+    assert refused.error.code == "store_unavailable"
+    assert "stays in force" in refused.error.hint
+    assert "forecast-1" not in await chats(callers, "outage")
+    host = fleet.hosts["entry-3"]
+    await host.router.kill()
+    seeds = [fleet.hosts[name].router.address for name in ("entry-1", "entry-2")]
+    fleet.router_args = ("--seeds", json.dumps(seeds))
+    host.router = await fleet.start_router(host.name, host.zone, host.router.address)
+
+    async def has_version() -> bool:
+        status = await PeerConfigLink().status(host.router.address)
+        return status is not None and status.version == version
+
+    await wait_until(has_version, "a restarted router did not take the version from its peers")
+    fleet.store.state.faults.down = False
+    stored = (await operator.read()).ok
+    assert stored.config.zone_intent("swakop-a") is Intent.OUT
+
+
+async def check_all() -> None:
+    async with Fleet() as fleet:
+        fleet.configure(CONFIG)
+        for number, zone in enumerate(ZONES.values()):
+            fleet.add_engine(f"forecast-{number}", zone, token_pause_s=0.01)
+        await fleet.add_hosts(ZONES)
+        callers = [Caller(host.entry.address) for host in fleet.hosts.values()]
+        for caller in callers:
+            await wait_ready(caller)
+        await check_zone_out(fleet, callers)
+        await check_target_out(fleet, callers)
+        await check_outage(fleet, callers)
+
+
+def test_configuration_through_processes():
+    asyncio.run(check_all())
--- /dev/null
+++ b/tests/standins/config_nodes.py
@@ -0,0 +1,179 @@
+"""Routers' configuration controllers in one process, joined by links that a test can cut.
+
+Everything but the sockets is the product's own code; messages pass through its codec.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from almondspindle.adapters.peer.codec import decode, encode
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    EntryAcked,
+    FindNewer,
+    GetConfig,
+    GetHostStatus,
+    HostsRead,
+    PullDue,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.configuration.watcher import ConfigWatcher
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.roster import Host
+from almondspindle.core.spread import HostStatus
+from almondspindle.utils.tasks import TaskSet
+from tests.standins.memory_platform import MemoryPlatform
+
+SETTLE_TURNS = 50  # turns of the event loop without any call between nodes
+
+
+@dataclass
+class Network:
+    """The links between nodes. `down` hosts answer nothing; `cut` pairs don't reach each other."""
+
+    nodes: dict[str, "Node"] = field(default_factory=dict)
+    down: set[str] = field(default_factory=set)
+    cut: set[frozenset[str]] = field(default_factory=set)
+    calls: Counter[str] = field(default_factory=Counter)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+
+    def reach(self, source: str, address: str) -> "Node | None":
+        """Return the node at `address`, or None when `source` does not reach it."""
+        if {source, address} & self.down or frozenset({source, address}) in self.cut:
+            return None
+        return self.nodes.get(address)
+
+    def carry(self, source: str, kind: str, msg: object) -> object:
+        """Pass `msg` through the codec and count its bytes."""
+        data = encode(msg)
+        self.calls[kind] += 1
+        self.sent_bytes[source] += len(data)
+        return decode(data)
+
+    async def settle(self) -> None:
+        """Return once nodes have ceased to call each other."""
+        quiet = 0
+        while quiet < SETTLE_TURNS:
+            before = sum(self.calls.values())
+            await asyncio.sleep(0)
+            busy = before != sum(self.calls.values()) or any(n.is_busy() for n in self.running())
+            quiet = 0 if busy else quiet + 1
+
+    def running(self) -> list["Node"]:
+        """Return the nodes that are not down."""
+        return [node for name, node in self.nodes.items() if name not in self.down]
+
+    async def pull_round(self) -> None:
+        """Have every node ask one random peer, as it does every few seconds."""
+        for node in self.running():
+            await node.spread.ask(PullDue())
+        await self.settle()
+
+    async def versions(self) -> set[int]:
+        """Return the versions in force on the running nodes."""
+        return {(await node.configuration.ask(GetConfig())).version for node in self.running()}
+
+
+@dataclass
+class MemoryLink:
+    """The way from one node to all others."""
+
+    net: Network
+    source: str
+
+    async def get_config(self, address, req):
+        """Return what the peer has above the requester's version."""
+        node = self.net.reach(self.source, address)
+        if node is None:
+            return None
+        req = self.net.carry(self.source, "get", req)
+        answer = await node.spread.ask(FindNewer(req.have))
+        return self.net.carry(address, "answer", answer)
+
+    async def push_config(self, address, push):
+        """Pass a version on."""
+        node = self.net.reach(self.source, address)
+        if node is None:
+            return None
+        push = self.net.carry(self.source, "push", push)
+        node.hop = min(node.hop, self.net.nodes[self.source].hop + 1)
+        return self.net.carry(address, "note", await node.receiver.take_push(push))
+
+    async def ack_config(self, address, ack):
+        """Acknowledge a version."""
+        node = self.net.reach(self.source, address)
+        if node is not None:
+            node.spread.tell(EntryAcked(ack.subscriber, ack.version))
+
+    async def status(self, address) -> HostStatus | None:
+        """Return the status of a host."""
+        node = self.net.reach(self.source, address)
+        return await node.spread.ask(GetHostStatus()) if node else None
+
+
+class Node:
+    """The configuration part of one router; its name is its address."""
+
+    def __init__(
+        self, net: Network, host: Host, platform: MemoryPlatform, seeds: tuple[str, ...] = ()
+    ) -> None:
+        clock = ManualClock()
+        link = MemoryLink(net, host.name)
+        seed = len(net.nodes)
+        self.host = host
+        self.hop = 10**6
+        self.applied: list[int] = []
+        self.configuration = ConfigurationController(clock)
+        self.watcher = ConfigWatcher(platform, self.configuration, wait_s=0.02)
+        self.spread = SpreadController(
+            clock, SpreadCfg(host.name, host.zone, seeds, seed), self.watcher.set_watching
+        )
+        self.courier = ConfigCourier(self.spread, self.configuration, link)
+        self.receiver = ConfigReceiver(host.name, self.spread, self.configuration)
+        self.starter = ConfigStarter(platform, self.spread, self.configuration, link)
+        self.tasks = TaskSet()
+        net.nodes[host.name] = self
+
+    def start(self) -> None:
+        """Run the controllers and the courier; a test drives watches and pulls."""
+        self.configuration.tell(SubscribeConfig(self._take))
+        for task in (self.configuration, self.spread, self.courier):
+            self.tasks.start(type(task).__name__, task.run())
+
+    def see(self, hosts: list[Host]) -> None:
+        """Give the node its view of the hosts."""
+        self.spread.tell(HostsRead(tuple(hosts)))
+
+    def is_busy(self) -> bool:
+        """Return whether jobs wait for the courier."""
+        return not self.spread.jobs.empty()
+
+    def _take(self, config: ConfigSet) -> None:
+        self.applied.append(config.version)
+        self.spread.tell(ConfigInForce(config))
+
+
+def make_hosts(count: int, zones: int) -> list[Host]:
+    """Return `count` live hosts spread evenly over `zones`."""
+    return [Host(f"h{n}", f"z{n % zones}", f"h{n}") for n in range(count)]
+
+
+async def start_nodes(net: Network, platform: MemoryPlatform, hosts: list[Host]) -> list[Node]:
+    """Start a node for each host, with the same view and no configuration."""
+    nodes = [Node(net, host, platform) for host in hosts]
+    for node in nodes:
+        node.start()
+        node.see(hosts)
+    return nodes
+
+
+async def stop_nodes(net: Network) -> None:
+    """Stop all nodes."""
+    for node in net.nodes.values():
+        await node.tasks.cancel_all()
