--- a/tests/controllers/configuration/test_spread.py
+++ b/tests/controllers/configuration/test_spread.py
@@ -14,6 +14,8 @@
     GetConfig,
     GetHostStatus,
     PeerVersion,
+    TakeDelta,
+    Taken,
 )
 from almondspindle.controllers.configuration.rollout import RolloutWaiter
 from almondspindle.controllers.configuration.task import ConfigurationController
@@ -146,8 +148,9 @@
 @fleet_test(6, 2)
 async def test_a_version_heard_of_during_a_pull_is_pulled_next(net, platform, nodes, hosts):
     newest = config(9)
+    net.drop_pushes = True
     nodes[0].configuration.tell(ConfigRead(newest))
-    net.cut.update(frozenset({"h0", f"h{n}"}) for n in range(2, 6))
+    await net.settle()
     nodes[1].spread.tell(PeerVersion("h2", 8))  # a stale note; the pull finds nothing
     nodes[1].spread.tell(PeerVersion("h0", 9))
     await net.settle()
@@ -158,12 +161,13 @@
 async def test_a_restart_in_an_outage_takes_the_highest_peer(net, platform, nodes, hosts):
     version = await write(platform, OUT)
     platform.faults.down = True
+    net.drop_pushes = True
     await nodes[3].starter.start_once()  # a stale peer stays stale
     fresh = config(version)
     for node in nodes[5:7]:
         node.configuration.tell(ConfigRead(fresh))
         await node.configuration.ask(GetConfig())
-    net.calls.clear()
+    await net.settle()
     for seeds, view in (((), hosts), (("h1", "h5"), [])):
         again = Node(net, replace(hosts[9], name="again", address="again"), platform, seeds)
         again.start()
@@ -255,6 +259,24 @@
         await watch_all(nodes)
         await net.settle()
         assert await net.versions() == {later}
+        await watch_all(nodes)
+        assert node.watcher._feed_seen == platform.objects[FEED_OBJECT].version
+
+    run()
+
+
+OFFERS = [(0, 2, Taken.OLD), (3, 3, Taken.OLD), (2, 4, Taken.GAP), (3, 5, Taken.APPLIED)]
+
+
+@pytest.mark.parametrize(("base", "version", "taken"), OFFERS)
+def test_a_difference_applies_only_to_its_own_base(base, version, taken):
+    @fleet_test(1, 1)
+    async def run(net, platform, nodes, hosts):
+        nodes[0].configuration.tell(ConfigRead(config(3)))
+        delta = diff(config(base), config(version))
+        assert await nodes[0].configuration.ask(TakeDelta(delta)) is taken
+        in_force = await nodes[0].configuration.ask(GetConfig())
+        assert in_force == config(version if taken is Taken.APPLIED else 3)
 
     run()
 
--- a/tests/standins/config_nodes.py
+++ b/tests/standins/config_nodes.py
@@ -40,6 +40,7 @@
     nodes: dict[str, "Node"] = field(default_factory=dict)
     down: set[str] = field(default_factory=set)
     cut: set[frozenset[str]] = field(default_factory=set)
+    drop_pushes: bool = False
     calls: Counter[str] = field(default_factory=Counter)
     sent_bytes: Counter[str] = field(default_factory=Counter)
 
@@ -99,7 +100,7 @@
     async def push_config(self, address, push):
         """Pass a version on."""
         node = self.net.reach(self.source, address)
-        if node is None:
+        if node is None or self.net.drop_pushes:
             return None
         push = self.net.carry(self.source, "push", push)
         node.hop = min(node.hop, self.net.nodes[self.source].hop + 1)
