--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -6,6 +6,11 @@
 
 import uuid_utils
 
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.platform.http import HttpPlatform
+from almondspindle.controllers.configuration.operators import ConfigOperator
+from almondspindle.core.changes import BringBack, Change, Kind, TakeOut
+from almondspindle.core.clock import SystemClock
 from tests.standins.caller import Caller, wait_ready, wait_until
 from tests.standins.fleet import BUREAU_CONFIG, Fleet
 
@@ -14,6 +19,8 @@
 AT_ONCE = 4  # stays within the floor of the load bound, so no chat is pushed away
 TOKENS = 8
 COMMITS = 6
+EVERYWHERE_S = 17.0
+SWAKOP_ENGINES = frozenset({"forecast-2", "forecast-3"})
 
 
 class DemoFailed(Exception):
@@ -60,6 +67,8 @@
         step(f"{COMMITS} dispatch commits ran once each; status reads answered")
         await refusals(callers[0])
         step("malformed requests got a 4xx that says what to mend")
+        await zone_out_and_back(fleet, callers)
+        step("availability zone swakop-a was taken out, got no new work, and was brought back")
         await lose_router(fleet)
         step("one router was killed")
         await after_loss(callers)
@@ -104,6 +113,30 @@
     check((await caller.commit("not-a-key")).status == 400, "a malformed key was not refused")
 
 
+async def zone_out_and_back(fleet: Fleet, callers: list[Caller]) -> None:
+    """Take a zone out, see that no new work reaches its targets, and bring it back."""
+    engines = [engine.state for name, engine in fleet.engines.items() if name in SWAKOP_ENGINES]
+    await change(fleet, TakeOut(Kind.ZONE, "swakop-a"))
+    before = [engine.requests for engine in engines]
+    for caller in callers:
+        served = await chats(caller)
+        check(not SWAKOP_ENGINES & set(served.values()), f"new work in the zone: {served}")
+    check(before == [engine.requests for engine in engines], "new work reached the zone")
+    await change(fleet, BringBack(Kind.ZONE, "swakop-a"))
+    for caller in callers:
+        await chats(caller)
+    check(before != [engine.requests for engine in engines], "the zone gets no work again")
+
+
+async def change(fleet: Fleet, *changes: Change) -> None:
+    """Make a change as operators do, and wait until it is in force everywhere."""
+    operator = ConfigOperator(HttpPlatform(fleet.store.url), PeerConfigLink(), SystemClock())
+    accepted = await operator.submit(changes, "demo")
+    check(accepted.is_ok(), f"the change was refused: {accepted}")
+    rollout = await operator.wait(accepted.ok.version, EVERYWHERE_S)
+    check(rollout.is_ok() and rollout.ok.everywhere, f"not in force everywhere: {rollout}")
+
+
 async def lose_router(fleet: Fleet) -> None:
     """Kill the second host's router; the platform's list drops it a little later."""
     await fleet.hosts["entry-2"].router.kill()
--- /dev/null
+++ b/tests/controllers/targets/test_intent.py
@@ -0,0 +1,85 @@
+"""How the directory follows operators' intent and the platform's list."""
+
+from dataclasses import replace
+
+import pytest
+
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import (
+    ConfigChanged,
+    FindOwned,
+    RankTargets,
+    RosterRead,
+    SubscribeReturned,
+)
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import AvailabilityZone, ConfigSet, Intent, TargetOverride
+from almondspindle.core.outcomes import RunState
+from almondspindle.core.roster import Host, Roster, Target, TargetState
+
+NOW = 1000.0
+ZONES = ("walvis-a", "swakop-a")
+HOSTS = {"h1": Host("h1", "walvis-a", "a:1")}
+TARGETS = {f"t-{zone}": Target(f"t-{zone}", "forecast-llm", zone, "x") for zone in ZONES}
+
+
+def config(version: int, out_zones=(), out_targets=()) -> ConfigSet:
+    zones = {z: AvailabilityZone(z, intent=Intent.OUT) for z in out_zones}
+    targets = {t: TargetOverride(t, intent=Intent.OUT) for t in out_targets}
+    return ConfigSet(version, zones=zones, targets=targets)
+
+
+def directory(cfg: ConfigSet, targets=None) -> DirectoryController:
+    made = DirectoryController(ManualClock(), "h1")
+    made.handle(RosterRead(Roster(HOSTS, targets or TARGETS)), NOW)
+    made.handle(ConfigChanged(cfg), NOW)
+    return made
+
+
+def ranked(made: DirectoryController) -> set[str]:
+    outcome = made.handle(RankTargets("forecast-llm", "chat"), NOW)
+    return {c.target for c in outcome.ok} if outcome.is_ok() else {outcome.error.code}
+
+
+LEAVING = {**TARGETS, "t-swakop-a": replace(TARGETS["t-swakop-a"], state=TargetState.LEAVING)}
+CASES = [
+    (config(1), TARGETS, {"t-walvis-a", "t-swakop-a"}, None),
+    (config(1, ["swakop-a"]), TARGETS, {"t-walvis-a"}, "zone_out"),
+    (config(1, [], ["t-swakop-a"]), TARGETS, {"t-walvis-a"}, "leaving"),
+    (config(1), LEAVING, {"t-walvis-a"}, "leaving"),
+    (config(1, ZONES), TARGETS, {"zone_out"}, "zone_out"),
+    (config(1, ["walvis-a"], ["t-swakop-a"]), TARGETS, {"zone_out"}, "leaving"),
+    (config(1, [], ["t-swakop-a", "t-walvis-a"]), TARGETS, {"no_target"}, "leaving"),
+    (config(0), TARGETS, {"t-walvis-a", "t-swakop-a"}, "not_ready"),
+]
+
+
+@pytest.mark.parametrize(("cfg", "targets", "order", "gate"), CASES)
+def test_ranking_and_gate_follow_intent(cfg, targets, order, gate):
+    made = directory(cfg, targets)
+    assert ranked(made) == order
+    found = made.handle(FindOwned("t-swakop-a"), NOW)
+    assert (found.error.code if found.is_error() else None) == gate
+    if found.is_error():
+        assert found.error.run_state is RunState.NOT_RUN
+    if order == {"zone_out"}:
+        error = made.handle(RankTargets("forecast-llm", "chat"), NOW).error
+        assert error.retry_after_s and "availability zones" in error.message
+
+
+def test_targets_that_return_are_told_once():
+    made = directory(config(1, ["swakop-a"]))
+    told = []
+    made.handle(SubscribeReturned(told.append), NOW)
+    made.handle(ConfigChanged(config(2, ["swakop-a"])), NOW)
+    assert told == []
+    made.handle(ConfigChanged(config(3)), NOW)
+    made.handle(ConfigChanged(config(4)), NOW)
+    assert [msg.targets for msg in told] == [{"t-swakop-a"}]
+    made.handle(RosterRead(Roster(HOSTS, LEAVING)), NOW)
+    made.handle(RosterRead(Roster(HOSTS, TARGETS)), NOW)
+    assert [msg.targets for msg in told[1:]] == [{"t-swakop-a"}]
+    made.handle(ConfigChanged(config(5, ["swakop-a"])), NOW)
+    made.handle(RosterRead(Roster(HOSTS, {"t-walvis-a": TARGETS["t-walvis-a"]})), NOW)
+    made.handle(ConfigChanged(config(6)), NOW)
+    assert len(told) == 2
