--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 format: $(STAMP)
 	$(PY) -m black -q almondspindle tests bench demo
 	$(PY) -m ruff check --fix almondspindle tests bench demo
+
+.PHONY: docs
+docs: $(STAMP)
+	$(PY) -m almondspindle.utils.reference docs/ref
--- /dev/null
+++ b/almondspindle/language/statements.py
@@ -0,0 +1,144 @@
+"""What a line of the language says, as data classes."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+Value = str | int | float | bool | tuple[str, ...]
+Fields = tuple[tuple[str, Value], ...]  # dotted field path and value, in the order given
+
+
+class Kind(StrEnum):
+    """Kinds of object that operators change."""
+
+    TEAM = "team"
+    SERVICE = "service"
+    ZONE = "zone"
+    TARGET = "target"
+
+
+class Source(StrEnum):
+    """What a query lists."""
+
+    TEAMS = "teams"
+    SERVICES = "services"
+    ZONES = "zones"
+    HOSTS = "hosts"
+    TARGETS = "targets"
+
+
+class Comparison(StrEnum):
+    """How a filter compares a field with a value."""
+
+    EQUAL = "="
+    UNEQUAL = "!="
+    BELOW = "<"
+    AT_MOST = "<="
+    ABOVE = ">"
+    AT_LEAST = ">="
+    LIKE = "like"
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """One filter of a query."""
+
+    field: str
+    comparison: Comparison
+    value: Value
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One key that a query is ordered by."""
+
+    field: str
+    descending: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Create:
+    """Create an object."""
+
+    kind: Kind
+    name: str
+    fields: Fields = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Set:
+    """Change fields of an object."""
+
+    kind: Kind
+    name: str
+    fields: Fields
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Delete an object."""
+
+    kind: Kind
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOut:
+    """Take an availability zone or target out of service."""
+
+    kind: Kind
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class BringBack:
+    """Bring an availability zone or target back into service."""
+
+    kind: Kind
+    name: str
+
+
+Change = Create | Set | Delete | TakeOut | BringBack
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """Changes that are accepted together or not at all.
+
+    `if_version` refuses them unless that configuration version is in force; `wait` asks to wait
+    until the new version is in force on every live host.
+    """
+
+    changes: tuple[Change, ...]
+    if_version: int | None = None
+    wait: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """List objects. No `fields` means the source's usual ones."""
+
+    source: Source
+    fields: tuple[str, ...] = ()
+    conditions: tuple[Condition, ...] = ()
+    order: tuple[Order, ...] = ()
+    limit: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainChat:
+    """Ask which target a chat goes to, and why."""
+
+    chat_id: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainKey:
+    """Ask what the claim record says of an idempotency key."""
+
+    key: str
+    service: str | None = None
+    team: str | None = None
+
+
+Statement = Command | Query | ExplainChat | ExplainKey
