Parse the operators' language into typed statements

Cause: operators had no way to say anything. One lark grammar, statements that carry the write side's changes, queries as pure selection over typed rows, documents and exports, replies with exit codes. Problems point at the column and propose the nearest word.

Ruled out: an Earley parser (ambiguities resolved by priority are hard to read); keywords that are reserved everywhere (a team called 'wait' must be possible): the contextual lexer gives both. Applying a document puts objects into the described state but keeps the intent of zones and targets, so that an old document brings nothing back into service.

--- a/almondspindle/core/changes.py
+++ b/almondspindle/core/changes.py
@@ -59,6 +59,19 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class PutObject:
+    """Create an object, or give an existing one just these fields and else the defaults.
+
+    An existing object keeps its intent unless `fields` names one, so that applying an old document
+    brings nothing back into service.
+    """
+
+    kind: Kind
+    name: str
+    fields: Mapping[str, object] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class ReplaceAll:
     """Put `config` in place of the whole configuration. Its version is ignored."""
@@ -66,7 +79,7 @@
     config: ConfigSet
 
 
-Change = CreateObject | SetFields | DeleteObject | TakeOut | BringBack | ReplaceAll
+Change = CreateObject | SetFields | DeleteObject | TakeOut | BringBack | PutObject | ReplaceAll
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/decisions/configuration/apply.py
+++ b/almondspindle/decisions/configuration/apply.py
@@ -17,6 +17,7 @@
     CreateObject,
     DeleteObject,
     Kind,
+    PutObject,
     ReplaceAll,
     SetFields,
     TakeOut,
@@ -112,6 +113,16 @@
     return _set_intent(config, change.kind, change.name, Intent.IN)
 
 
+@apply_change.register
+def _(change: PutObject, config: ConfigSet) -> Changed:
+    found = _objects(config, change.kind).get(change.name)
+    values = dict(change.fields)
+    if found is not None and hasattr(found, "intent"):
+        values.setdefault("intent", found.intent)
+    without = put_object(config, change.kind, change.name, None)
+    return apply_change(CreateObject(change.kind, change.name, values), without)
+
+
 @apply_change.register
 def _(change: ReplaceAll, config: ConfigSet) -> Changed:
     return Ok(replace(change.config, version=config.version))
--- /dev/null
+++ b/almondspindle/language/rows.py
@@ -0,0 +1,98 @@
+"""The rows that queries list, one data class per source. Field names are those of the language."""
+
+from dataclasses import dataclass, fields
+
+from almondspindle.language.statements import Source
+
+UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class TeamRow:
+    """A team. `requests_per_s` is the limit over the whole fleet."""
+
+    name: str
+    weight: float
+    requests_per_s: float
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRow:
+    """A service with its policy. Durations are in seconds, limits in requests in flight."""
+
+    name: str
+    kind: str
+    targets: int
+    load_multiple: float
+    load_floor: int
+    target_limit: int
+    cold_limit: int
+    slow_start_s: float
+    retry_budget: float
+    key_retention_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRow:
+    """An availability zone."""
+
+    name: str
+    region: str
+    intent: str
+    hosts: int
+    targets: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostRow:
+    """A host. `config_version` is what its router has in force; -1 when it did not answer."""
+
+    name: str
+    zone: str
+    address: str
+    state: str
+    config_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRow:
+    """A target, with what its owner knows: -1 or "unknown" when the owner did not answer.
+
+    `why` is the reason for which new work is refused, empty when it is admitted.
+    """
+
+    name: str
+    service: str
+    zone: str
+    address: str
+    state: str
+    intent: str
+    owner: str
+    in_flight: int
+    limit: int
+    slow_start: str
+    why: str
+
+
+Row = TeamRow | ServiceRow | ZoneRow | HostRow | TargetRow
+
+ROW_OF: dict[Source, type] = {
+    Source.TEAMS: TeamRow,
+    Source.SERVICES: ServiceRow,
+    Source.ZONES: ZoneRow,
+    Source.HOSTS: HostRow,
+    Source.TARGETS: TargetRow,
+}
+USUAL_FIELDS: dict[Source, tuple[str, ...]] = {
+    Source.TEAMS: ("name", "weight", "requests_per_s", "services"),
+    Source.SERVICES: ("name", "kind", "targets", "load_multiple", "target_limit"),
+    Source.ZONES: ("name", "region", "intent", "hosts", "targets"),
+    Source.HOSTS: ("name", "zone", "state", "config_version"),
+    Source.TARGETS: ("name", "service", "zone", "state", "owner", "in_flight", "limit", "why"),
+}
+
+
+def field_names(source: Source) -> tuple[str, ...]:
+    """Return the fields of a source's rows, in order."""
+    return tuple(item.name for item in fields(ROW_OF[source]))
--- /dev/null
+++ b/almondspindle/language/run.py
@@ -0,0 +1,99 @@
+"""Carry out statements on a fleet."""
+
+from functools import singledispatch
+from typing import Protocol
+
+from almondspindle.core.changes import Change
+from almondspindle.core.outcomes import InvariantError, Result
+from almondspindle.language.parser import parse
+from almondspindle.language.replies import (
+    ChangeAccepted,
+    ChatExplained,
+    ExitCode,
+    KeyExplained,
+    LaggingHost,
+    Listing,
+    Problem,
+    Reply,
+)
+from almondspindle.language.rows import Row
+from almondspindle.language.select import check_query, select
+from almondspindle.language.statements import Command, ExplainChat, ExplainKey, Query, Source
+
+
+class Fleet(Protocol):
+    """What statements need of a fleet."""
+
+    async def submit(
+        self, changes: tuple[Change, ...], if_version: int | None
+    ) -> Result[ChangeAccepted, Problem]:
+        """Have `changes` accepted together, or say why not."""
+        ...
+
+    async def wait_in_force(self, version: int) -> tuple[LaggingHost, ...]:
+        """Wait until `version` is in force on every live host; return those that were late."""
+        ...
+
+    async def rows(self, source: Source) -> Result[tuple[list[Row], tuple[str, ...]], Problem]:
+        """Return the rows of `source`, and notes on what could not be asked."""
+        ...
+
+    async def explain_chat(self, chat_id: str, service: str) -> Result[ChatExplained, Problem]:
+        """Return where a chat goes now."""
+        ...
+
+    async def explain_key(self, key: str, service: str, team: str) -> Result[KeyExplained, Problem]:
+        """Return what the claim record says of a key."""
+        ...
+
+
+async def run_line(line: str, fleet: Fleet) -> Reply:
+    """Parse `line`, carry it out, and return the reply."""
+    parsed = parse(line)
+    if parsed.is_error():
+        return Problem(ExitCode.BAD_INPUT, parsed.error.describe(line))
+    return await run(parsed.ok, fleet)
+
+
+@singledispatch
+async def run(statement: object, fleet: Fleet) -> Reply:
+    """Carry out `statement` on `fleet` and return the reply."""
+    raise InvariantError(f"unexpected statement {type(statement).__name__}")
+
+
+@run.register
+async def _(statement: Command, fleet: Fleet) -> Reply:
+    accepted = await fleet.submit(statement.changes, statement.if_version)
+    if accepted.is_error():
+        return accepted.error
+    if not statement.wait:
+        return accepted.ok
+    lagging = await fleet.wait_in_force(accepted.ok.version)
+    return ChangeAccepted(accepted.ok.version, accepted.ok.changed, True, lagging)
+
+
+@run.register
+async def _(statement: Query, fleet: Fleet) -> Reply:
+    problem = check_query(statement)
+    if problem is not None:
+        return Problem(ExitCode.BAD_INPUT, problem)
+    found = await fleet.rows(statement.source)
+    if found.is_error():
+        return found.error
+    rows, notes = found.ok
+    table = select(statement, rows)
+    if table.is_error():
+        return Problem(ExitCode.BAD_INPUT, table.error)
+    return Listing(table.ok, notes)
+
+
+@run.register
+async def _(statement: ExplainChat, fleet: Fleet) -> Reply:
+    explained = await fleet.explain_chat(statement.chat_id, statement.service)
+    return explained.ok if explained.is_ok() else explained.error
+
+
+@run.register
+async def _(statement: ExplainKey, fleet: Fleet) -> Reply:
+    explained = await fleet.explain_key(statement.key, statement.service, statement.team)
+    return explained.ok if explained.is_ok() else explained.error
--- /dev/null
+++ b/almondspindle/language/show.py
@@ -0,0 +1,104 @@
+"""Show replies as text or JSON, and give their exit codes."""
+
+import dataclasses
+import json
+from collections.abc import Iterator, Sequence
+from functools import singledispatch
+
+from almondspindle.core.outcomes import InvariantError
+from almondspindle.language.replies import (
+    ChangeAccepted,
+    ChatExplained,
+    ExitCode,
+    KeyExplained,
+    LaggingHost,
+    Listing,
+    Problem,
+    Reply,
+)
+from almondspindle.language.statements import Value
+
+
+@singledispatch
+def as_text(reply: object) -> str:
+    """Return `reply` as lines for a terminal."""
+    raise InvariantError(f"unexpected reply {type(reply).__name__}")
+
+
+@as_text.register
+def _(reply: ChangeAccepted) -> str:
+    what = "accepted" if reply.changed else "nothing to change"
+    lines = [f"{what}: configuration version {reply.version}"]
+    if reply.waited and not reply.lagging:
+        lines.append("in force on every live host")
+    lines += [_lagging_line(item) for item in reply.lagging]
+    return "\n".join(lines)
+
+
+@as_text.register
+def _(reply: Listing) -> str:
+    lines = list(_table_lines(reply.table.fields, reply.table.rows))
+    return "\n".join([*lines, *(f"note: {note}" for note in reply.notes)])
+
+
+@as_text.register
+def _(reply: ChatExplained) -> str:
+    chosen = reply.chosen
+    goes = f"goes to {chosen.target}" if chosen else "is refused by every candidate"
+    lines = [f"chat {reply.chat_id!r} on {reply.service} {goes}"]
+    lines.append(f"by configuration version {reply.config_version}; order of candidates:")
+    for number, item in enumerate(reply.candidates, start=1):
+        fate = f"refused: {item.why}" if item.why else "admitted"
+        lines.append(f"  {number}. {item.target} in {item.zone}, owner {item.owner}: {fate}")
+    return "\n".join(lines)
+
+
+@as_text.register
+def _(reply: KeyExplained) -> str:
+    lines = [f"key {reply.key}: {reply.state}; run state: {reply.run_state}"]
+    return "\n".join([*lines, *(f"  {line}" for line in reply.lines)])
+
+
+@as_text.register
+def _(reply: Problem) -> str:
+    return f"{reply.message}\n{reply.hint}" if reply.hint else reply.message
+
+
+def as_json(reply: Reply) -> str:
+    """Return `reply` as one JSON document with its type."""
+    return json.dumps({"reply": type(reply).__name__, **dataclasses.asdict(reply)})
+
+
+@singledispatch
+def exit_code(reply: object) -> ExitCode:
+    """Return the exit code that tells of `reply`."""
+    return ExitCode.DONE
+
+
+@exit_code.register
+def _(reply: Problem) -> ExitCode:
+    return reply.exit_code
+
+
+@exit_code.register
+def _(reply: ChangeAccepted) -> ExitCode:
+    return ExitCode.LAGGING if reply.lagging else ExitCode.DONE
+
+
+def _lagging_line(item: LaggingHost) -> str:
+    what = "did not answer" if item.version < 0 else f"still has version {item.version}"
+    return f"not yet in force on {item.host}: it {what}"
+
+
+def _table_lines(fields: Sequence[str], rows: Sequence[Sequence[Value]]) -> Iterator[str]:
+    texts = [[_cell(value) for value in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(fields, *texts, strict=True)]
+    for line in (fields, *texts):
+        cells = (text.ljust(width) for text, width in zip(line, widths, strict=True))
+        yield "  ".join(cells).rstrip()
+
+
+def _cell(value: Value) -> str:
+    if isinstance(value, tuple):
+        return ",".join(value) or "-"
+    return str(value) if value != "" else "-"
--- a/almondspindle/language/statements.py
+++ b/almondspindle/language/statements.py
@@ -3,17 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-Value = str | int | float | bool | tuple[str, ...]
-Fields = tuple[tuple[str, Value], ...]  # dotted field path and value, in the order given
-
+from almondspindle.core.changes import Change
 
-class Kind(StrEnum):
-    """Kinds of object that operators change."""
-
-    TEAM = "team"
-    SERVICE = "service"
-    ZONE = "zone"
-    TARGET = "target"
+Value = str | int | float | bool | tuple[str, ...]
 
 
 class Source(StrEnum):
@@ -27,7 +19,7 @@
 
 
 class Comparison(StrEnum):
-    """How a filter compares a field with a value."""
+    """How a filter compares a field with a value. `like` takes * for any run of characters."""
 
     EQUAL = "="
     UNEQUAL = "!="
@@ -55,56 +47,11 @@
     descending: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Create:
-    """Create an object."""
-
-    kind: Kind
-    name: str
-    fields: Fields = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Set:
-    """Change fields of an object."""
-
-    kind: Kind
-    name: str
-    fields: Fields
-
-
-@dataclass(frozen=True, slots=True)
-class Delete:
-    """Delete an object."""
-
-    kind: Kind
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class TakeOut:
-    """Take an availability zone or target out of service."""
-
-    kind: Kind
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class BringBack:
-    """Bring an availability zone or target back into service."""
-
-    kind: Kind
-    name: str
-
-
-Change = Create | Set | Delete | TakeOut | BringBack
-
-
 @dataclass(frozen=True, slots=True)
 class Command:
     """Changes that are accepted together or not at all.
 
-    `if_version` refuses them unless that configuration version is in force; `wait` asks to wait
+    `if_version` refuses them unless that configuration version is stored; `wait` asks to wait
     until the new version is in force on every live host.
     """
 
@@ -115,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """List objects. No `fields` means the source's usual ones."""
+    """List objects. Empty `fields` means the source's usual ones."""
 
     source: Source
     fields: tuple[str, ...] = ()
@@ -134,11 +81,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainKey:
-    """Ask what the claim record says of an idempotency key."""
+    """Ask what the claim record says of an idempotency key of a team on a service."""
 
     key: str
-    service: str | None = None
-    team: str | None = None
+    service: str
+    team: str
 
 
 Statement = Command | Query | ExplainChat | ExplainKey
--- a/almondspindle/report/gather.py
+++ b/almondspindle/report/gather.py
@@ -7,7 +7,7 @@
 from almondspindle.adapters.peer.telemetry import GET_TELEMETRY, call_unary
 from almondspindle.adapters.peer.telemetry_messages import GetTelemetry, HostTelemetry
 from almondspindle.adapters.platform.base import Platform
-from almondspindle.adapters.platform.models import parse_config
+from almondspindle.adapters.platform.stored_config import parse_config
 from almondspindle.controllers.configuration.watcher import CONFIG_OBJECT
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import HostName
--- /dev/null
+++ b/tests/language/test_parser.py
@@ -0,0 +1,102 @@
+"""Lines of the language, right and wrong."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspindle.core.changes import (
+    BringBack,
+    CreateObject,
+    DeleteObject,
+    Kind,
+    SetFields,
+    TakeOut,
+)
+from almondspindle.language.parser import parse
+from almondspindle.language.statements import (
+    Command,
+    Comparison,
+    Condition,
+    ExplainChat,
+    ExplainKey,
+    Order,
+    Query,
+    Source,
+)
+
+ZONE_A = TakeOut(Kind.ZONE, "walvis-a")
+GOOD = [
+    ("take zone walvis-a out", Command((ZONE_A,))),
+    ("take zone walvis-a out if version 7 wait", Command((ZONE_A,), 7, True)),
+    ("bring target t-1 back", Command((BringBack(Kind.TARGET, "t-1"),))),
+    ("delete team wait wait", Command((DeleteObject(Kind.TEAM, "wait"),), wait=True)),
+    (
+        "set team if weight=1 if version 3",
+        Command((SetFields(Kind.TEAM, "if", {"weight": 1}),), 3),
+    ),
+    (
+        "set service s policy.load_multiple=1.5 checks_fencing=true",
+        Command(
+            (SetFields(Kind.SERVICE, "s", {"policy.load_multiple": 1.5, "checks_fencing": True}),)
+        ),
+    ),
+    (
+        'create team a with token_sha256="0f" services=[x, y-1]',
+        Command((CreateObject(Kind.TEAM, "a", {"token_sha256": "0f", "services": ("x", "y-1")}),)),
+    ),
+    (
+        "take zone walvis-a out, take zone walvis-a out",
+        Command((ZONE_A, ZONE_A)),
+    ),
+    (
+        'show targets fields name, why where zone = b and name like "t*"'
+        " order by name desc limit 3",
+        Query(
+            Source.TARGETS,
+            ("name", "why"),
+            (
+                Condition("zone", Comparison.EQUAL, "b"),
+                Condition("name", Comparison.LIKE, "t*"),
+            ),
+            (Order("name", True),),
+            3,
+        ),
+    ),
+    ('explain chat "a b" on s', ExplainChat("a b", "s")),
+    ("explain key 0190c5f2-7c1e on s for team-1", ExplainKey("0190c5f2-7c1e", "s", "team-1")),
+]
+
+WRONG = [
+    ("tak zone x out", 1, "take"),
+    ("show target", 6, "targets"),
+    ("take zone x", 12, None),
+    ("take team x out", 6, None),
+    ("show zones order by name dsc", 26, "desc"),
+    ("set team a weight", 18, None),
+    ('set zone z region="x', 19, None),
+    ("", 1, None),
+]
+
+
+@pytest.mark.parametrize(("line", "expected"), GOOD)
+def test_a_line_becomes_its_statement(line, expected):
+    assert parse(line).ok == expected
+
+
+@pytest.mark.parametrize(("line", "column", "nearest"), WRONG)
+def test_a_wrong_line_points_at_the_column(line, column, nearest):
+    problem = parse(line).error
+    assert (problem.column, problem.nearest) == (column, nearest)
+    assert problem.expected
+    assert f"column {column}" in problem.describe(line)
+
+
+WORDS = ["show", "take", "zone", "targets", "where", "=", "and", "<", "limit", "3", "out", "wait", "x", ",", "[", "]", '"', "1.5", "like", "by"]
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.sampled_from(WORDS), max_size=8).map(" ".join) | st.text(max_size=30))
+def test_any_line_gives_a_statement_or_a_problem_within_the_line(line):
+    parsed = parse(line)
+    if parsed.is_error():
+        assert 1 <= parsed.error.column <= len(line) + 1
