--- a/tests/language/test_parser.py
+++ b/tests/language/test_parser.py
@@ -91,7 +91,28 @@
     assert f"column {column}" in problem.describe(line)
 
 
-WORDS = ["show", "take", "zone", "targets", "where", "=", "and", "<", "limit", "3", "out", "wait", "x", ",", "[", "]", '"', "1.5", "like", "by"]
+WORDS = [
+    "show",
+    "take",
+    "zone",
+    "targets",
+    "where",
+    "=",
+    "and",
+    "<",
+    "limit",
+    "3",
+    "out",
+    "wait",
+    "x",
+    ",",
+    "[",
+    "]",
+    '"',
+    "1.5",
+    "like",
+    "by",
+]
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
