--- /dev/null
+++ b/almondspindle/language/parser.py
@@ -0,0 +1,114 @@
+"""Parse a line of the language into a statement, or say where and how it is wrong.
+
+lark's LALR parser with a contextual lexer reads a word as a keyword only where one can stand, so
+objects may be called like keywords.
+"""
+
+import difflib
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+
+from lark import Lark, UnexpectedCharacters, UnexpectedInput, UnexpectedToken
+from lark.exceptions import VisitError
+from lark.lexer import PatternRE, TerminalDef
+
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.language.builder import StatementBuilder
+from almondspindle.language.statements import Statement
+
+GRAMMAR = Path(__file__).with_name("grammar.lark")
+NEAREST_CUTOFF = 0.5
+DESCRIBED = {
+    "NAME": "a name",
+    "FIELD": "a field",
+    "INT": "a whole number",
+    "FLOAT": "a number",
+    "STRING": 'a "text"',
+    "WORD": "a word",
+    "$END": "the end of the line",
+}
+KEYWORD = re.compile(r"[a-z]+")
+WORD_AT = re.compile(r"[^\s,=\[\]]+|\S")
+
+
+@dataclass(frozen=True, slots=True)
+class SyntaxProblem:
+    """A line that the language does not allow. `column` counts from 1."""
+
+    column: int
+    message: str
+    expected: tuple[str, ...] = ()
+    nearest: str | None = None
+
+    def describe(self, line: str) -> str:
+        """Return the problem under the line, with a mark at the column."""
+        text = f"{line}\n{' ' * (self.column - 1)}^\ncolumn {self.column}: {self.message}"
+        if self.nearest:
+            text += f"; did you mean {self.nearest!r}?"
+        if self.expected:
+            text += f"\nexpected {', '.join(self.expected)}"
+        return text
+
+
+def parse(line: str) -> Result[Statement, SyntaxProblem]:
+    """Return the statement in `line`, or what is wrong with it."""
+    try:
+        tree = _parser().parse(line)
+        return Ok(StatementBuilder().transform(tree))
+    except UnexpectedInput as exc:
+        return Error(_problem(exc, line))
+    except VisitError as exc:
+        return Error(SyntaxProblem(1, str(exc.orig_exc)))
+
+
+@cache
+def _parser() -> Lark:
+    return Lark(GRAMMAR.read_text(), parser="lalr", lexer="contextual", start="start")
+
+
+def _problem(exc: UnexpectedInput, line: str) -> SyntaxProblem:
+    expected = tuple(sorted(set(_describe(_expected(exc)))))
+    column = _column(exc, line)
+    found = _word_at(line, column)
+    if not found:
+        return SyntaxProblem(column, "the line ends too early", expected)
+    words = [word for word in expected if KEYWORD.fullmatch(word)]
+    near = difflib.get_close_matches(found, words, 1, NEAREST_CUTOFF)
+    return SyntaxProblem(column, f"unexpected {found!r}", expected, near[0] if near else None)
+
+
+def _expected(exc: UnexpectedInput) -> Iterable[str]:
+    if isinstance(exc, UnexpectedToken):
+        return exc.accepts or exc.expected
+    return exc.allowed if isinstance(exc, UnexpectedCharacters) else ()
+
+
+def _column(exc: UnexpectedInput, line: str) -> int:
+    if isinstance(exc, UnexpectedToken) and exc.token.type == "$END":
+        return len(line) + 1
+    return exc.column
+
+
+def _word_at(line: str, column: int) -> str:
+    found = WORD_AT.match(line, column - 1)
+    return found.group() if found else ""
+
+
+def _describe(names: Iterable[str]) -> Iterable[str]:
+    terminals = {terminal.name: terminal for terminal in _parser().terminals}
+    for name in names:
+        if name in DESCRIBED:
+            yield DESCRIBED[name]
+        elif name in terminals:
+            yield from _spellings(terminals[name])
+
+
+def _spellings(terminal: TerminalDef) -> list[str]:
+    """Return the words or signs that a terminal matches."""
+    if not isinstance(terminal.pattern, PatternRE):
+        return [terminal.pattern.value]
+    words = KEYWORD.findall(terminal.pattern.value.split("(?!")[0].replace("\\b", ""))
+    return words or [terminal.pattern.value]
