Keep history in segments and tell versions of one number apart

Cause: one history object a change is 2.6 million objects a year; two configurations may bear one version after a store was restored from a backup, and a difference was applied over either. Change: the object keeps 16 to 32 changes and older ones go together into one write-once object; a difference names the write that made its base. A write of unknown outcome is looked for in the history too.

--- a/almondspindle/adapters/peer/config_methods.py
+++ b/almondspindle/adapters/peer/config_methods.py
@@ -44,7 +44,7 @@
 
     async def get_config(self, req: GetConfigRequest) -> ConfigAnswer:
         """Return what leads to the version in force."""
-        return await self._spread.ask(FindNewer(req.have))
+        return await self._spread.ask(FindNewer(req.have, req.nonce))
 
     async def get_status(self, req: StatusRequest) -> HostStatus:
         """Return the versions in force on this host and its entries."""
--- a/almondspindle/adapters/platform/stored_config.py
+++ b/almondspindle/adapters/platform/stored_config.py
@@ -1,5 +1,6 @@
 """The configuration as it is stored: the objects, their version, and the latest changes."""
 
+from dataclasses import replace
 from typing import Annotated, Any
 
 from pydantic import Field, ValidationError
@@ -24,6 +25,7 @@
 CONFIG_OBJECT = "config/current"
 FEED_OBJECT = "config/changes"
 HISTORY_PREFIX = "config/history/"
+VERSION_DIGITS = 12
 Version = Annotated[int, Field(ge=0)]
 
 
@@ -36,6 +38,8 @@
     services: dict[Name, ServiceModel | None] = {}
     zones: dict[Name, ZoneModel | None] = {}
     targets: dict[Name, TargetModel | None] = {}
+    base_nonce: str = ""
+    nonce: str = ""
 
 
 class HistoryModel(StrictModel):
@@ -57,6 +61,12 @@
     recent: list[HistoryModel] = []
 
 
+class HistorySegmentModel(StrictModel):
+    """Accepted changes that no longer stand in the stored configuration itself."""
+
+    entries: list[HistoryModel]
+
+
 class FeedModel(StrictModel):
     """The latest changes, in an object that is small enough to watch."""
 
@@ -72,7 +82,10 @@
     except ValidationError as exc:
         return Error(describe(exc))
     config = config_from_model(model, model.revision or store_version)
-    return Ok(StoredConfig(config, store_version, tuple(_entry(item) for item in model.recent)))
+    recent = tuple(_entry(item) for item in model.recent)
+    if recent and recent[-1].version == config.version:
+        config = replace(config, nonce=recent[-1].nonce)
+    return Ok(StoredConfig(config, store_version, recent))
 
 
 def parse_config(value: bytes, version: int) -> Result[ConfigSet, str]:
@@ -86,7 +99,7 @@
         model = ConfigModel.model_validate(_lists(config), from_attributes=True)
     except ValidationError as exc:
         return Error(describe(exc))
-    return Ok(config_from_model(model, config.version))
+    return Ok(replace(config_from_model(model, config.version), nonce=config.nonce))
 
 
 def parse_document(value: bytes) -> Result[ConfigSet, str]:
@@ -119,18 +132,24 @@
     return Ok(ChangeFeed(model.version, model.store_version, tuple(map(_entry, model.entries))))
 
 
-def dump_history(entry: HistoryEntry) -> bytes:
-    """Return the object that keeps one accepted change."""
-    model = HistoryModel.model_validate(entry, from_attributes=True)
+def history_name(entries: tuple[HistoryEntry, ...]) -> str:
+    """Return the name of the object that keeps `entries`; names sort by version."""
+    return f"{HISTORY_PREFIX}{entries[0].version:0{VERSION_DIGITS}d}-{entries[0].nonce}"
+
+
+def dump_history(entries: tuple[HistoryEntry, ...]) -> bytes:
+    """Return the object that keeps accepted changes."""
+    model = HistorySegmentModel.model_validate({"entries": list(entries)}, from_attributes=True)
     return model.model_dump_json(exclude_defaults=True).encode()
 
 
-def parse_history(value: bytes) -> Result[HistoryEntry, str]:
-    """Return the accepted change in `value`, or what is wrong with it."""
+def parse_history(value: bytes) -> Result[tuple[HistoryEntry, ...], str]:
+    """Return the accepted changes in `value`, or what is wrong with it."""
     try:
-        return Ok(_entry(HistoryModel.model_validate_json(value)))
+        model = HistorySegmentModel.model_validate_json(value)
     except ValidationError as exc:
         return Error(describe(exc))
+    return Ok(tuple(_entry(item) for item in model.entries))
 
 
 def _lists(config: ConfigSet) -> dict[str, list[Any]]:
@@ -161,4 +180,6 @@
         "zones": {k: m and AvailabilityZone(**m.model_dump()) for k, m in model.zones.items()},
         "targets": {k: m and TargetOverride(**m.model_dump()) for k, m in model.targets.items()},
     }
-    return ConfigDelta(model.base, model.version, **parts)
+    return ConfigDelta(
+        model.base, model.version, base_nonce=model.base_nonce, nonce=model.nonce, **parts
+    )
--- a/almondspindle/controllers/configuration/courier.py
+++ b/almondspindle/controllers/configuration/courier.py
@@ -81,7 +81,7 @@
 
     @do.register
     async def _(self, job: PullJob) -> None:
-        answer = await self._link.get_config(job.address, GetConfigRequest(job.have))
+        answer = await self._link.get_config(job.address, job.req)
         if answer is None:
             emit(CONFIG_PULL_FAILED, address=job.address)
         else:
--- a/almondspindle/controllers/configuration/follower.py
+++ b/almondspindle/controllers/configuration/follower.py
@@ -87,7 +87,10 @@
         if await self._controller.ask(TakeDelta(update)) is not Taken.GAP:
             return
         # After a change of router the difference may start elsewhere.
-        have = (await self._controller.ask(GetConfig())).version
-        answer = await self._link.get_config(self._address(), GetConfigRequest(have))
-        if answer is not None and (not isinstance(answer, ConfigDelta) or answer.base == have):
+        own = await self._controller.ask(GetConfig())
+        req = GetConfigRequest(own.version, own.nonce)
+        answer = await self._link.get_config(self._address(), req)
+        if isinstance(answer, ConfigDelta):
+            await self._controller.ask(TakeDelta(answer))
+        elif answer is not None:
             await self.take(answer)
--- a/almondspindle/controllers/configuration/messages.py
+++ b/almondspindle/controllers/configuration/messages.py
@@ -100,9 +100,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FindNewer(Question[ConfigAnswer]):
-    """Ask what leads from version `have` to the version in force."""
+    """Ask what leads from version `have`, made by the write `nonce`, to the one in force."""
 
     have: int
+    nonce: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/configuration/operators.py
+++ b/almondspindle/controllers/configuration/operators.py
@@ -16,7 +16,14 @@
     highest_version,
 )
 from almondspindle.controllers.configuration.writer import ConfigWriter, Written, store_unavailable
-from almondspindle.core.changes import Change, ChangeError, ChangeErrorCode, Kind, TakeOut
+from almondspindle.core.changes import (
+    Change,
+    ChangeError,
+    ChangeErrorCode,
+    HistoryEntry,
+    Kind,
+    TakeOut,
+)
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import Error, Ok, Result
@@ -69,6 +76,10 @@
         """Return the stored configuration with its latest changes."""
         return await self._writer.read()
 
+    async def history(self, count: int) -> Result[tuple[HistoryEntry, ...], ChangeError]:
+        """Return the latest `count` accepted changes, the latest one first."""
+        return await self._writer.history(count)
+
     async def submit(
         self, changes: Sequence[Change], operator: str, expected_version: int | None = None
     ) -> Written:
--- a/almondspindle/controllers/configuration/spreader.py
+++ b/almondspindle/controllers/configuration/spreader.py
@@ -26,7 +26,13 @@
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.roster import Host
-from almondspindle.core.spread import ConfigAnswer, ConfigPush, ConfigUpToDate, HostStatus
+from almondspindle.core.spread import (
+    ConfigAnswer,
+    ConfigPush,
+    ConfigUpToDate,
+    GetConfigRequest,
+    HostStatus,
+)
 from almondspindle.decisions.configuration.delta import diff, size
 from almondspindle.decisions.configuration.spread import (
     REACHABLE_STATES,
@@ -61,10 +67,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PullJob:
-    """Ask the peer at `address` for a version above `have`."""
+    """Ask the peer at `address` for a newer version."""
 
     address: str
-    have: int
+    req: GetConfigRequest
 
 
 Job = PushJob | PullJob
@@ -100,6 +106,8 @@
 
     @handle.register
     def _(self, msg: HostsRead, now: float) -> None:
+        if msg.hosts == self._hosts:
+            return
         self._hosts = msg.hosts
         self._on_role(is_watching(self._cfg.host, msg.hosts))
 
@@ -143,7 +151,9 @@
         if msg.have >= self._config.version:
             return ConfigUpToDate(self._config.version)
         base = self._kept.get(msg.have)
-        return self._config if base is None else diff(base, self._config)
+        if base is None or base.nonce != msg.nonce:
+            return self._config
+        return diff(base, self._config)
 
     @handle.register
     def _(self, msg: EntryJoined, now: float) -> None:
@@ -190,7 +200,9 @@
     def _pull(self, address: str) -> None:
         if not self._pulling:
             self._pulling = True
-            self.jobs.put_nowait(PullJob(address, self._config.version))
+            self.jobs.put_nowait(
+                PullJob(address, GetConfigRequest(self._config.version, self._config.nonce))
+            )
 
     def _push(self, old: ConfigSet) -> None:
         version = self._config.version
--- a/almondspindle/controllers/configuration/writer.py
+++ b/almondspindle/controllers/configuration/writer.py
@@ -20,7 +20,9 @@
     dump_feed,
     dump_history,
     dump_stored,
+    history_name,
     parse_feed,
+    parse_history,
     parse_stored,
 )
 from almondspindle.core.changes import (
@@ -45,7 +47,8 @@
 )
 
 NONCE_BYTES = 12
-HISTORY_DIGITS = 12
+SEARCHED_ENTRIES = 128  # latest changes in which a write of unknown outcome is looked for
+FEED_ENTRIES = 8  # latest changes that the feed carries
 
 Written = Result[Accepted, ChangeError]
 
@@ -84,6 +87,25 @@
         found = await self._platform.read(CONFIG_OBJECT)
         return found.map_error(store_unavailable).map(_parse_or_empty)
 
+    async def history(self, count: int) -> Result[tuple[HistoryEntry, ...], ChangeError]:
+        """Return the latest `count` accepted changes, the latest one first."""
+        stored = await self.read()
+        names = (await self._platform.list_names(HISTORY_PREFIX)).map_error(store_unavailable)
+        if stored.is_error() or names.is_error():
+            return Error(stored.error if stored.is_error() else names.error)
+        found = list(reversed(stored.ok.recent))
+        for name in sorted(names.ok, reverse=True):
+            if len(found) >= count:
+                break
+            segment = await self._platform.read(name)
+            if segment.is_error():
+                return Error(store_unavailable(segment.error))
+            entries = parse_history(segment.ok.value)
+            if entries.is_ok():
+                known = {entry.nonce for entry in found}
+                found += [entry for entry in reversed(entries.ok) if entry.nonce not in known]
+        return Ok(tuple(found[:count]))
+
     async def submit(
         self,
         changes: tuple[Change, ...],
@@ -117,7 +139,7 @@
                     return Error(last)
                 continue
             if tried_over is not None and may_have_passed(tried_over, stored.ok):
-                return Error(_unknown(req, "many other changes were made since"))
+                return await self._search(req)
             plan = plan_write(req, stored.ok, check_config, self._clock.wall())
             if plan.is_error():
                 last = plan.error
@@ -128,13 +150,14 @@
                 return await self._accepted(plan.ok, _feed_of(stored.ok))
             if tried_over is not None and stored.ok.config.version > tried_over:
                 tried_over = None  # another write came first, so the earlier try had no effect
-            kept = await self._archive_all(plan.ok.archive)
+            kept = await self._archive(plan.ok.archive)
             if kept.is_error():
                 last = _failed(kept.error)
                 continue
             written = await self._update(plan.ok, stored.ok.store_version)
             if written.is_ok():
-                feed = ChangeFeed(plan.ok.config.version, written.ok, plan.ok.recent)
+                recent = plan.ok.recent[-FEED_ENTRIES:]
+                feed = ChangeFeed(plan.ok.config.version, written.ok, recent)
                 return await self._accepted(Accepted(feed.version, plan.ok.entry), feed)
             if written.error.code is StoreErrorCode.TOO_LARGE:
                 return Error(_too_large(written.error))
@@ -143,35 +166,35 @@
             last = _failed(written.error)
         return Error(_unknown(req, last.message) if tried_over is not None else last)
 
+    async def _search(self, req: WriteRequest) -> Written:
+        # So many changes were made since the write that only the history can tell its outcome.
+        found = await self.history(SEARCHED_ENTRIES)
+        for entry in found.ok if found.is_ok() else ():
+            if entry.nonce == req.nonce:
+                return Ok(Accepted(entry.version, entry))
+        return Error(_unknown(req, "many other changes were made since"))
+
     async def _update(self, plan: Planned, expected: int) -> Result[int, StoreError]:
         value = dump_stored(plan.config, plan.recent)
         return await self._platform.write(CONFIG_OBJECT, value, expected)
 
-    async def _archive_all(self, entries: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
-        for entry in entries:
-            kept = await self._archive(entry)
-            if kept.is_error():
-                return kept
-        return Ok(None)
-
-    async def _archive(self, entry: HistoryEntry) -> Result[None, StoreError]:
-        name = history_name(entry.version)
-        kept = await self._platform.write(name, dump_history(entry), ABSENT)
+    async def _archive(self, entries: tuple[HistoryEntry, ...]) -> Result[None, StoreError]:
+        # The name follows from the entries, so a conflict means that they are there already.
+        if not entries:
+            return Ok(None)
+        kept = await self._platform.write(history_name(entries), dump_history(entries), ABSENT)
         if kept.is_error() and kept.error.code is not StoreErrorCode.CONFLICT:
             return Error(kept.error)
         return Ok(None)
 
     async def _accepted(self, accepted: Accepted, feed: ChangeFeed) -> Written:
-        # What follows only speeds up the spread and fills the history: the object itself holds
-        # both, and the watchers ask for its version now and then.
+        # The feed only speeds up the spread: watchers ask for the object's version now and then.
         if accepted.entry is None:
             return Ok(accepted)
         emit(CONFIG_WRITTEN, version=accepted.version, operator=accepted.entry.operator)
         fed = await self._write_feed(feed)
-        kept = await self._archive(accepted.entry)
-        for outcome in (fed, kept):
-            if outcome.is_error():
-                emit(CONFIG_FEED_LATE, version=accepted.version, reason=outcome.error.message)
+        if fed.is_error():
+            emit(CONFIG_FEED_LATE, version=accepted.version, reason=fed.error.message)
         return Ok(accepted)
 
     async def _write_feed(self, feed: ChangeFeed) -> Result[None, StoreError]:
@@ -195,11 +218,6 @@
             await asyncio.sleep(self._random.uniform(0.0, bound))
 
 
-def history_name(version: int) -> str:
-    """Return the name of the object that keeps the change to `version`."""
-    return f"{HISTORY_PREFIX}{version:0{HISTORY_DIGITS}d}"
-
-
 def _parse(found: StoredObject) -> Result[StoredConfig, ChangeError]:
     if found.version == ABSENT:
         return Ok(StoredConfig(ConfigSet(), ABSENT))
@@ -218,7 +236,8 @@
 
 
 def _feed_of(stored: StoredConfig) -> ChangeFeed:
-    return ChangeFeed(stored.config.version, stored.store_version, stored.recent)
+    recent = stored.recent[-FEED_ENTRIES:]
+    return ChangeFeed(stored.config.version, stored.store_version, recent)
 
 
 def _feed_version(found: StoredObject) -> int:
--- a/almondspindle/core/changes.py
+++ b/almondspindle/core/changes.py
@@ -84,7 +84,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigDelta:
-    """What differs between the versions `base` and `version`. None stands for a deleted object."""
+    """What differs between the versions `base` and `version`. None stands for a deleted object.
+
+    `base_nonce` and `nonce` are those of the writes that made the two versions.
+    """
 
     base: int
     version: int
@@ -92,6 +95,8 @@
     services: dict[ServiceName, Service | None] = field(default_factory=dict)
     zones: dict[ZoneName, AvailabilityZone | None] = field(default_factory=dict)
     targets: dict[TargetName, TargetOverride | None] = field(default_factory=dict)
+    base_nonce: str = ""
+    nonce: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/core/config.py
+++ b/almondspindle/core/config.py
@@ -86,13 +86,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigSet:
-    """All configuration objects at one version. Version 0 means none has been read."""
+    """All configuration objects at one version. Version 0 means none has been read.
+
+    `nonce` is that of the write that made the version, so that two configurations of one version
+    can be told apart after the store has lost changes.
+    """
 
     version: int = 0
     teams: dict[TeamName, Team] = field(default_factory=dict)
     services: dict[ServiceName, Service] = field(default_factory=dict)
     zones: dict[ZoneName, AvailabilityZone] = field(default_factory=dict)
     targets: dict[TargetName, TargetOverride] = field(default_factory=dict)
+    nonce: str = ""
 
     def zone_intent(self, zone: ZoneName) -> Intent:
         """Return the intent for `zone`; a zone without an object receives work."""
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -48,7 +48,9 @@
 STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
 CONFIG_WRITTEN = event(1204, "config_written", "A change of the configuration was accepted.")
 CONFIG_FEED_LATE = event(
-    1205, "config_feed_late", "A change was accepted; the note to watchers or history failed."
+    1205,
+    "config_feed_late",
+    "A change was accepted, but the feed of changes was not written.",
 )
 CONFIG_STORE_BEHIND = event(
     1206, "config_store_behind", "The store holds a lower version than the one in force."
--- a/almondspindle/core/spread.py
+++ b/almondspindle/core/spread.py
@@ -9,9 +9,13 @@
 
 @dataclass(frozen=True, slots=True)
 class GetConfigRequest:
-    """Ask a peer for the configuration, if it has one above version `have`."""
+    """Ask a peer for the configuration, if it has one above version `have`.
+
+    `nonce` is that of the write that made the requester's version.
+    """
 
     have: int
+    nonce: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/decisions/configuration/delta.py
+++ b/almondspindle/decisions/configuration/delta.py
@@ -10,17 +10,17 @@
 def diff(old: ConfigSet, new: ConfigSet) -> ConfigDelta:
     """Return what leads from `old` to `new`."""
     parts = {name: _diff(getattr(old, name), getattr(new, name)) for name in COLLECTIONS.values()}
-    return ConfigDelta(old.version, new.version, **parts)
+    return ConfigDelta(old.version, new.version, base_nonce=old.nonce, nonce=new.nonce, **parts)
 
 
 def apply_delta(config: ConfigSet, delta: ConfigDelta) -> ConfigSet | None:
-    """Return `config` after `delta`, or None when the delta has another base version."""
-    if delta.base != config.version:
+    """Return `config` after `delta`, or None when the delta has another base."""
+    if (delta.base, delta.base_nonce) != (config.version, config.nonce):
         return None
     parts = {
         name: _patched(getattr(config, name), getattr(delta, name)) for name in COLLECTIONS.values()
     }
-    return ConfigSet(delta.version, **parts)
+    return ConfigSet(delta.version, nonce=delta.nonce, **parts)
 
 
 def is_empty(delta: ConfigDelta) -> bool:
--- a/almondspindle/decisions/configuration/writing.py
+++ b/almondspindle/decisions/configuration/writing.py
@@ -16,7 +16,8 @@
 from almondspindle.decisions.configuration.delta import diff, is_empty
 from almondspindle.decisions.configuration.references import check_references
 
-RECENT_ENTRIES = 16  # changes kept in the object itself
+RECENT_ENTRIES = 32  # changes kept in the object itself, at the most
+SEGMENT_ENTRIES = 16  # changes that go together into one history object
 RESTORE_HINT = "write the configuration in force back to the store, then repeat the change"
 
 Checker = Callable[[ConfigSet], Result[ConfigSet, str]]
@@ -59,7 +60,7 @@
 class Planned:
     """What to write: the new configuration and all changes that the object should carry.
 
-    `archive` are those that have no room left and need objects of their own first.
+    `archive` are the oldest ones, which have no room left and need a history object first.
     """
 
     config: ConfigSet
@@ -127,7 +128,7 @@
     old = stored.config
     if is_empty(diff(old, config)) and not req.restoring:
         return Accepted(old.version)
-    new = replace(config, version=max(old.version, req.in_force) + 1)
+    new = replace(config, version=max(old.version, req.in_force) + 1, nonce=req.nonce)
     entry = HistoryEntry(
         version=new.version,
         previous=old.version,
@@ -137,5 +138,5 @@
         forward=diff(old, new),
         backward=diff(new, old),
     )
-    every = (*stored.recent, entry)
-    return Planned(new, entry, every[-RECENT_ENTRIES:], every[:-RECENT_ENTRIES])
+    cut = SEGMENT_ENTRIES if len(stored.recent) >= RECENT_ENTRIES else 0
+    return Planned(new, entry, (*stored.recent[cut:], entry), stored.recent[:cut])
--- a/bench/bench_configuration.py
+++ b/bench/bench_configuration.py
@@ -42,6 +42,7 @@
 TEAMS = 600
 CHANGES_PER_S = 7200 / 86_400
 WATCH_WAIT_S = 5.0
+CALLS_PER_CHANGE = 5  # list of hosts, read and write of the object, read and write of the feed
 QUIET_S = 10.0
 EVERYWHERE_BOUND_S = 17.0
 STREAMS = 16
@@ -251,7 +252,7 @@
         zones = 4 if size < 64 else FULL_ZONES
         watching = len(watching_hosts(make_hosts(size, zones)))
         quiet = watching * 2 / WATCH_WAIT_S
-        changes = CHANGES_PER_S * (watching * 2 + 5)
+        changes = CHANGES_PER_S * (watching * 2 + CALLS_PER_CHANGE)
         figure(f"config_store_calls_per_s_{size}", quiet + changes, "1/s")
         figure(f"config_store_waiting_watches_{size}", watching, "calls")
 
--- a/tests/controllers/configuration/test_spread.py
+++ b/tests/controllers/configuration/test_spread.py
@@ -265,6 +265,21 @@
     run()
 
 
+@fleet_test(2, 1)
+async def test_versions_of_another_lineage_are_pulled_whole(net, platform, nodes, hosts):
+    net.drop_pushes = True
+    lost, kept = replace(config(9, zones=5), nonce="lost"), replace(config(9), nonce="kept")
+    after = replace(config(10), nonce="after")
+    nodes[0].configuration.tell(ConfigRead(kept))
+    nodes[0].configuration.tell(ConfigRead(after))
+    nodes[1].configuration.tell(ConfigRead(lost))
+    await net.settle()
+    push = ConfigPush("h0", 10, diff(kept, after))
+    assert (await nodes[1].receiver.take_push(push)).version == 9
+    await net.settle()
+    assert await nodes[1].configuration.ask(GetConfig()) == after
+
+
 OFFERS = [(0, 2, Taken.OLD), (3, 3, Taken.OLD), (2, 4, Taken.GAP), (3, 5, Taken.APPLIED)]
 
 
--- a/tests/controllers/configuration/test_writer.py
+++ b/tests/controllers/configuration/test_writer.py
@@ -11,10 +11,9 @@
     CONFIG_OBJECT,
     FEED_OBJECT,
     parse_feed,
-    parse_history,
     parse_stored,
 )
-from almondspindle.controllers.configuration.writer import ConfigWriter, WriterCfg, history_name
+from almondspindle.controllers.configuration.writer import SEARCHED_ENTRIES, ConfigWriter, WriterCfg
 from almondspindle.core.changes import (
     BringBack,
     CreateObject,
@@ -57,7 +56,8 @@
     async def check():
         platform = await seeded()
         accepted = (await writer(platform).submit((OUT,), "maria", expected_version=1)).ok
-        entry = parse_history(platform.objects[history_name(accepted.version)].value).ok
+        entry = (await writer(platform).history(1)).ok[0]
+        assert entry == accepted.entry
         assert (entry.operator, entry.previous, entry.version) == ("maria", 1, 2)
         assert entry.at == ManualClock().wall()
         assert entry.backward.zones["swakop-a"].intent is Intent.IN
@@ -125,7 +125,7 @@
     "dropped for long": (lambda p: setattr(p.faults, "drop_writes", 99), "outcome_unknown"),
     "races without end": (
         lambda p: p.faults.before_write.extend(
-            act for _ in range(6) for act in (other_operator(p), *[lambda: None] * 3)
+            act for _ in range(6) for act in (other_operator(p), *[lambda: None] * 2)
         ),
         "too_many_conflicts",
     ),
@@ -149,7 +149,9 @@
     asyncio.run(check())
 
 
-@pytest.mark.parametrize(("others", "expected"), [(3, "ok"), (40, "outcome_unknown")])
+@pytest.mark.parametrize(
+    ("others", "expected"), [(3, "ok"), (40, "ok"), (SEARCHED_ENTRIES + 40, "outcome_unknown")]
+)
 def test_a_lost_answer_followed_by_other_changes(others, expected):
     async def check():
         platform = await seeded()
@@ -168,7 +170,7 @@
         assert ("ok" if outcome.is_ok() else outcome.error.code) == expected
         if outcome.is_ok():
             assert outcome.ok.version == 2
-        found = [parse_history(o.value).ok for n, o in platform.objects.items() if "history" in n]
+        found = (await writer(platform).history(1000)).ok
         assert [entry.version for entry in found if entry.operator == "op"] == [2]
 
     asyncio.run(check())
@@ -184,7 +186,7 @@
                 raise asyncio.CancelledError
             return await original(name, value, version)
 
-        total = RECENT_ENTRIES * 2
+        total = RECENT_ENTRIES * 3
         for number in range(total):
             change = CreateObject(Kind.ZONE, f"zone-{number}")
             platform.write = only_the_object if number % 2 else original
@@ -194,9 +196,11 @@
                 continue
         platform.write = original
         now = stored(platform)
-        kept = {e.version for e in now.recent}
-        kept |= {int(n.rpartition("/")[2]) for n in platform.objects if "history" in n}
-        assert kept >= set(range(2, now.config.version + 1))
+        kept = [entry.version for entry in (await writer(platform).history(1000)).ok]
+        assert kept == list(range(now.config.version, 0, -1))
+        assert len(now.recent) <= RECENT_ENTRIES + 1
+        some = [entry.version for entry in (await writer(platform).history(40)).ok]
+        assert some == kept[:40]
 
     asyncio.run(check())
 
--- a/tests/standins/config_nodes.py
+++ b/tests/standins/config_nodes.py
@@ -94,7 +94,7 @@
         if node is None:
             return None
         req = self.net.carry(self.source, "get", req)
-        answer = await node.spread.ask(FindNewer(req.have))
+        answer = await node.spread.ask(FindNewer(req.have, req.nonce))
         return self.net.carry(address, "answer", answer)
 
     async def push_config(self, address, push):
