--- a/almondspindle/adapters/http_front/base.py
+++ b/almondspindle/adapters/http_front/base.py
@@ -20,6 +20,7 @@
     RefusalCode.KEY_MALFORMED: 400,
     RefusalCode.KEY_EXPIRED: 410,
     RefusalCode.KEY_REUSED: 422,
+    RefusalCode.ANSWER_NOT_KEPT: 409,
     RefusalCode.IN_PROGRESS: 409,
     RefusalCode.OUTCOME_UNKNOWN: 502,
     RefusalCode.RATE_LIMITED: 429,
--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -34,7 +34,16 @@
 from almondspindle.core.identifiers import ChatId, RequestId, ServiceName, new_request_id
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ANSWERS, FIRST_BYTE, REFUSALS, REQUESTS, MetricSender
-from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
+from almondspindle.core.outcomes import (
+    Error,
+    InvariantError,
+    Ok,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    refused,
+)
+from almondspindle.decisions.keys import without_claim
 from almondspindle.utils.in_flight import InFlight
 
 BEARER = "bearer "
@@ -100,12 +109,9 @@
             front.in_flight.leave()
 
     async def _answer(self, parts: dict[str, str]) -> None:
-        if self._early is not None:
-            self._refuse(self._early)
-            return
-        made = self.make_call(parts)
+        made = self.make_call(parts) if self._early is None else Error(self._early)
         if made.is_error():
-            self._refuse(made.error)
+            self._refuse(without_claim(self._bare_call(self._received_at), made.error))
             return
         self._task = asyncio.ensure_future(self._front.chain.run(made.ok, HandlerSink(self)))
         finished = await self._task
@@ -128,16 +134,17 @@
                 RefusalCode.MALFORMED_REQUEST,
                 f"{DEADLINE_HEADER} must be a whole number of milliseconds above 0",
             )
-        return Ok(
-            Call(
-                request_id=self._request_id,
-                deadline_at=self._received_at + deadline_s,
-                method=self.request.method or "",
-                path=self.request.path,
-                headers=tuple(self.request.headers.get_all()),
-                body=bytes(self._body),
-                bearer_token=self._token(),
-            )
+        return Ok(self._bare_call(self._received_at + deadline_s))
+
+    def _bare_call(self, deadline_at: float) -> Call:
+        return Call(
+            request_id=self._request_id,
+            deadline_at=deadline_at,
+            method=self.request.method or "",
+            path=self.request.path,
+            headers=tuple(self.request.headers.get_all()),
+            body=bytes(self._body),
+            bearer_token=self._token(),
         )
 
     def _deadline_s(self) -> float | None:
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -10,6 +10,7 @@
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.claims import Claim, ClaimReply, Look, Settle
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
@@ -23,6 +24,10 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    20: Claim,
+    21: Settle,
+    22: Look,
+    23: ClaimReply,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/chain/base.py
+++ b/almondspindle/chain/base.py
@@ -2,18 +2,33 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Protocol
 
-from almondspindle.core.calls import AnswerSink, Call, Finished
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerSink,
+    Call,
+    Finished,
+)
+from almondspindle.core.claims import RecordedAnswer
 from almondspindle.core.clock import Clock
-from almondspindle.core.outcomes import Outcome
+from almondspindle.core.outcomes import InvariantError, Refusal, Result
+from almondspindle.decisions.keys import without_claim
+
+REPLAY_HEADER = ("Idempotent-Replayed", "true")
+
+# What may end a walk before the terminal.
+Stop = Refusal | RecordedAnswer
 
 
 class Filter(Protocol):
     """One step of a chain. It returns the call with what it found out, or a refusal."""
 
-    async def apply(self, call: Call, now: float) -> Outcome[Call]:
-        """Return the call to hand to the next filter, or a refusal that ends the walk.
+    async def apply(self, call: Call, now: float) -> Result[Call, Stop]:
+        """Return the call to hand to the next filter, or what ends the walk here.
 
         `now` is in seconds on the process's monotonic clock.
         """
@@ -41,6 +56,27 @@
         for step in self.filters:
             outcome = await step.apply(call, self.clock.monotonic())
             if outcome.is_error():
-                return Finished(started=False, refusal=outcome.error)
+                return await conclude(outcome.error, call, sink)
             call = outcome.ok
         return await self.terminal.finish(call, sink, self.clock.monotonic())
+
+
+@singledispatch
+async def conclude(stop: object, call: Call, sink: AnswerSink) -> Finished:
+    """End a walk with `stop` and return how that ended."""
+    raise InvariantError(f"unexpected end of a walk {type(stop).__name__}")
+
+
+@conclude.register
+async def _(stop: Refusal, call: Call, sink: AnswerSink) -> Finished:
+    return Finished(started=False, refusal=without_claim(call, stop))
+
+
+@conclude.register
+async def _(stop: RecordedAnswer, call: Call, sink: AnswerSink) -> Finished:
+    answer = stop.answer
+    await sink.write(AnswerHead(answer.status, (*answer.headers, REPLAY_HEADER), answer.target))
+    if answer.body:
+        await sink.write(AnswerChunk(answer.body))
+    await sink.write(AnswerEnd())
+    return Finished(started=True)
--- /dev/null
+++ b/almondspindle/chain/claim.py
@@ -0,0 +1,165 @@
+"""Claim the key of a commit before it may be sent."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+from typing import Protocol
+
+from almondspindle.chain.base import Stop
+from almondspindle.controllers.claims.messages import Unsettled
+from almondspindle.controllers.claims.settler import SettlerController
+from almondspindle.controllers.configuration.messages import FindService
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.core.calls import Call, WorkKind
+from almondspindle.core.claims import (
+    Attempt,
+    Claim,
+    ClaimReply,
+    Decision,
+    Ending,
+    KeyScope,
+    RecordedAnswer,
+    Settle,
+)
+from almondspindle.core.clock import Clock
+from almondspindle.core.events import CLAIM_LEFT, CLAIM_REFUSED
+from almondspindle.core.identifiers import HostName
+from almondspindle.core.logs import emit
+from almondspindle.core.metrics import CLAIM_TIME, MetricSender
+from almondspindle.core.outcomes import Error, Ok, Refusal, RefusalCode, Result, RunState
+from almondspindle.decisions.claim_keys import KeyAge, fingerprint, key_age
+
+NONCE_BYTES = 12
+MS_PER_S = 1000.0
+RETRY_AFTER_S = 1.0
+
+IS_EXPIRED = Refusal(
+    RefusalCode.KEY_EXPIRED,
+    "the key is older than the service's retention window, so what it did is no longer known;"
+    " check with the service before sending the work under a new key",
+    RunState.ATTEMPT_NOT_RUN,
+)
+OF_AGE: dict[KeyAge, Refusal] = {
+    KeyAge.EXPIRED: IS_EXPIRED,
+    KeyAge.FUTURE: Refusal(
+        RefusalCode.KEY_MALFORMED,
+        "the time in the key lies in the future; set the clock that makes keys",
+        RunState.ATTEMPT_NOT_RUN,
+    ),
+}
+OF_DECISION: dict[Decision, Refusal] = {
+    Decision.ANSWER_NOT_KEPT: Refusal(
+        RefusalCode.ANSWER_NOT_KEPT,
+        "the request ran and was answered; the answer was too large to keep",
+        RunState.RUN,
+    ),
+    Decision.IN_PROGRESS: Refusal(
+        RefusalCode.IN_PROGRESS,
+        "another request with this key is being answered; ask again later",
+        RunState.IN_PROGRESS,
+        RETRY_AFTER_S,
+    ),
+    Decision.OUTCOME_UNKNOWN: Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        "the request may have run and no answer came back; check with the service",
+        RunState.UNKNOWN,
+    ),
+    Decision.KEY_REUSED: Refusal(
+        RefusalCode.KEY_REUSED,
+        "the key belongs to a request with another method, path or body; use a new key",
+        RunState.ATTEMPT_NOT_RUN,
+    ),
+    Decision.KEY_EXPIRED: IS_EXPIRED,
+    Decision.RELEASED: Refusal(
+        RefusalCode.STORE_UNAVAILABLE,
+        "this attempt was withdrawn before it was granted; send the request again",
+        RunState.ATTEMPT_NOT_RUN,
+        RETRY_AFTER_S,
+    ),
+    Decision.UNAVAILABLE: Refusal(
+        RefusalCode.STORE_UNAVAILABLE,
+        "the claim could not be recorded; send the request again with the same key",
+        RunState.ATTEMPT_NOT_RUN,
+        RETRY_AFTER_S,
+    ),
+}
+
+
+class ClaimsLink(Protocol):
+    """The way to the hosts that write claims."""
+
+    async def claim(self, claim: Claim, deadline_at: float) -> ClaimReply:
+        """Return the decision on `claim`; UNAVAILABLE when none came by `deadline_at`."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Let a commit pass only with a claim of its own; end the walk with what is recorded.
+
+    The last filter before `SettleClaim`, which settles every claim that is granted here.
+    """
+
+    claims: ClaimsLink
+    settler: SettlerController
+    configuration: ConfigurationController
+    holder: HostName
+    clock: Clock
+    metrics: MetricSender
+
+    async def apply(self, call: Call, now: float) -> Result[Call, Stop]:
+        """Return the call with its nonce, a recorded answer, or a refusal."""
+        if call.work is not WorkKind.COMMIT:
+            return Ok(call)
+        assert call.team is not None and call.service is not None
+        service = await self.configuration.ask(FindService(call.team, call.service))
+        if service.is_error():
+            return Error(service.error)
+        assert call.idempotency_key is not None
+        retention_s = service.ok.policy.key_retention_s
+        age = key_age(call.idempotency_key, retention_s, self.clock.wall())
+        if age in OF_AGE:
+            return Error(OF_AGE[age])
+        claimed = call.with_(claim_nonce=secrets.token_hex(NONCE_BYTES))
+        attempt = attempt_of(claimed, self.holder)
+        reply = await self._claim(attempt, call.deadline_at, now)
+        if reply.decision is Decision.GRANTED:
+            return Ok(claimed)
+        emit(CLAIM_REFUSED, request_id=call.request_id, decision=reply.decision)
+        return Error(stop_for(reply))
+
+    async def _claim(self, attempt: Attempt, deadline_at: float, now: float) -> ClaimReply:
+        claim = Claim(attempt, (deadline_at - now) * MS_PER_S)
+        try:
+            reply = await self.claims.claim(claim, deadline_at)
+        except asyncio.CancelledError:
+            emit(CLAIM_LEFT, key=attempt.scope.key)
+            self._withdraw(attempt)
+            raise
+        self.metrics.time(CLAIM_TIME, self.clock.monotonic() - now)
+        if reply.decision is Decision.UNAVAILABLE:
+            self._withdraw(attempt)
+        return reply
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Free the key of an attempt that this process will never send.
+
+        The claim may be written although no decision came back, even later than this.
+        """
+        self.settler.tell(Unsettled(Settle(attempt, Ending.NOT_SENT)))
+
+
+def attempt_of(call: Call, holder: HostName) -> Attempt:
+    """Return the attempt that `call` makes under its nonce."""
+    assert call.team and call.service and call.idempotency_key and call.claim_nonce
+    scope = KeyScope(call.team, call.service, call.idempotency_key)
+    request = fingerprint(call.method, call.target_path, call.body)
+    return Attempt(scope, request, call.claim_nonce, holder)
+
+
+def stop_for(reply: ClaimReply) -> Stop:
+    """Return what ends the walk of a call that was not granted its claim."""
+    if reply.decision is Decision.ANSWERED:
+        assert reply.record is not None and reply.record.answer is not None
+        return RecordedAnswer(reply.record.answer)
+    return OF_DECISION[reply.decision]
--- a/almondspindle/chain/require_key.py
+++ b/almondspindle/chain/require_key.py
@@ -2,7 +2,7 @@
 
 from almondspindle.core.calls import Call, WorkKind
 from almondspindle.core.outcomes import Ok, Outcome
-from almondspindle.decisions.keys import parse_key
+from almondspindle.decisions.keys import KEY_HEADER, parse_key
 
 
 class RequireKey:
@@ -12,5 +12,5 @@
         """Return the call with its key in canonical form, or a refusal that says what to mend."""
         if call.work is not WorkKind.COMMIT:
             return Ok(call)
-        key = parse_key(call.header("Idempotency-Key"))
+        key = parse_key(call.header(KEY_HEADER))
         return key.map(lambda uuid: call.with_(idempotency_key=str(uuid)))
--- /dev/null
+++ b/almondspindle/chain/settle.py
@@ -0,0 +1,126 @@
+"""Run the rest of the chain for a claimed commit, and record how it ended."""
+
+import asyncio
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from almondspindle.chain.base import Chain
+from almondspindle.chain.claim import attempt_of
+from almondspindle.controllers.claims.messages import Unsettled
+from almondspindle.controllers.claims.settler import SettlerController
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    AnswerSink,
+    Call,
+    CallerGone,
+    Finished,
+)
+from almondspindle.core.claims import Ending, KeptAnswer, Settle
+from almondspindle.core.identifiers import HostName
+from almondspindle.core.outcomes import InvariantError
+from almondspindle.decisions.claims import answer_bytes
+from almondspindle.decisions.retry import Stage, stage_of
+
+KEPT_ANSWER_BYTES = 4096
+
+ENDINGS: dict[Stage, Ending] = {
+    Stage.NOT_SENT: Ending.NOT_SENT,
+    Stage.MAYBE_SENT: Ending.NO_ANSWER,
+    Stage.ANSWERING: Ending.NO_ANSWER,
+}
+
+
+@dataclass(slots=True)
+class RecordingSink:
+    """Pass an answer on and keep a copy while it is small.
+
+    A caller that leaves does not end the answer: it is read to its end, for the record.
+    """
+
+    sink: AnswerSink
+    head: AnswerHead | None = None
+    body: bytearray = field(default_factory=bytearray)
+    is_whole: bool = False
+    is_caller_gone: bool = False
+
+    async def write(self, part: AnswerPart) -> None:
+        """Keep `part` and pass it on."""
+        self._keep(part)
+        if self.is_caller_gone:
+            return
+        try:
+            await self.sink.write(part)
+        except CallerGone:
+            self.is_caller_gone = True
+
+    def kept(self) -> KeptAnswer | None:
+        """Return the whole answer for the record, without its body where that is too large."""
+        if self.head is None or not self.is_whole:
+            return None
+        whole = KeptAnswer(self.head.status, self.head.target, self.head.headers, bytes(self.body))
+        if answer_bytes(whole) > KEPT_ANSWER_BYTES:
+            return KeptAnswer(self.head.status, self.head.target)
+        return whole
+
+    @singledispatchmethod
+    def _keep(self, part: object) -> None:
+        raise InvariantError(f"unexpected answer part {type(part).__name__}")
+
+    @_keep.register
+    def _(self, part: AnswerHead) -> None:
+        self.head = part
+
+    @_keep.register
+    def _(self, part: AnswerChunk) -> None:
+        if len(self.body) <= KEPT_ANSWER_BYTES:
+            self.body += part.data
+
+    @_keep.register
+    def _(self, part: AnswerEnd) -> None:
+        self.is_whole = True
+
+
+class SettleClaim:
+    """The entry's terminal: the inner chain ranks and relays; claims are settled after it."""
+
+    def __init__(self, inner: Chain, settler: SettlerController, holder: HostName) -> None:
+        self._inner = inner
+        self._settler = settler
+        self._holder = holder
+        self._tasks: set[asyncio.Task[Finished]] = set()
+
+    async def finish(self, call: Call, sink: AnswerSink, now: float) -> Finished:
+        """Return how the inner chain ended.
+
+        A claimed commit goes on when the caller leaves, so that a retry finds its answer.
+        """
+        if call.claim_nonce is None:
+            return await self._inner.run(call, sink)
+        task = asyncio.ensure_future(self._run_claimed(call, RecordingSink(sink)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def _run_claimed(self, call: Call, sink: RecordingSink) -> Finished:
+        ending = Ending.NO_ANSWER
+        try:
+            finished = await self._inner.run(call, sink)
+            ending = _ending_of(finished)
+            return finished
+        finally:
+            settle = Settle(attempt_of(call, self._holder), ending, sink.kept())
+            self._settler.tell(Unsettled(settle))
+
+    async def wait_idle(self) -> None:
+        """Wait until no claimed commit is in flight, those of callers that left included."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+
+def _ending_of(finished: Finished) -> Ending:
+    if finished.refusal is None:
+        return Ending.ANSWERED
+    return ENDINGS[stage_of(finished)]
--- /dev/null
+++ b/almondspindle/controllers/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Write claims to the store in batches, and settle them from the entries."""
--- /dev/null
+++ b/almondspindle/controllers/claims/settler.py
@@ -0,0 +1,100 @@
+"""Keep telling the store how attempts ended, until each ending is recorded."""
+
+import asyncio
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any, Protocol
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.claims.messages import SettleTried, Unsettled
+from almondspindle.core.claims import ClaimReply, Decision, Settle
+from almondspindle.core.clock import Clock
+from almondspindle.core.events import CLAIM_UNSETTLED
+from almondspindle.core.logs import emit
+from almondspindle.utils.in_flight import InFlight
+from almondspindle.utils.tasks import TaskSet
+
+MAX_TRIES = 120
+MAX_UNSETTLED = 10_000  # endings kept at once; more are given up
+PAUSE_S = 0.1  # pause after the first failed try; doubles with each one
+MAX_PAUSE_S = 5.0
+
+
+class SettleLink(Protocol):
+    """The way to the hosts that write claims."""
+
+    async def settle(self, settle: Settle) -> ClaimReply:
+        """Have `settle` recorded; the decision is UNAVAILABLE when it may not be."""
+        ...
+
+
+class SettlerController(Controller):
+    """Own the endings that are not recorded yet. `tries` feeds the sender."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.tries: asyncio.Queue[Unsettled] = asyncio.Queue()
+        self._in_flight = InFlight()
+
+    async def wait_idle(self, bound_s: float) -> int:
+        """Wait until all is recorded, for `bound_s` seconds at most; return what is left."""
+        return await self._in_flight.wait_idle(bound_s)
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: Unsettled, now: float) -> None:
+        if self._in_flight.count >= MAX_UNSETTLED:
+            _give_up(msg)
+            return
+        self._in_flight.enter()
+        self.tries.put_nowait(msg)
+
+    @handle.register
+    def _(self, msg: SettleTried, now: float) -> None:
+        tries = msg.unsettled.tries + 1
+        if not msg.is_recorded and tries < MAX_TRIES:
+            self.tries.put_nowait(replace(msg.unsettled, tries=tries))
+            return
+        self._in_flight.leave()
+        if not msg.is_recorded:
+            _give_up(msg.unsettled)
+
+
+class SettleSender:
+    """Send endings to the hosts that write claims."""
+
+    def __init__(self, link: SettleLink, controller: SettlerController) -> None:
+        self._link = link
+        self._controller = controller
+        self._tasks = TaskSet()
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        try:
+            while True:
+                unsettled = await self._controller.tries.get()
+                self._tasks.start("settle", self._send(unsettled))
+        finally:
+            await self._tasks.cancel_all()
+
+    async def _send(self, unsettled: Unsettled) -> None:
+        if unsettled.tries:
+            await asyncio.sleep(min(MAX_PAUSE_S, PAUSE_S * 2**unsettled.tries))
+        reply = await self._link.settle(unsettled.settle)
+        is_recorded = reply.decision is not Decision.UNAVAILABLE
+        self._controller.tell(SettleTried(unsettled, is_recorded))
+
+
+def _give_up(unsettled: Unsettled) -> None:
+    attempt = unsettled.settle.attempt
+    emit(
+        CLAIM_UNSETTLED,
+        team=attempt.scope.team,
+        service=attempt.scope.service,
+        key=attempt.scope.key,
+        ending=unsettled.settle.ending,
+    )
--- /dev/null
+++ b/almondspindle/controllers/claims/task.py
@@ -0,0 +1,137 @@
+"""The controller that gathers changes to claims into batches, one batch at a time per segment."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import singledispatch, singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.claims.messages import (
+    Batch,
+    BatchApplied,
+    PartView,
+    Round,
+    Submit,
+    TakeBatch,
+)
+from almondspindle.core.claims import ClaimReply, Decision, Settle
+from almondspindle.core.clock import Clock
+from almondspindle.decisions.claim_keys import Segment, segment_of
+
+WRITE_INTERVAL_S = 0.04  # shortest time between two batches of a shard
+SETTLE_WAIT_S = 0.2  # time that endings wait for claims to share a write with
+CACHED_SEGMENTS = 8  # segments whose records stay in memory between batches
+MAX_PENDING = 5_000  # changes that wait at once; more are refused as unavailable
+
+
+@dataclass(slots=True)
+class _SegmentState:
+    """What waits for a segment. `due_at` is None while no batch is planned."""
+
+    waiting: list[Submit] = field(default_factory=list)
+    in_flight: list[Submit] = field(default_factory=list)
+    due_at: float | None = None
+    is_writing: bool = False
+    views: Mapping[int, PartView] = field(default_factory=dict)
+
+
+class ClaimsController(Controller):
+    """Own the changes that wait, and the parts of segments as last seen in the store.
+
+    `rounds` tells the writer which segments to write and when.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.rounds: asyncio.Queue[Round] = asyncio.Queue()
+        self._segments: OrderedDict[Segment, _SegmentState] = OrderedDict()
+        self._next_write_at: dict[int, float] = {}
+        self._pending = 0
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: Submit, now: float) -> None:
+        if self._pending >= MAX_PENDING:
+            _reply(msg, ClaimReply(Decision.UNAVAILABLE, reason="too many claims wait"))
+            return
+        self._pending += 1
+        segment = segment_of(msg.change.scope)
+        state = self._segments.setdefault(segment, _SegmentState())
+        self._segments.move_to_end(segment)
+        state.waiting.append(msg)
+        self._plan(segment, state, now + gather_s(msg.change))
+
+    @handle.register
+    def _(self, msg: TakeBatch, now: float) -> Batch | None:
+        state = self._segments.get(msg.segment)
+        if state is None or state.is_writing or not state.waiting:
+            return None
+        state.due_at = None
+        if now < self._next_write_at.get(msg.segment.shard, 0.0):
+            self._plan(msg.segment, state, now)
+            return None
+        self._next_write_at[msg.segment.shard] = now + WRITE_INTERVAL_S
+        return self._take(state)
+
+    @handle.register
+    def _(self, msg: BatchApplied, now: float) -> None:
+        state = self._segments[msg.segment]
+        for submit, reply in zip(state.in_flight, msg.replies, strict=True):
+            _reply(submit, reply)
+        state.in_flight = []
+        state.is_writing = False
+        state.views = msg.views
+        if state.waiting:
+            self._plan(msg.segment, state, now)
+        self._drop_old()
+
+    def _take(self, state: _SegmentState) -> Batch:
+        # An asker that has gone must not be granted a claim, since nobody would settle it.
+        live = [submit for submit in state.waiting if not submit.fut.done()]
+        self._pending -= len(state.waiting)
+        state.waiting = []
+        state.in_flight = live
+        state.is_writing = True
+        return Batch([submit.change for submit in live], state.views)
+
+    def _plan(self, segment: Segment, state: _SegmentState, at: float) -> None:
+        """Have the segment written at `at`, or when its shard may write again.
+
+        A batch in flight plans the next one when it is over.
+        """
+        start_at = max(at, self._next_write_at.get(segment.shard, 0.0))
+        if state.is_writing or (state.due_at is not None and state.due_at <= start_at):
+            return
+        state.due_at = start_at
+        self.rounds.put_nowait(Round(segment, start_at))
+
+    def _drop_old(self) -> None:
+        idle = [s for s, state in self._segments.items() if _is_idle(state)]
+        for segment in idle[: max(0, len(idle) - CACHED_SEGMENTS)]:
+            del self._segments[segment]
+
+
+@singledispatch
+def gather_s(change: object) -> float:
+    """Return how long `change` may wait for others to share its write, in seconds."""
+    return 0.0
+
+
+@gather_s.register
+def _(change: Settle) -> float:
+    return SETTLE_WAIT_S
+
+
+def _is_idle(state: _SegmentState) -> bool:
+    return not state.waiting and not state.in_flight and not state.is_writing
+
+
+def _reply(submit: Submit, reply: ClaimReply) -> None:
+    if not submit.fut.done():
+        submit.fut.set_result(reply)
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -50,3 +50,32 @@
 # 1300 to 1399: membership, ownership and targets.
 HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
 ROSTER_CHANGED = event(1301, "roster_changed", "The set of hosts or targets changed.")
+
+# 1500 to 1599: claims.
+CLAIM_WRITE_FAILED = event(
+    1500,
+    "claim_write_failed",
+    "A batch of claims was not written; it is read back and tried again.",
+)
+CLAIM_BATCH_GIVEN_UP = event(
+    1501, "claim_batch_given_up", "The store gave no result for a batch of claims in time."
+)
+CLAIM_OBJECT_INVALID = event(
+    1502,
+    "claim_object_invalid",
+    "A stored object of claims failed validation; it is left as it is.",
+)
+CLAIM_HOST_FAILED = event(
+    1503, "claim_host_failed", "A host gave no decision on a claim; the next one is asked."
+)
+CLAIM_REFUSED = event(1504, "claim_refused", "A commit was not granted; the decision says why.")
+CLAIM_UNSETTLED = event(
+    1505, "claim_unsettled", "How an attempt ended could not be recorded; its key stays unknown."
+)
+CLAIMS_DELETED = event(1506, "claims_deleted", "Claims past every retention window were deleted.")
+CLAIMS_CUT = event(
+    1508, "claims_cut", "A stop left endings of commits unrecorded; their keys stay unknown."
+)
+CLAIM_LEFT = event(
+    1507, "claim_left", "The caller left while its commit was claimed; the claim is released."
+)
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -31,6 +31,10 @@
 RETRIES = metric("retries", "counter", "attempts", "Attempts after the first one.")
 FIRST_BYTE = metric("first_byte", "timer", "ms", "Time from request to first byte of the answer.")
 
+CLAIM_WRITES = metric("claim_writes", "counter", "writes", "Writes of claims to the store.")
+CLAIM_CHANGES = metric("claim_changes", "counter", "changes", "Changes of claims in batches.")
+CLAIM_TIME = metric("claim_time", "timer", "ms", "Time that a commit waited for its claim.")
+
 
 class MetricSender(Protocol):
     """Where metrics go."""
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -32,6 +32,7 @@
     KEY_MALFORMED = "idempotency_key_malformed"
     KEY_EXPIRED = "idempotency_key_expired"
     KEY_REUSED = "idempotency_key_reused"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     IN_PROGRESS = "in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     RATE_LIMITED = "rate_limited"
--- /dev/null
+++ b/almondspindle/decisions/claim_keys.py
@@ -0,0 +1,92 @@
+"""Where the claim of a key is kept, whether the key is in time, and which host writes it."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from uuid import UUID
+
+from almondspindle.core.claims import KeyScope
+from almondspindle.core.roster import Host
+from almondspindle.decisions.hashing import score
+from almondspindle.decisions.keys import key_time_s
+from almondspindle.decisions.ownership import OWNING_STATES
+
+# The three constants fix where a key's record lies. Hosts that disagree on them would look in
+# different objects, so a change needs a new prefix of names and a pause of one retention window.
+SHARDS = 4
+SEGMENT_S = 5  # seconds of key time in one segment
+BUCKET_S = 3600  # seconds of key time under one name prefix, for deletion
+
+DIGEST_BYTES = 16
+MAX_SKEW_S = 60.0  # seconds between the clocks of callers and hosts
+MAX_RETENTION_S = 172_800.0  # seconds; the bound of a service's own retention window
+
+
+class KeyAge(StrEnum):
+    """How a key's time relates to the present."""
+
+    IN_TIME = "in time"
+    EXPIRED = "expired"
+    FUTURE = "future"
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """The claims of one shard whose keys were made within the same `SEGMENT_S` seconds."""
+
+    shard: int
+    index: int
+
+    def object_name(self, part: int) -> str:
+        """Return the name of the store object that holds part `part`."""
+        bucket = self.index * SEGMENT_S // BUCKET_S
+        return f"{bucket_prefix(self.shard, bucket)}{self.index}.{part}"
+
+
+def bucket_prefix(shard: int, bucket: int) -> str:
+    """Return the common prefix of the names of a shard's objects in one bucket of time."""
+    return f"claims/{shard}/{bucket}/"
+
+
+def key_digest(scope: KeyScope) -> bytes:
+    """Return the identity of a key within its team and service."""
+    text = f"{scope.team}\x00{scope.service}\x00{scope.key}"
+    return hashlib.sha256(text.encode()).digest()[:DIGEST_BYTES]
+
+
+def fingerprint(method: str, path: str, body: bytes) -> bytes:
+    """Return a digest that tells whether two requests are the same."""
+    head = f"{method}\x00{path}\x00".encode()
+    return hashlib.sha256(head + body).digest()[:DIGEST_BYTES]
+
+
+def segment_of(scope: KeyScope) -> Segment:
+    """Return the segment of a key. It rests on the key alone, so every host finds the same."""
+    shard = int.from_bytes(key_digest(scope)[:4]) % SHARDS
+    return Segment(shard, int(key_time_s(UUID(scope.key))) // SEGMENT_S)
+
+
+def key_age(key: str, retention_s: float, wall_now: float) -> KeyAge:
+    """Return how `key` stands to a retention window at `wall_now` (seconds since the epoch).
+
+    The window is measured from the key's own time and never exceeds `MAX_RETENTION_S`.
+    """
+    age_s = wall_now - key_time_s(UUID(key))
+    if age_s < -MAX_SKEW_S:
+        return KeyAge.FUTURE
+    if age_s > min(retention_s, MAX_RETENTION_S):
+        return KeyAge.EXPIRED
+    return KeyAge.IN_TIME
+
+
+def is_deletable(bucket: int, wall_now: float) -> bool:
+    """Return whether no host can still admit a key of `bucket`, whatever its clock within skew."""
+    last_key_at = (bucket + 1) * BUCKET_S
+    return wall_now > last_key_at + MAX_RETENTION_S + 2 * MAX_SKEW_S
+
+
+def shard_hosts(shard: int, hosts: Iterable[Host]) -> list[Host]:
+    """Return the hosts that may write a shard's claims, its owner first."""
+    able = [host for host in hosts if host.state in OWNING_STATES]
+    return sorted(able, key=lambda host: score(f"claims/{shard}", host.name), reverse=True)
--- a/almondspindle/decisions/keys.py
+++ b/almondspindle/decisions/keys.py
@@ -1,9 +1,12 @@
 """The form of idempotency keys: UUID version 7 (RFC 9562), which carries its time of birth."""
 
+from dataclasses import replace
 from uuid import UUID
 
-from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+from almondspindle.core.calls import Call, WorkKind
+from almondspindle.core.outcomes import Ok, Outcome, Refusal, RefusalCode, RunState, refused
 
+KEY_HEADER = "Idempotency-Key"
 UUID_VERSION = 7
 TIMESTAMP_SHIFT_BITS = 80
 MS_PER_S = 1000.0
@@ -32,3 +35,17 @@
 def key_time_s(key: UUID) -> float:
     """Return when `key` was made, in seconds since the Unix epoch."""
     return (key.int >> TIMESTAMP_SHIFT_BITS) / MS_PER_S
+
+
+def without_claim(call: Call, refusal: Refusal) -> Refusal:
+    """Return what a refusal may say of `call` by the claim that it holds.
+
+    Without a claim nobody has looked whether an earlier request with the key ran, so NOT_RUN
+    would be more than is known. A key that could never be claimed leaves nothing to know.
+    """
+    may_have_run = call.work in (None, WorkKind.COMMIT) and call.claim_nonce is None
+    if refusal.run_state is not RunState.NOT_RUN or not may_have_run:
+        return refusal
+    if parse_key(call.header(KEY_HEADER)).is_error():
+        return refusal
+    return replace(refusal, run_state=RunState.ATTEMPT_NOT_RUN)
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -2,37 +2,43 @@
 
 import asyncio
 import sys
+from contextlib import suppress
 from functools import partial, singledispatch
 
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
+from almondspindle.adapters.peer.claims import PeerClaimsLink
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
 from almondspindle.adapters.peer.subscription import Subscription
 from almondspindle.chain.base import Chain
+from almondspindle.chain.claim import ClaimKey
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
+from almondspindle.chain.settle import SettleClaim
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
+from almondspindle.controllers.claims.settler import SettlerController, SettleSender
 from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
+from almondspindle.core.events import CLAIMS_CUT, PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit, log_to_stderr
-from almondspindle.core.metrics import make_metrics
+from almondspindle.core.metrics import MetricSender, make_metrics
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.roster import Roster
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-entry"
+SETTLE_DRAIN_S = 5.0  # longest wait at a stop for endings of commits to be recorded
 
 
 class Entry:
@@ -45,6 +51,8 @@
         self._channels = Channels()
         self._configuration = ConfigurationController(self._clock)
         self._directory = DirectoryController(self._clock, HostName(cfg.host))
+        self._settler = SettlerController(self._clock)
+        self._claims = PeerClaimsLink(self._channels, self._directory, self._clock)
         metrics = make_metrics(cfg.statsd)
         owners = PeerOwnerLink(self._channels, self._clock)
         filters = (
@@ -52,11 +60,20 @@
             IdentifyTeam(self._configuration),
             ClassifyWork(self._configuration),
             RequireKey(),
-            RankCandidates(self._directory),
+            self._claim_filter(metrics),
         )
-        chain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        relay = RelayToOwner(owners, self._clock, metrics)
+        inner = Chain((RankCandidates(self._directory),), relay, self._clock)
+        self._settle = SettleClaim(inner, self._settler, HostName(cfg.host))
+        chain = Chain(filters, self._settle, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
+    def _claim_filter(self, metrics: MetricSender) -> ClaimKey:
+        host = HostName(self._cfg.host)
+        return ClaimKey(
+            self._claims, self._settler, self._configuration, host, self._clock, metrics
+        )
+
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
         stop = StopSignal()
@@ -89,12 +106,19 @@
         subscription = Subscription(self._channels, self._cfg.routers, host, listener)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("settler", self._settler.run())
+        self._tasks.start("settle-sender", SettleSender(self._claims, self._settler).run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
         left = await self._front.in_flight.wait_idle(self._cfg.stop_bound_s)
         if left:
             emit(STOP_CUT_STREAMS, streams=left)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._settle.wait_idle(), self._cfg.stop_bound_s)
+        unsettled = await self._settler.wait_idle(SETTLE_DRAIN_S)
+        if unsettled:
+            emit(CLAIMS_CUT, endings=unsettled)
 
     def take_config(self, config: ConfigSet) -> None:
         """Pass a configuration from a router to the controller."""
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.claims import CLAIM_METHOD
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
@@ -15,6 +16,10 @@
 from almondspindle.conf.router import RouterCfg
 from almondspindle.controllers.admission.messages import PolicyChanged
 from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.controllers.claims.desk import ClaimsDesk
+from almondspindle.controllers.claims.janitor import ClaimsJanitor
+from almondspindle.controllers.claims.task import ClaimsController
+from almondspindle.controllers.claims.writer import SegmentWriter
 from almondspindle.controllers.configuration.messages import SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
@@ -26,6 +31,7 @@
 from almondspindle.core.events import PROCESS_STOPPED
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit, log_to_stderr
+from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
@@ -52,6 +58,11 @@
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        self._claims = ClaimsController(clock)
+        metrics = make_metrics(cfg.statsd)
+        self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
+        self._janitor = ClaimsJanitor(self._platform, self._directory, HostName(cfg.host), clock)
+        self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -72,6 +83,9 @@
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("claims", self._claims.run())
+        self._tasks.start("claim-writer", self._claim_writer.run())
+        self._tasks.start("claims-janitor", self._janitor.run())
         self._tasks.start("config-watcher", watcher.run())
         self._tasks.start("roster-reader", reader.run())
 
--- /dev/null
+++ b/tests/decisions/test_claims.py
@@ -0,0 +1,247 @@
+"""The decisions on claims: the state table, the merge of a batch, keys and their segments."""
+
+from itertools import product
+from uuid import UUID
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspindle.adapters.platform.claim_codec import FORM, decode_part, encode_part
+from almondspindle.core.claims import (
+    Attempt,
+    Claim,
+    ClaimState,
+    Decision,
+    Ending,
+    KeptAnswer,
+    KeyScope,
+    Look,
+    Settle,
+)
+from almondspindle.decisions.claim_keys import (
+    MAX_RETENTION_S,
+    MAX_SKEW_S,
+    KeyAge,
+    fingerprint,
+    is_deletable,
+    key_age,
+    key_digest,
+    segment_of,
+)
+from almondspindle.decisions.claims import SEAL_BYTES, PartRecords, merge
+
+NOW = 1_800_000_000.0
+FP = b"f" * 16
+OK_ANSWER = KeptAnswer(200, "dispatch-0", (("Content-Type", "text/plain"),), b"done")
+BARE_ANSWER = KeptAnswer(200, "dispatch-0")
+
+
+def uuid7(number: int = 0, at: float = NOW) -> str:
+    value = int(at * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(UUID(int=value))
+
+
+def attempt(nonce: str, key: int = 0, request: bytes = FP) -> Attempt:
+    return Attempt(KeyScope("grid", "dispatch", uuid7(key)), request, nonce, "host-1")
+
+
+def claim(nonce: str, key: int = 0, request: bytes = FP, budget_ms: float = 5000.0) -> Claim:
+    return Claim(attempt(nonce, key, request), budget_ms)
+
+
+def settle(nonce: str, ending: Ending, key: int = 0, answer=None) -> Settle:
+    return Settle(attempt(nonce, key), ending, answer)
+
+
+def run(*changes, now: float = NOW) -> tuple[PartRecords, list[Decision]]:
+    merged = merge(PartRecords(), changes, now)
+    return merged.part, [reply.decision for reply in merged.replies]
+
+
+A, B = "a" * 24, "b" * 24
+ENDS = {
+    ClaimState.CLAIMED: [],
+    ClaimState.RELEASED: [settle(A, Ending.NOT_SENT)],
+    ClaimState.UNKNOWN: [settle(A, Ending.NO_ANSWER)],
+    ClaimState.ANSWERED: [settle(A, Ending.ANSWERED, answer=OK_ANSWER)],
+}
+CLAIM_CASES = [
+    (ClaimState.CLAIMED, A, Decision.GRANTED),
+    (ClaimState.CLAIMED, B, Decision.IN_PROGRESS),
+    (ClaimState.RELEASED, A, Decision.RELEASED),
+    (ClaimState.RELEASED, B, Decision.GRANTED),
+    (ClaimState.UNKNOWN, A, Decision.OUTCOME_UNKNOWN),
+    (ClaimState.UNKNOWN, B, Decision.OUTCOME_UNKNOWN),
+    (ClaimState.ANSWERED, A, Decision.ANSWERED),
+    (ClaimState.ANSWERED, B, Decision.ANSWERED),
+]
+
+
+@pytest.mark.parametrize(("state", "nonce", "expected"), CLAIM_CASES)
+def test_a_claim_by_the_state_of_its_key(state, nonce, expected):
+    part, decisions = run(claim(A), *ENDS[state], claim(nonce))
+    assert decisions[-1] is expected
+    fresh_grant = (state, nonce) == (ClaimState.RELEASED, B)
+    record = part.records[key_digest(attempt(A).scope)]
+    assert (record.state, record.attempt) == (
+        (ClaimState.CLAIMED, 2) if fresh_grant else (state, 1)
+    )
+
+
+SETTLED = {
+    (ClaimState.CLAIMED, Ending.NOT_SENT): ClaimState.RELEASED,
+    (ClaimState.CLAIMED, Ending.NO_ANSWER): ClaimState.UNKNOWN,
+    (ClaimState.CLAIMED, Ending.ANSWERED): ClaimState.ANSWERED,
+    (ClaimState.UNKNOWN, Ending.NOT_SENT): ClaimState.UNKNOWN,
+    (ClaimState.UNKNOWN, Ending.NO_ANSWER): ClaimState.UNKNOWN,
+    (ClaimState.UNKNOWN, Ending.ANSWERED): ClaimState.ANSWERED,
+    (ClaimState.RELEASED, Ending.NOT_SENT): ClaimState.RELEASED,
+    (ClaimState.RELEASED, Ending.NO_ANSWER): ClaimState.UNKNOWN,
+    (ClaimState.RELEASED, Ending.ANSWERED): ClaimState.ANSWERED,
+    (ClaimState.ANSWERED, Ending.NOT_SENT): ClaimState.ANSWERED,
+    (ClaimState.ANSWERED, Ending.NO_ANSWER): ClaimState.ANSWERED,
+    (ClaimState.ANSWERED, Ending.ANSWERED): ClaimState.ANSWERED,
+}
+
+
+@pytest.mark.parametrize(("state", "ending"), list(product(ENDS, Ending)))
+def test_an_ending_by_the_state_of_its_key(state, ending):
+    part, _ = run(claim(A), *ENDS[state], settle(A, ending, answer=BARE_ANSWER))
+    assert part.records[key_digest(attempt(A).scope)].state is SETTLED[state, ending]
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_only_the_holder_settles_an_attempt(ending):
+    part, _ = run(claim(A), settle(B, ending, answer=OK_ANSWER))
+    assert part.records[key_digest(attempt(A).scope)].state is ClaimState.CLAIMED
+
+
+def test_a_withdrawn_attempt_is_not_granted_later():
+    _, decisions = run(settle(A, Ending.NOT_SENT), claim(A), claim(B))
+    assert decisions == [Decision.SETTLED, Decision.RELEASED, Decision.GRANTED]
+
+
+def test_another_request_under_the_key_is_refused_in_every_state():
+    for ends in ENDS.values():
+        _, decisions = run(claim(A), *ends, claim(B, request=b"other"))
+        assert decisions[-1] is Decision.KEY_REUSED
+
+
+def test_a_standing_claim_is_never_freed_by_time():
+    late = NOW + 100.0
+    part, _ = run(claim(A, budget_ms=5000.0))
+    merged = merge(part, [claim(B)], late)
+    assert merged.replies[0].decision is Decision.OUTCOME_UNKNOWN
+    assert not merged.is_changed
+
+
+def test_an_answer_without_body_is_told_as_run():
+    _, decisions = run(claim(A), settle(A, Ending.ANSWERED, answer=BARE_ANSWER), claim(B))
+    assert decisions[-1] is Decision.ANSWER_NOT_KEPT
+
+
+def test_a_key_past_the_bound_of_records_is_expired_not_granted():
+    late = NOW + MAX_RETENTION_S + 1.0
+    assert run(claim(A), now=late)[1] == [Decision.KEY_EXPIRED]
+
+
+changes = st.lists(
+    st.one_of(
+        st.builds(claim, st.sampled_from([A, B]), st.integers(0, 3), st.sampled_from([FP, b"g"])),
+        st.builds(
+            settle,
+            st.sampled_from([A, B]),
+            st.sampled_from(list(Ending)),
+            st.integers(0, 3),
+            st.sampled_from([OK_ANSWER, BARE_ANSWER]),
+        ),
+        st.builds(lambda key: Look(attempt(A, key).scope), st.integers(0, 3)),
+    ),
+    max_size=20,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(changes, st.integers(0, 20))
+def test_a_batch_equals_its_changes_one_by_one(batch, cut):
+    whole = merge(PartRecords(), batch, NOW)
+    part, replies = PartRecords(), []
+    for change in batch:
+        stored = decode_part(encode_part(part)).ok
+        step = merge(stored, [change], NOW)
+        part = step.part
+        replies += step.replies
+    assert (whole.part, list(whole.replies)) == (part, replies)
+    first = merge(PartRecords(), batch[:cut], NOW)
+    assert merge(first.part, batch[cut:], NOW).part == whole.part
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(changes)
+def test_never_two_nonces_are_granted_without_a_release_between(batch):
+    holder: dict[str, str | None] = {}
+    for change, reply in zip(batch, merge(PartRecords(), batch, NOW).replies, strict=True):
+        key = change.scope.key
+        if isinstance(change, Claim) and reply.decision is Decision.GRANTED:
+            assert holder.get(key) in (None, change.attempt.nonce)
+            holder[key] = change.attempt.nonce
+        if reply.record is not None and reply.record.state is ClaimState.RELEASED:
+            holder[key] = None
+
+
+def test_a_full_part_is_sealed_and_the_rest_goes_to_the_next():
+    batch = [claim(A, key) for key in range(4000)]
+    merged = merge(PartRecords(), batch, NOW)
+    data = encode_part(merged.part)
+    placed = sum(reply is not None for reply in merged.replies)
+    assert merged.part.sealed and 0 < placed < len(batch)
+    assert len(data) <= merged.part.size_bytes <= SEAL_BYTES + 1000
+    again = merge(merged.part, batch, NOW)
+    assert not again.is_changed
+    assert [r is None for r in again.replies] == [r is None for r in merged.replies]
+    answer = KeptAnswer(200, "t", (), b"x" * 4000)
+    ends = [settle(A, Ending.ANSWERED, key, answer) for key in range(placed)]
+    assert len(encode_part(merge(merged.part, ends, NOW).part)) < 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("age_s", "retention_s", "expected"),
+    [
+        (0.0, 100.0, KeyAge.IN_TIME),
+        (99.0, 100.0, KeyAge.IN_TIME),
+        (101.0, 100.0, KeyAge.EXPIRED),
+        (MAX_RETENTION_S + 1.0, 10 * MAX_RETENTION_S, KeyAge.EXPIRED),
+        (-MAX_SKEW_S + 1.0, 100.0, KeyAge.IN_TIME),
+        (-MAX_SKEW_S - 1.0, 100.0, KeyAge.FUTURE),
+    ],
+)
+def test_the_age_of_a_key(age_s, retention_s, expected):
+    assert key_age(uuid7(at=NOW), retention_s, NOW + age_s) is expected
+
+
+def test_no_object_is_deleted_while_a_host_may_admit_its_keys():
+    bucket = int(NOW // 3600)
+    last_key = uuid7(at=(bucket + 1) * 3600 - 0.001)
+    for skew_s in (-MAX_SKEW_S, MAX_SKEW_S):
+        now = (bucket + 1) * 3600 + MAX_RETENTION_S + 2 * MAX_SKEW_S
+        assert not is_deletable(bucket, now)
+        assert key_age(last_key, MAX_RETENTION_S, now + 1.0 - skew_s) is KeyAge.EXPIRED
+
+
+def test_keys_count_within_their_team_and_service():
+    scopes = [KeyScope(t, s, uuid7()) for t in ("a", "b") for s in ("x", "y")]
+    assert len({key_digest(scope) for scope in scopes}) == 4
+    assert len({segment_of(scope).index for scope in scopes}) == 1
+
+
+def test_requests_that_differ_have_other_fingerprints():
+    base = ("POST", "/orders", b"{}")
+    others = [("PUT", "/orders", b"{}"), ("POST", "/orders?x", b"{}"), ("POST", "/orders", b"{ }")]
+    assert fingerprint(*base) not in {fingerprint(*other) for other in others}
+
+
+@pytest.mark.parametrize("data", [b"\x00", b"junk", b"\x93\x63\xc2\x80", b"\x93\x01\xc2\x91\x01"])
+def test_a_malformed_object_is_not_taken_for_an_empty_one(data):
+    assert decode_part(data).is_error()
+    assert FORM != 0x63
--- /dev/null
+++ b/tests/standins/claims_world.py
@@ -0,0 +1,304 @@
+"""Entries and routers in one process before a store in memory, with stops at named steps.
+
+The claim filter, the terminals, the controllers and the writer are the real ones; the peer and
+target connections are fakes that a test stops, breaks and kills.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from almondspindle.chain.base import Chain
+from almondspindle.chain.claim import ClaimKey
+from almondspindle.chain.relay import RelayToOwner
+from almondspindle.chain.require_key import RequireKey
+from almondspindle.chain.settle import SettleClaim
+from almondspindle.controllers.claims.desk import ClaimsDesk
+from almondspindle.controllers.claims.settler import SettlerController, SettleSender
+from almondspindle.controllers.claims.task import ClaimsController
+from almondspindle.controllers.claims.writer import SegmentWriter
+from almondspindle.controllers.configuration.messages import ConfigRead
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Call,
+    Candidate,
+    Finished,
+    WorkKind,
+)
+from almondspindle.core.claims import Claim, ClaimReply, Decision, Look, Settle
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
+from almondspindle.core.metrics import NullMetrics
+from almondspindle.core.outcomes import Ok, Refusal, RefusalCode, RunState
+from tests.standins.fake_platform import FakePlatform, Gate, MemoryStore
+
+DEADLINE_S = 10.0
+CONFIG = ConfigSet(
+    1,
+    {"grid-desk": Team("grid-desk", "0" * 64), "rival": Team("rival", "1" * 64)},
+    {"dispatch-app": Service("dispatch-app", ServiceKind.PLAIN)},
+)
+
+
+@dataclass
+class Router:
+    """The claims part of a router."""
+
+    platform: FakePlatform
+    is_dead: bool = False
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start the controller and the writer."""
+        clock = SystemClock()
+        controller = ClaimsController(clock)
+        writer = SegmentWriter(self.platform, controller, clock, NullMetrics())
+        self.desk = ClaimsDesk(controller)
+        self.tasks = [asyncio.ensure_future(c) for c in (controller.run(), writer.run())]
+
+    def kill(self) -> None:
+        """End the router at once; calls to it fail."""
+        self.is_dead = True
+        for task in self.tasks:
+            task.cancel()
+
+
+class FakeLink:
+    """Ask the routers in order, as an entry does; a call to a dead router fails."""
+
+    def __init__(self, routers: list[Router]) -> None:
+        self.routers = routers
+        self.gates: dict[str, Gate] = {}
+        self.try_s = 1.0
+
+    def hold(self, step: str) -> Gate:
+        """Hold the next call that reaches "claim", "claimed" or "settle"; return its gate."""
+        self.gates[step] = Gate()
+        return self.gates[step]
+
+    async def claim(self, claim: Claim, deadline_at: float) -> ClaimReply:
+        """Return the decision on `claim`."""
+        await self._step("claim")
+        reply = await self._ask(claim)
+        await self._step("claimed")
+        return reply
+
+    async def settle(self, settle: Settle) -> ClaimReply:
+        """Have `settle` recorded."""
+        await self._step("settle")
+        return await self._ask(settle)
+
+    async def _step(self, step: str) -> None:
+        gate = self.gates.pop(step, None)
+        if gate is not None:
+            await gate.pass_through()
+
+    async def _ask(self, change: Claim | Settle | Look) -> ClaimReply:
+        last = ClaimReply(Decision.UNAVAILABLE, reason="no router")
+        for router in self.routers:
+            reply = await self._ask_router(router, change)
+            if reply is not None and reply.decision is not Decision.UNAVAILABLE:
+                return reply
+            last = reply or last
+        return last
+
+    async def _ask_router(self, router: Router, change: object) -> ClaimReply | None:
+        if router.is_dead:
+            return None
+        asked = asyncio.ensure_future(router.desk.decide(change))  # type: ignore[arg-type]
+        died = asyncio.ensure_future(_ended(router.tasks[0]))
+        await asyncio.wait({asked, died}, timeout=self.try_s, return_when="FIRST_COMPLETED")
+        died.cancel()
+        if asked.done():
+            return asked.result()
+        asked.cancel()
+        return None
+
+
+async def _ended(task: asyncio.Task) -> None:
+    await asyncio.wait({task})
+
+
+@dataclass
+class FakeOwner:
+    """The way to the plain service: counts runs per key; gates hold "send" and "ran"."""
+
+    runs: Counter[str]
+    refuse: int = 0
+    break_before: int = 0
+    break_after: int = 0
+    body: bytes = b"done"
+    gates: dict[str, Gate] = field(default_factory=dict)
+
+    def hold(self, step: str) -> Gate:
+        """Hold the next call that reaches `step`; return its gate."""
+        self.gates[step] = Gate()
+        return self.gates[step]
+
+    async def relay(self, call: Call, candidate: Candidate, sink) -> Finished:
+        """Run the work of `call`, as the faults say."""
+        await self._step("send")
+        if self.refuse:
+            self.refuse -= 1
+            return _refused(RefusalCode.FULL, RunState.NOT_RUN)
+        if self.break_before:
+            self.break_before -= 1
+            return _refused(RefusalCode.PEER_UNREACHABLE, RunState.UNKNOWN)
+        self.runs[call.idempotency_key or ""] += 1
+        await self._step("ran")
+        if self.break_after:
+            self.break_after -= 1
+            return _refused(RefusalCode.PEER_UNREACHABLE, RunState.UNKNOWN)
+        await sink.write(AnswerHead(200, (("Content-Type", "text/plain"),), candidate.target))
+        await sink.write(AnswerChunk(self.body))
+        await sink.write(AnswerEnd())
+        return Finished(True)
+
+    async def _step(self, step: str) -> None:
+        gate = self.gates.pop(step, None)
+        if gate is not None:
+            await gate.pass_through()
+
+
+def _refused(code: RefusalCode, run_state: RunState) -> Finished:
+    return Finished(False, Refusal(code, "fault", run_state))
+
+
+class OneCandidate:
+    """A filter that ranks a single target."""
+
+    async def apply(self, call: Call, now: float):
+        """Return the call with its candidate."""
+        return Ok(call.with_(candidates=(Candidate("dispatch-0", "host-1", "owner"),)))
+
+
+@dataclass
+class Answer:
+    """What a caller got, and the runs of its key when it got it."""
+
+    finished: Finished
+    parts: list
+    runs: int
+
+    @property
+    def verdict(self) -> str:
+        """Return "ok", "replayed", or the run state of the refusal."""
+        if self.finished.refusal is not None:
+            return self.finished.refusal.run_state.value
+        replayed = ("Idempotent-Replayed", "true") in self.parts[0].headers
+        return "replayed" if replayed else "ok"
+
+    @property
+    def is_false_not_run(self) -> bool:
+        """Return whether the answer says that the work did not run although it did."""
+        return self.verdict == RunState.NOT_RUN.value and self.runs > 0
+
+
+class ListSink:
+    """Keep the parts of an answer."""
+
+    def __init__(self) -> None:
+        self.parts: list = []
+
+    async def write(self, part) -> None:
+        """Keep `part`."""
+        self.parts.append(part)
+
+
+class Entry:
+    """The chain of an entry."""
+
+    def __init__(self, name: str, world: "World", routers: list[Router]) -> None:
+        self.world = world
+        self.link = FakeLink(routers)
+        self.owner = FakeOwner(world.runs)
+        clock = SystemClock()
+        self.settler = SettlerController(clock)
+        config = ConfigurationController(clock)
+        config.tell(ConfigRead(CONFIG))
+        claim = ClaimKey(self.link, self.settler, config, name, clock, NullMetrics())
+        relay = RelayToOwner(self.owner, clock, NullMetrics())
+        self.settle = SettleClaim(Chain((OneCandidate(),), relay, clock), self.settler, name)
+        self.chain = Chain((RequireKey(), claim), self.settle, clock)
+        sender = SettleSender(self.link, self.settler)
+        loops = (config.run(), self.settler.run(), sender.run())
+        self.tasks = [asyncio.ensure_future(c) for c in loops]
+
+    def start(self, key: str, body: bytes = b"{}", **changes) -> "asyncio.Task[Answer]":
+        """Start a commit under `key`; `changes` are fields of the call."""
+        return asyncio.ensure_future(self.send(key, body, **changes))
+
+    async def send(self, key: str, body: bytes = b"{}", **changes) -> Answer:
+        """Send a commit under `key` and return what came back."""
+        call = Call(
+            request_id="r",
+            deadline_at=SystemClock().monotonic() + DEADLINE_S,
+            method="POST",
+            path="/services/dispatch-app/orders",
+            headers=(("Idempotency-Key", key),),
+            body=body,
+            team="grid-desk",
+            service="dispatch-app",
+            target_path="/orders",
+            work=WorkKind.COMMIT,
+        )
+        sink = ListSink()
+        finished = await self.chain.run(call.with_(**changes), sink)
+        answer = Answer(finished, sink.parts, self.world.runs[key])
+        self.world.answers.append(answer)
+        return answer
+
+    async def settled(self) -> None:
+        """Wait until every ending is recorded."""
+        await self.settle.wait_idle()
+        await self.settler.wait_idle(DEADLINE_S)
+
+    def kill(self) -> None:
+        """End the entry at once: what it has not told the store by now is never told."""
+        self.link.routers = []
+        for task in (*self.tasks, *self.settle._tasks):
+            task.cancel()
+
+
+class World:
+    """Two entries and two routers. Use as an async context manager."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.runs: Counter[str] = Counter()
+        self.answers: list[Answer] = []
+
+    async def __aenter__(self) -> "World":
+        self.routers = [Router(FakePlatform(self.store)) for _ in range(2)]
+        self.entries = [Entry(f"entry-{n}", self, self.routers) for n in range(2)]
+        for router in self.routers:
+            router.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for owner in (*self.entries, *self.routers):
+            owner.kill()
+        tasks = [t for owner in (*self.entries, *self.routers) for t in owner.tasks]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def new_fleet(self) -> None:
+        """Kill every entry and router, and start new ones before the same store."""
+        for owner in (*self.entries, *self.routers):
+            owner.kill()
+        self.routers = [Router(FakePlatform(self.store)) for _ in range(2)]
+        self.entries = [Entry(f"entry-{n}", self, self.routers) for n in range(2)]
+        for router in self.routers:
+            router.start()
+
+    @property
+    def doubled(self) -> int:
+        """Return how many keys ran more than once."""
+        return sum(count > 1 for count in self.runs.values())
+
+    @property
+    def false_not_run(self) -> int:
+        """Return how many answers said "not run" of work that had run."""
+        return sum(answer.is_false_not_run for answer in self.answers)
