--- /dev/null
+++ b/tests/adapters/test_no_resend.py
@@ -0,0 +1,83 @@
+"""A target that reads a whole request and closes without an answer must count it once."""
+
+import asyncio
+
+import pytest
+
+from almondspindle.adapters.target.http1 import HttpTargetLink
+from almondspindle.core.calls import Call
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.outcomes import RunState
+
+BODY = b'{"order": 1}'
+
+
+class ClosingTarget:
+    """Read whole requests; answer the first `answers` on each connection, then close."""
+
+    def __init__(self, answers: int) -> None:
+        self.answers = answers
+        self.requests = 0
+        self.connections = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Handle one connection."""
+        self.connections += 1
+        left = self.answers
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            assert b"content-length: 12" in head.lower()
+            await reader.readexactly(len(BODY))
+            self.requests += 1
+            if not left:
+                break
+            left -= 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            break
+        writer.close()
+
+
+class Sink:
+    """Take every part of an answer."""
+
+    async def write(self, part) -> None:
+        """Drop `part`."""
+
+
+async def send_twice(answers: int) -> tuple[ClosingTarget, list]:
+    target = ClosingTarget(answers)
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    link, clock = HttpTargetLink(SystemClock()), SystemClock()
+    ended = []
+    for _ in range(2):
+        now = clock.monotonic()
+        call = Call("r", now + 10.0, "POST", "/orders", body=BODY, target_path="/orders")
+        call = call.with_(target="t", target_address=address)
+        ended.append(await link.send(call, Sink(), now))
+    server.close()
+    await server.wait_closed()
+    return target, ended
+
+
+@pytest.mark.parametrize("answers", [0, 1])
+def test_each_request_is_sent_once_on_a_connection_of_its_own(answers):
+    target, ended = asyncio.run(send_twice(answers))
+    assert (target.requests, target.connections) == (2, 2)
+    for finished in ended:
+        if answers:
+            assert finished.refusal is None
+        else:
+            assert finished.refusal.run_state is RunState.UNKNOWN
+
+
+def test_a_refused_connection_is_told_as_not_run():
+    async def check() -> None:
+        server = await asyncio.start_server(ClosingTarget(0).serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server.close()
+        await server.wait_closed()
+        call = Call("r", 10.0, "POST", "/", body=BODY).with_(target="t", target_address=address)
+        finished = await HttpTargetLink(SystemClock()).send(call, Sink(), 0.0)
+        assert finished.refusal.run_state is RunState.NOT_RUN
+
+    asyncio.run(check())
--- /dev/null
+++ b/tests/programs/test_commits.py
@@ -0,0 +1,148 @@
+"""Commits through real processes: once each, whatever is killed, paused or lost."""
+
+import asyncio
+import signal
+
+import uuid_utils
+
+from tests.standins.caller import Answer, Caller, wait_ready, wait_until
+from tests.standins.fleet import BUREAU_CONFIG, Fleet, Process
+
+ZONES = {"entry-1": "walvis-a", "entry-2": "swakop-a"}
+
+
+def new_key() -> str:
+    return str(uuid_utils.uuid7())
+
+
+def is_replayed(answer: Answer) -> bool:
+    return answer.status == 200 and answer.headers.get("Idempotent-Replayed") == "true"
+
+
+def refusal(answer: Answer) -> tuple[int, str]:
+    return answer.status, answer.error["run_state"]
+
+
+async def start_hosts(fleet: Fleet, zones: dict[str, str]) -> list[Caller]:
+    await fleet.add_hosts(zones)
+    callers = [Caller(fleet.hosts[name].entry.address) for name in zones]
+    for caller in callers:
+        await wait_ready(caller)
+    return callers
+
+
+async def check_commits() -> None:
+    async with Fleet() as fleet:
+        fleet.configure(BUREAU_CONFIG)
+        fleet.add_service("dispatch-0", "swakop-a")
+        callers = await start_hosts(fleet, ZONES)
+        done = await replayed_elsewhere(fleet, callers)
+        await answer_lost_by_target(fleet, callers)
+        await store_down(fleet, callers)
+        await entry_paused(fleet, callers)
+        await owner_killed(fleet, callers)
+        for host in fleet.hosts.values():
+            await asyncio.gather(host.entry.kill(), host.router.kill())
+            fleet.unlist(host.name)
+        callers = await start_hosts(fleet, {"entry-3": "swakop-a"})
+        assert is_replayed(await callers[0].commit(done))
+        assert set(fleet.commits.runs.values()) == {1}
+
+
+async def replayed_elsewhere(fleet: Fleet, callers: list[Caller]) -> str:
+    """Run a commit; its retry through the other entry gets the recorded answer."""
+    key = new_key()
+    first = await callers[0].commit(key)
+    assert (first.status, "Idempotent-Replayed" in first.headers) == (200, False)
+
+    async def replays() -> bool:
+        answer = await callers[1].commit(key)
+        assert answer.status in (200, 409)
+        return is_replayed(answer) and answer.body == first.body
+
+    await wait_until(replays, "the outcome is not recorded")
+    other = await callers[1].commit(key, b'{"other": 1}')
+    assert (other.status, other.error["code"]) == (422, "idempotency_key_reused")
+    assert fleet.commits.runs[key] == 1
+    return key
+
+
+async def answer_lost_by_target(fleet: Fleet, callers: list[Caller]) -> None:
+    """The target reads the whole request and closes: one run, and no retry runs again."""
+    key = new_key()
+    fleet.commits.drop_answers = 1
+    assert refusal(await callers[0].commit(key)) == (502, "outcome unknown")
+
+    async def is_told_unknown() -> bool:
+        return refusal(await callers[1].commit(key)) == (502, "outcome unknown")
+
+    await wait_until(is_told_unknown, "the unknown outcome is not recorded")
+    assert fleet.commits.runs[key] == 1
+
+
+async def store_down(fleet: Fleet, callers: list[Caller]) -> None:
+    """Nothing is sent without a claim; the key runs once the store is back."""
+    key = new_key()
+    fleet.store.state.faults.down = True
+    told = "this attempt not run, earlier attempts unknown"
+    assert refusal(await callers[0].commit(key)) == (503, told)
+    assert fleet.commits.runs[key] == 0
+    fleet.store.state.faults.down = False
+
+    async def passes() -> bool:
+        return (await callers[1].commit(key)).status == 200
+
+    await wait_until(passes, "commits do not pass after the store came back")
+    assert fleet.commits.runs[key] == 1
+
+
+async def has_run(fleet: Fleet, key: str) -> None:
+    async def ran() -> bool:
+        return fleet.commits.runs[key] == 1
+
+    await wait_until(ran, "the commit does not reach the target")
+
+
+async def entry_paused(fleet: Fleet, callers: list[Caller]) -> None:
+    """An entry paused with a commit running is harmless, and ends its commit when woken."""
+    key = new_key()
+    fleet.commits.release = asyncio.Event()
+    task = asyncio.ensure_future(callers[0].commit(key))
+    await has_run(fleet, key)
+    entry: Process = fleet.hosts["entry-1"].entry
+    entry.proc.send_signal(signal.SIGSTOP)
+    try:
+        assert refusal(await callers[1].commit(key)) == (409, "in progress")
+        fleet.commits.release.set()
+        assert refusal(await callers[1].commit(key)) == (409, "in progress")
+    finally:
+        entry.proc.send_signal(signal.SIGCONT)
+    assert (await task).status == 200
+
+    async def replays() -> bool:
+        return is_replayed(await callers[1].commit(key))
+
+    await wait_until(replays, "the outcome is not recorded")
+    assert fleet.commits.runs[key] == 1
+
+
+async def owner_killed(fleet: Fleet, callers: list[Caller]) -> None:
+    """The connection between entry and owner breaks with a commit running: no second run."""
+    key = new_key()
+    fleet.commits.release = asyncio.Event()
+    task = asyncio.ensure_future(callers[0].commit(key))
+    await has_run(fleet, key)
+    await fleet.hosts["entry-2"].router.kill()
+    fleet.commits.release.set()
+    assert refusal(await task) == (502, "outcome unknown")
+    fleet.unlist("entry-2")
+
+    async def is_told_unknown() -> bool:
+        return refusal(await callers[0].commit(key)) == (502, "outcome unknown")
+
+    await wait_until(is_told_unknown, "the unknown outcome is not recorded")
+    assert fleet.commits.runs[key] == 1
+
+
+def test_commits_run_once_through_real_processes():
+    asyncio.run(check_commits())
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -17,6 +17,7 @@
     reads: int = 0
     drop_answers: int = 0
     delay_s: float = 0.0
+    release: asyncio.Event | None = None  # commits that ran answer once this is set
 
 
 class _Service(RequestHandler):
@@ -33,6 +34,8 @@
         self.state.runs[key] += 1
         if self.state.delay_s:
             await asyncio.sleep(self.state.delay_s)
+        if self.state.release is not None:
+            await self.state.release.wait()
         if self.state.drop_answers:
             self.state.drop_answers -= 1
             self.request.connection.stream.close()
