--- a/tests/standins/claim_faults.py
+++ b/tests/standins/claim_faults.py
@@ -127,6 +127,18 @@
     return case
 
 
+async def dropped_and_asked_elsewhere(world: World, key: str) -> None:
+    """Drop the write of a claim, and send the key through another router while it runs."""
+    world.routers[0].platform.drop_writes = 1
+    world.entries[1].link.routers = world.routers[::-1]
+    gate = world.entries[0].owner.hold("ran")
+    task = await _held(world, gate, key)
+    await world.entries[1].send(key)
+    gate.open.set()
+    await task
+    await world.entries[0].settled()
+
+
 async def down_and_kill(world: World, key: str) -> None:
     """Lose the store while the request runs, and the whole fleet before the store is back."""
     entry = world.entries[0]
@@ -224,6 +236,11 @@
     return case
 
 
+PAUSED_ROWS = [
+    Row("entry paused before its claim", paused_entry("link", "claim"), REPLAYED, 1),
+    Row("entry paused with its claim granted", paused_entry("link", "claimed"), OK, 1),
+    Row("entry paused with the request running", paused_entry("owner", "ran"), REPLAYED, 1),
+]
 ROWS = [
     Row("entry killed before its claim is sent", kill_entry("link", "claim"), OK, 1),
     Row("entry killed with its claim granted", kill_entry("link", "claimed"), PROGRESS, 0),
@@ -243,6 +260,7 @@
     Row("store's answer to the claim lost", store_fault("claim", lose_answers=1), REPLAYED, 1),
     Row("store drops the claim's write", store_fault("claim", drop_writes=1), REPLAYED, 1),
     Row("store's answer to the outcome lost", store_fault("running", lose_answers=1), REPLAYED, 1),
+    Row("store drops the claim, retry elsewhere", dropped_and_asked_elsewhere, REPLAYED, 1),
     Row("store drops the outcome's write", store_fault("running", drop_writes=1), REPLAYED, 1),
     Row("store down before the claim", store_fault("claim", down=True), OK, 1),
     Row("store down while the request runs", store_fault("running", down=True), REPLAYED, 1),
@@ -254,9 +272,7 @@
     Row("fleet replaced with the request running", restart_all_in_flight, PROGRESS, 1),
     Row("caller leaves with the request running", caller_leaves_running, REPLAYED, 1),
     Row("caller leaves while the claim is written", caller_leaves_claiming, OK, 1),
-    Row("entry paused before its claim", paused_entry("link", "claim"), REPLAYED, 1),
-    Row("entry paused with its claim granted", paused_entry("link", "claimed"), OK, 1),
-    Row("entry paused with the request running", paused_entry("owner", "ran"), REPLAYED, 1),
+    *PAUSED_ROWS,
 ]
 
 
