--- a/almondspindle/chain/base.py
+++ b/almondspindle/chain/base.py
@@ -43,6 +43,14 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Walked:
+    """A call after the filters; `stop` is set when one of them ended the walk."""
+
+    call: Call
+    stop: Stop | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Chain:
     """Filters in order, then a terminal. A call walks from left to right and never back."""
@@ -53,12 +61,23 @@
 
     async def run(self, call: Call, sink: AnswerSink) -> Finished:
         """Walk `call` through the chain and return how its answer ended."""
+        walked = await self.walk(call)
+        return await self.finish(walked, sink)
+
+    async def walk(self, call: Call) -> Walked:
+        """Walk `call` through the filters and return how far it got."""
         for step in self.filters:
             outcome = await step.apply(call, self.clock.monotonic())
             if outcome.is_error():
-                return await conclude(outcome.error, call, sink)
+                return Walked(call, outcome.error)
             call = outcome.ok
-        return await self.terminal.finish(call, sink, self.clock.monotonic())
+        return Walked(call)
+
+    async def finish(self, walked: Walked, sink: AnswerSink) -> Finished:
+        """Have the terminal answer a call that passed all filters; return how that ended."""
+        if walked.stop is not None:
+            return await conclude(walked.stop, walked.call, sink)
+        return await self.terminal.finish(walked.call, sink, self.clock.monotonic())
 
 
 @singledispatch
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -1,6 +1,7 @@
 """almondspindle-entry: the HTTP front for callers."""
 
 import asyncio
+import secrets
 import sys
 from contextlib import suppress
 from functools import partial, singledispatch
@@ -9,12 +10,15 @@
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.claims import PeerClaimsLink
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
+from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
+from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
 from almondspindle.chain.claim import ClaimKey
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
@@ -22,10 +26,14 @@
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
 from almondspindle.controllers.claims.settler import SettlerController, SettleSender
-from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
+from almondspindle.controllers.configuration.follower import ConfigFollower
+from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.controllers.telemetry.collector import CollectorController
+from almondspindle.controllers.telemetry.pusher import TallyPusher
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import CLAIMS_CUT, PROCESS_STOPPED, STOP_CUT_STREAMS
@@ -39,6 +47,7 @@
 
 PROGRAM = "almondspindle-entry"
 SETTLE_DRAIN_S = 5.0  # longest wait at a stop for endings of commits to be recorded
+INSTANCE_BYTES = 4  # of the identifier that tells the entries of one host apart
 
 
 class Entry:
@@ -65,7 +74,11 @@
         relay = RelayToOwner(owners, self._clock, metrics)
         inner = Chain((RankCandidates(self._directory),), relay, self._clock)
         self._settle = SettleClaim(inner, self._settler, HostName(cfg.host))
-        chain = Chain(filters, self._settle, self._clock)
+        plain = Chain(filters, self._settle, self._clock)
+        self._collector = CollectorController(self._clock)
+        link = PeerTallyLink(self._channels, cfg.routers)
+        self._pusher = TallyPusher(self._collector, link)
+        chain = MeasuredChain(plain, self._collector, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
     def _claim_filter(self, metrics: MetricSender) -> ClaimKey:
@@ -86,6 +99,7 @@
         await asyncio.sleep(self._cfg.balancer_lag_s)
         server.stop()
         await self._drain()
+        await self._pusher.push_once()
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -102,12 +116,22 @@
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
         listener = partial(pass_update, entry=self)
-        host = HostName(self._cfg.host)
-        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
+        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        self._follower = ConfigFollower(
+            subscriber,
+            self._configuration,
+            PeerConfigLink(),
+            lambda: subscription.address,
+            lambda: self._directory.ask(GetRoster()),
+        )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("settler", self._settler.run())
         self._tasks.start("settle-sender", SettleSender(self._claims, self._settler).run())
+        self._tasks.start("config-follower", self._follower.run())
+        self._tasks.start("collector", self._collector.run())
+        self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
@@ -120,9 +144,9 @@
         if unsettled:
             emit(CLAIMS_CUT, endings=unsettled)
 
-    def take_config(self, config: ConfigSet) -> None:
-        """Pass a configuration from a router to the controller."""
-        self._configuration.tell(ConfigRead(config))
+    def take_config(self, update: ConfigSet | ConfigDelta) -> None:
+        """Pass a configuration, or a change of it, from a router to the follower."""
+        self._follower.tell(update)
 
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
@@ -140,6 +164,11 @@
     entry.take_config(update)
 
 
+@pass_update.register
+def _(update: ConfigDelta, *, entry: Entry) -> None:
+    entry.take_config(update)
+
+
 @pass_update.register
 def _(update: Roster, *, entry: Entry) -> None:
     entry.take_roster(update)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -4,7 +4,10 @@
 import sys
 
 from almondspindle.adapters.peer.claims import CLAIM_METHOD
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.server import PeerServer, Publisher
+from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
 from almondspindle.chain.admit import AdmitToTarget
@@ -20,19 +23,28 @@
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
 from almondspindle.controllers.claims.task import ClaimsController
 from almondspindle.controllers.claims.writer import SegmentWriter
-from almondspindle.controllers.configuration.messages import SubscribeConfig
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    HostsRead,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
-from almondspindle.core.identifiers import HostName
+from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -51,18 +63,30 @@
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
         self._admission = AdmissionController(clock)
+        host = HostName(cfg.host)
+        self._published = ConfigSet()
+        self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
+        spread_cfg = SpreadCfg(host, ZoneName(cfg.zone), tuple(cfg.seeds))
+        self._spread = SpreadController(clock, spread_cfg, self._watcher.set_watching)
+        link = PeerConfigLink()
+        self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
+        self._courier = ConfigCourier(self._spread, self._configuration, link)
+        receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
         self._claims = ClaimsController(clock)
         metrics = make_metrics(cfg.statsd)
         self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
         self._janitor = ClaimsJanitor(self._platform, self._directory, HostName(cfg.host), clock)
         self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
+        ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -78,7 +102,6 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
-        watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
@@ -86,18 +109,30 @@
         self._tasks.start("claims", self._claims.run())
         self._tasks.start("claim-writer", self._claim_writer.run())
         self._tasks.start("claims-janitor", self._janitor.run())
-        self._tasks.start("config-watcher", watcher.run())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("config-courier", self._courier.run())
+        self._tasks.start("config-start", self._follow_config())
+        self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
-        self._publisher.publish(config)
+        self._spread.tell(ConfigInForce(config))
+        old = self._published
+        self._published = config
+        self._publisher.publish(config, diff(old, config) if old.version else None)
 
     def _spread_roster(self, roster: Roster) -> None:
         self._directory.tell(RosterRead(roster))
+        self._spread.tell(HostsRead(tuple(roster.hosts.values())))
         self._publisher.publish(roster)
 
+    async def _follow_config(self) -> None:
+        await self._starter.run()
+        self._tasks.start("config-watcher", self._watcher.run())
+        self._tasks.start("config-pulls", self._courier.run_pulls())
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
