Keep the claims of 2 seconds in one object

Cause: every batch writes its whole object, so an object of 5 seconds of keys made the store take 6469 KB/s at 500 claims/s. Ruled out: 1 second (1604 KB/s), which doubles the objects to delete to 4 a second. Change: SEGMENT_S from 5 to 2.

--- a/almondspindle/controllers/claims/task.py
+++ b/almondspindle/controllers/claims/task.py
@@ -22,7 +22,7 @@
 
 WRITE_INTERVAL_S = 0.04  # shortest time between two batches of a shard
 SETTLE_WAIT_S = 0.2  # time that endings wait for claims to share a write with
-CACHED_SEGMENTS = 8  # segments whose records stay in memory between batches
+CACHED_SEGMENTS = 16  # segments whose records stay in memory between batches
 MAX_PENDING = 5_000  # changes that wait at once; more are refused as unavailable
 
 
--- a/almondspindle/decisions/claim_keys.py
+++ b/almondspindle/decisions/claim_keys.py
@@ -15,7 +15,7 @@
 # The three constants fix where a key's record lies. Hosts that disagree on them would look in
 # different objects, so a change needs a new prefix of names and a pause of one retention window.
 SHARDS = 4
-SEGMENT_S = 5  # seconds of key time in one segment
+SEGMENT_S = 2  # seconds of key time in one segment
 BUCKET_S = 3600  # seconds of key time under one name prefix, for deletion
 
 DIGEST_BYTES = 16
