--- a/almondspindle/controllers/claims/writer.py
+++ b/almondspindle/controllers/claims/writer.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
-from almondspindle.adapters.platform.base import Platform, StoreError
+from almondspindle.adapters.platform.base import Platform, StoreError, StoreErrorCode
 from almondspindle.adapters.platform.claim_codec import decode_part, encode_part
 from almondspindle.controllers.claims.messages import (
     Batch,
@@ -24,11 +25,13 @@
 )
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import CLAIM_CHANGES, CLAIM_WRITES, MetricSender
-from almondspindle.core.outcomes import Result
+from almondspindle.core.outcomes import Error, Result
 from almondspindle.decisions.claim_keys import Segment
 from almondspindle.decisions.claims import Change, Merged, merge
 from almondspindle.utils.tasks import TaskSet
 
+T = TypeVar("T")
+
 GIVE_UP_AFTER_S = 2.5  # time for one part of a batch, all its tries together
 PAUSE_S = 0.05  # longest pause after the first failed call; doubles with each one
 MAX_PAUSE_S = 0.5
@@ -43,6 +46,17 @@
     ends_at: float
     failures: int = 0
 
+    async def bounded(self, call: Awaitable[Result[T, StoreError]]) -> Result[T, StoreError]:
+        """Return what `call` gives, or UNAVAILABLE when the time for the part is up first.
+
+        A write that is no longer awaited may still take effect; its condition keeps it harmless.
+        """
+        left_s = max(0.0, self.ends_at - self.clock.monotonic())
+        try:
+            return await asyncio.wait_for(call, left_s)
+        except TimeoutError:
+            return Error(StoreError(StoreErrorCode.UNAVAILABLE, "no answer within the time"))
+
     async def pause(self, error: StoreError, name: str) -> bool:
         """Wait after a failed call; return False when the time is up."""
         emit(CLAIM_WRITE_FAILED, object=name, code=error.code, reason=error.message)
@@ -140,7 +154,8 @@
             if not merged.is_changed and (is_fresh or _rests_on_sealed(view, merged)):
                 return merged, view
             if merged.is_changed:
-                written = await self._write(name, merged, view.version, len(changes))
+                write = self._write(name, merged, view.version, len(changes))
+                written = await tries.bounded(write)
                 if written.is_ok():
                     return merged, PartView(written.ok, merged.part)
                 if not await tries.pause(written.error, name):
@@ -151,11 +166,11 @@
 
     async def _read(self, name: str, tries: _Tries) -> PartView | None:
         """Return a part as the store has it, or None when there is none to be had in time."""
-        found = await self._platform.read(name)
+        found = await tries.bounded(self._platform.read(name))
         while found.is_error():
             if not await tries.pause(found.error, name):
                 return None
-            found = await self._platform.read(name)
+            found = await tries.bounded(self._platform.read(name))
         part = decode_part(found.ok.value)
         if part.is_error():
             emit(CLAIM_OBJECT_INVALID, object=name, reason=part.error)
--- /dev/null
+++ b/almondspindle/decisions/claim_reports.py
@@ -0,0 +1,55 @@
+"""What operators are told of a key's record."""
+
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from almondspindle.core.claims import ClaimRecord, ClaimState
+from almondspindle.core.outcomes import RunState
+from almondspindle.decisions.claim_keys import MAX_RETENTION_S, KeyAge, key_age
+from almondspindle.decisions.claims import is_overdue
+
+RUN_STATES: dict[ClaimState, RunState] = {
+    ClaimState.ABSENT: RunState.NOT_RUN,
+    ClaimState.CLAIMED: RunState.IN_PROGRESS,
+    ClaimState.RELEASED: RunState.NOT_RUN,
+    ClaimState.UNKNOWN: RunState.UNKNOWN,
+    ClaimState.ANSWERED: RunState.RUN,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReport:
+    """The state of a key, what is known of its run, and the newest attempt line by line."""
+
+    state: ClaimState
+    run_state: RunState
+    lines: tuple[str, ...] = ()
+
+
+def report_key(key: str, record: ClaimRecord | None, wall_now: float) -> KeyReport:
+    """Return what `record` says of `key` at `wall_now` (seconds since the epoch)."""
+    if record is None:
+        is_past = key_age(key, MAX_RETENTION_S, wall_now) is KeyAge.EXPIRED
+        run_state = RunState.UNKNOWN if is_past else RUN_STATES[ClaimState.ABSENT]
+        return KeyReport(ClaimState.ABSENT, run_state)
+    run_state = RUN_STATES[record.state]
+    if is_overdue(record, wall_now):
+        run_state = RunState.UNKNOWN
+    return KeyReport(record.state, run_state, tuple(_lines(record)))
+
+
+def _lines(record: ClaimRecord) -> list[str]:
+    lines = [
+        f"attempt {record.attempt} claimed at {_utc(record.claimed_at)} by {record.holder}"
+        f" under nonce {record.nonce}, may send until {_utc(record.may_send_until)}"
+    ]
+    if record.settled_at:
+        lines.append(f"attempt {record.attempt} settled at {_utc(record.settled_at)}")
+    if record.answer is not None:
+        kept = "kept" if record.answer.body is not None else "not kept"
+        lines.append(f"{record.answer.target} answered {record.answer.status}; the body is {kept}")
+    return lines
+
+
+def _utc(wall: float) -> str:
+    return datetime.fromtimestamp(wall, UTC).isoformat(timespec="milliseconds")
--- a/tests/chain/test_claims.py
+++ b/tests/chain/test_claims.py
@@ -7,12 +7,14 @@
 import pytest
 import uuid_utils
 
+from almondspindle.chain.base import Chain
 from almondspindle.core.calls import Call, WorkKind
-from almondspindle.core.outcomes import Refusal, RefusalCode, RunState
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.outcomes import Refusal, RefusalCode, RunState, refused
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S, MAX_SKEW_S
 from almondspindle.decisions.keys import without_claim
 from tests.decisions.test_claims import uuid7
-from tests.standins.claims_world import World
+from tests.standins.claims_world import CANDIDATES, World
 
 KEY = "01912d68-783e-7a03-8467-5661c1243ad4"
 DAY_S = 86_400.0
@@ -89,7 +91,7 @@
     async def check() -> None:
         async with World() as world:
             key = str(uuid_utils.uuid7())
-            world.entries[0].owner.refuse = 2
+            world.entries[0].owner.refuse = 2 * len(CANDIDATES)
             for _ in range(2):
                 answer = await world.entries[0].send(key)
                 assert (answer.verdict, answer.runs) == (RunState.NOT_RUN.value, 0)
@@ -119,3 +121,25 @@
     assert without_claim(call, refusal).run_state is expected
     unknown = replace(refusal, run_state=RunState.UNKNOWN)
     assert without_claim(call, unknown) == unknown
+
+
+class RefuseAll:
+    """A filter that refuses every call as not run."""
+
+    async def apply(self, call: Call, now: float):
+        """Return a refusal."""
+        return refused(RefusalCode.NOT_READY, "no configuration has been read yet")
+
+
+def test_a_refusal_before_the_claim_does_not_deny_an_earlier_run():
+    async def check() -> None:
+        async with World() as world:
+            key = str(uuid_utils.uuid7())
+            first, second = world.entries
+            await first.send(key)
+            second.chain = Chain((RefuseAll(),), second.settle, SystemClock())
+            answer = await second.send(key)
+            assert (answer.verdict, answer.runs) == (RunState.ATTEMPT_NOT_RUN.value, 1)
+            assert world.false_not_run == 0
+
+    asyncio.run(check())
--- a/tests/controllers/test_claim_batches.py
+++ b/tests/controllers/test_claim_batches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from almondspindle.controllers.claims import writer
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import RosterRead
@@ -88,6 +89,20 @@
     asyncio.run(check())
 
 
+def test_a_store_that_never_answers_does_not_hold_claims_back(monkeypatch):
+    async def check() -> None:
+        router = Router(FakePlatform(MemoryStore()))
+        router.start()
+        router.platform.hold("write")
+        (only,) = same_shard_claims(1)
+        assert (await router.desk.decide(only)).decision is Decision.UNAVAILABLE
+        assert (await router.desk.decide(only)).decision is Decision.GRANTED
+        router.kill()
+
+    monkeypatch.setattr(writer, "GIVE_UP_AFTER_S", 0.1)
+    asyncio.run(check())
+
+
 def test_a_malformed_object_is_left_as_it_is_and_nothing_is_granted():
     async def check() -> None:
         store = MemoryStore()
--- a/tests/standins/claims_world.py
+++ b/tests/standins/claims_world.py
@@ -36,6 +36,7 @@
 from tests.standins.fake_platform import FakePlatform, Gate, MemoryStore
 
 DEADLINE_S = 10.0
+CANDIDATES = tuple(Candidate(f"dispatch-{n}", f"host-{n}", "owner") for n in range(2))
 CONFIG = ConfigSet(
     1,
     {"grid-desk": Team("grid-desk", "0" * 64), "rival": Team("rival", "1" * 64)},
@@ -167,12 +168,12 @@
     return Finished(False, Refusal(code, "fault", run_state))
 
 
-class OneCandidate:
-    """A filter that ranks a single target."""
+class TwoCandidates:
+    """A filter that ranks two targets."""
 
     async def apply(self, call: Call, now: float):
-        """Return the call with its candidate."""
-        return Ok(call.with_(candidates=(Candidate("dispatch-0", "host-1", "owner"),)))
+        """Return the call with its candidates."""
+        return Ok(call.with_(candidates=CANDIDATES))
 
 
 @dataclass
@@ -221,7 +222,7 @@
         config.tell(ConfigRead(CONFIG))
         claim = ClaimKey(self.link, self.settler, config, name, clock, NullMetrics())
         relay = RelayToOwner(self.owner, clock, NullMetrics())
-        self.settle = SettleClaim(Chain((OneCandidate(),), relay, clock), self.settler, name)
+        self.settle = SettleClaim(Chain((TwoCandidates(),), relay, clock), self.settler, name)
         self.chain = Chain((RequireKey(), claim), self.settle, clock)
         sender = SettleSender(self.link, self.settler)
         loops = (config.run(), self.settler.run(), sender.run())
