--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -17,6 +17,7 @@
 )
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.changes import ConfigDelta
+from almondspindle.core.claims import Claim, ClaimReply, Look, Settle
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
@@ -39,6 +40,10 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    20: Claim,
+    21: Settle,
+    22: Look,
+    23: ClaimReply,
     30: GetConfigRequest,
     31: ConfigDelta,
     32: ConfigUpToDate,
--- a/almondspindle/chain/base.py
+++ b/almondspindle/chain/base.py
@@ -2,18 +2,33 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Protocol
 
-from almondspindle.core.calls import AnswerSink, Call, Finished
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerSink,
+    Call,
+    Finished,
+)
+from almondspindle.core.claims import RecordedAnswer
 from almondspindle.core.clock import Clock
-from almondspindle.core.outcomes import Outcome, Refusal
+from almondspindle.core.outcomes import InvariantError, Refusal, Result
+from almondspindle.decisions.keys import without_claim
+
+REPLAY_HEADER = ("Idempotent-Replayed", "true")
+
+# What may end a walk before the terminal.
+Stop = Refusal | RecordedAnswer
 
 
 class Filter(Protocol):
     """One step of a chain. It returns the call with what it found out, or a refusal."""
 
-    async def apply(self, call: Call, now: float) -> Outcome[Call]:
-        """Return the call to hand to the next filter, or a refusal that ends the walk.
+    async def apply(self, call: Call, now: float) -> Result[Call, Stop]:
+        """Return the call to hand to the next filter, or what ends the walk here.
 
         `now` is in seconds on the process's monotonic clock.
         """
@@ -30,10 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Walked:
-    """A call after the filters; `refusal` is set when one of them ended the walk."""
+    """A call after the filters; `stop` is set when one of them ended the walk."""
 
     call: Call
-    refusal: Refusal | None = None
+    stop: Stop | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +75,27 @@
 
     async def finish(self, walked: Walked, sink: AnswerSink) -> Finished:
         """Have the terminal answer a call that passed all filters; return how that ended."""
-        if walked.refusal is not None:
-            return Finished(started=False, refusal=walked.refusal)
+        if walked.stop is not None:
+            return await conclude(walked.stop, walked.call, sink)
         return await self.terminal.finish(walked.call, sink, self.clock.monotonic())
+
+
+@singledispatch
+async def conclude(stop: object, call: Call, sink: AnswerSink) -> Finished:
+    """End a walk with `stop` and return how that ended."""
+    raise InvariantError(f"unexpected end of a walk {type(stop).__name__}")
+
+
+@conclude.register
+async def _(stop: Refusal, call: Call, sink: AnswerSink) -> Finished:
+    return Finished(started=False, refusal=without_claim(call, stop))
+
+
+@conclude.register
+async def _(stop: RecordedAnswer, call: Call, sink: AnswerSink) -> Finished:
+    answer = stop.answer
+    await sink.write(AnswerHead(answer.status, (*answer.headers, REPLAY_HEADER), answer.target))
+    if answer.body:
+        await sink.write(AnswerChunk(answer.body))
+    await sink.write(AnswerEnd())
+    return Finished(started=True)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.claims import CLAIM_METHOD
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.server import PeerServer, Publisher
@@ -18,6 +19,10 @@
 from almondspindle.conf.router import RouterCfg
 from almondspindle.controllers.admission.messages import PolicyChanged
 from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.controllers.claims.desk import ClaimsDesk
+from almondspindle.controllers.claims.janitor import ClaimsJanitor
+from almondspindle.controllers.claims.task import ClaimsController
+from almondspindle.controllers.claims.writer import SegmentWriter
 from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
 from almondspindle.controllers.configuration.messages import (
     ConfigInForce,
@@ -37,6 +42,7 @@
 from almondspindle.core.events import PROCESS_STOPPED
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.logs import emit, log_to_stderr
+from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
 from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
@@ -74,6 +80,11 @@
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        self._claims = ClaimsController(clock)
+        metrics = make_metrics(cfg.statsd)
+        self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
+        self._janitor = ClaimsJanitor(self._platform, self._directory, HostName(cfg.host), clock)
+        self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
         ConfigMethods(self._spread, self._directory, receiver).register(self._server)
         TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
@@ -95,6 +106,9 @@
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("claims", self._claims.run())
+        self._tasks.start("claim-writer", self._claim_writer.run())
+        self._tasks.start("claims-janitor", self._janitor.run())
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("config-courier", self._courier.run())
         self._tasks.start("config-start", self._follow_config())
