--- /dev/null
+++ b/almondspindle/adapters/target/load.py
@@ -0,0 +1,62 @@
+"""Read the load report of a target over HTTP."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, Field, ValidationError
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from almondspindle.core.load import LoadReport
+from almondspindle.core.outcomes import Error, Ok, Result
+
+LOAD_PATH = "/load"
+TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 64 * 1024
+MAX_POLLS_AT_ONCE = 100
+HTTP_OK = 200
+
+Count = Annotated[int, Field(ge=0)]
+
+
+class LoadReportModel(BaseModel):
+    """A report as an engine sends it. Engines may add fields; those are ignored."""
+
+    boot_id: Annotated[str, Field(min_length=1, max_length=128)]
+    uptime_s: Annotated[float, Field(ge=0.0, allow_inf_nan=False)]
+    in_flight: Count
+    cached_prefixes: Count = 0
+
+
+class HttpLoadLink:
+    """Read reports with `GET /load`, one connection a poll."""
+
+    def __init__(self) -> None:
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_POLLS_AT_ONCE, max_body_size=MAX_REPORT_BYTES
+        )
+
+    async def read(self, address: str) -> Result[LoadReport, str]:
+        """Return the report of the target at `address`, or why there is none."""
+        req = HTTPRequest(
+            f"http://{address}{LOAD_PATH}",
+            connect_timeout=TIMEOUT_S,
+            request_timeout=TIMEOUT_S,
+            decompress_response=False,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(req, raise_error=False)
+        except (OSError, HTTPClientError) as exc:
+            return Error(repr(exc))
+        if response.code != HTTP_OK:
+            return Error(f"status {response.code}")
+        return parse_report(response.body)
+
+
+def parse_report(body: bytes) -> Result[LoadReport, str]:
+    """Return the report in `body`, or what is wrong with it."""
+    try:
+        model = LoadReportModel.model_validate_json(body)
+    except ValidationError as exc:
+        return Error(str(exc))
+    return Ok(LoadReport(**model.model_dump()))
--- a/almondspindle/chain/admit.py
+++ b/almondspindle/chain/admit.py
@@ -1,13 +1,18 @@
 """Admit a call to its target within the target's limits."""
 
-from almondspindle.controllers.admission.messages import Admit
+import asyncio
+
+from almondspindle.controllers.admission.messages import Admit, Release
 from almondspindle.controllers.admission.task import AdmissionController
 from almondspindle.core.calls import Call
 from almondspindle.core.outcomes import Outcome
 
 
 class AdmitToTarget:
-    """Take a ticket for one request in flight; the terminal gives it back."""
+    """Take a ticket for one request in flight; the terminal gives it back.
+
+    This is the last filter of its chain, so that nothing can fail between ticket and terminal.
+    """
 
     def __init__(self, admission: AdmissionController) -> None:
         self._admission = admission
@@ -16,5 +21,15 @@
         """Return the call with its ticket, or a refusal when the target has no room."""
         assert call.target and call.service and call.team and call.work
         ask = Admit(call.target, call.service, call.team, call.work, call.chat_id)
-        ticket = await self._admission.ask(ask)
+        asked = asyncio.ensure_future(self._admission.ask(ask))
+        try:
+            ticket = await asyncio.shield(asked)
+        except asyncio.CancelledError:
+            # The ticket may be granted after the caller has gone; it goes back at once.
+            asked.add_done_callback(self._give_back)
+            raise
         return ticket.map(lambda number: call.with_(ticket=number))
+
+    def _give_back(self, asked: "asyncio.Future[Outcome[int]]") -> None:
+        if not asked.cancelled() and asked.result().is_ok():
+            self._admission.tell(Release(asked.result().ok))
--- /dev/null
+++ b/almondspindle/chain/limit.py
@@ -0,0 +1,19 @@
+"""Hold a team to its rate of requests."""
+
+from almondspindle.controllers.limits.messages import TakeToken
+from almondspindle.controllers.limits.task import LimitsController
+from almondspindle.core.calls import Call
+from almondspindle.core.outcomes import Outcome
+
+
+class LimitTeam:
+    """Take one token of the call's team."""
+
+    def __init__(self, limits: LimitsController) -> None:
+        self._limits = limits
+
+    async def apply(self, call: Call, now: float) -> Outcome[Call]:
+        """Return the call, or a refusal that says when the next token is due."""
+        assert call.team is not None
+        token = await self._limits.ask(TakeToken(call.team))
+        return token.map(lambda _: call)
--- a/almondspindle/chain/relay.py
+++ b/almondspindle/chain/relay.py
@@ -1,14 +1,32 @@
 """Relay a call to the owner of its best candidate, then to the next ones while that is safe."""
 
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
+from almondspindle.controllers.retries.messages import MayRetry, RequestSeen
+from almondspindle.controllers.retries.task import RetriesController
 from almondspindle.core.calls import AnswerSink, Call, Candidate, Finished
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import ATTEMPT_FAILED
 from almondspindle.core.logs import emit
-from almondspindle.core.metrics import RETRIES, MetricSender
+from almondspindle.core.metrics import REDIRECTS, RETRIES, MetricSender
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
-from almondspindle.decisions.retry import NextStep, next_step
+from almondspindle.decisions.jitter import full_jitter
+from almondspindle.decisions.retry import (
+    FULL_RETRY_AFTER_S,
+    RETRY_BASE_S,
+    RETRY_CAP_S,
+    ROUND_BASE_S,
+    ROUND_CAP_S,
+    NextStep,
+    Stage,
+    next_step,
+    stage_of,
+    wants_another_round,
+)
 
 
 class OwnerLink(Protocol):
@@ -19,32 +37,106 @@
         ...
 
 
+@dataclass(slots=True)
+class _Tries:
+    """What the attempts at one call have come to. `final` ends them."""
+
+    last: Finished | None = None
+    final: Finished | None = None
+    retries: int = 0
+    maybe_sent: bool = False
+    codes: set[RefusalCode] = field(default_factory=set)
+
+
 class RelayToOwner:
     """The entry's terminal: try candidates in order, as the retry decisions allow."""
 
-    def __init__(self, owners: OwnerLink, clock: Clock, metrics: MetricSender) -> None:
+    def __init__(
+        self,
+        owners: OwnerLink,
+        retries: RetriesController,
+        clock: Clock,
+        metrics: MetricSender,
+        random_share: Callable[[], float] = random.random,
+    ) -> None:
         self._owners = owners
+        self._retries = retries
         self._clock = clock
         self._metrics = metrics
+        self._random_share = random_share
 
     async def finish(self, call: Call, sink: AnswerSink, now: float) -> Finished:
         """Return how the last attempt ended; a whole answer ends the tries."""
-        assert call.work is not None
-        last: Finished | None = None
-        for attempt, candidate in enumerate(call.candidates):
-            if attempt > 0:
-                self._metrics.count(RETRIES)
-            if self._clock.monotonic() >= call.deadline_at:
-                return Finished(False, _deadline_refusal(last))
-            last = await self._owners.relay(call, candidate, sink)
-            if last.refusal is None:
-                return last
-            _log_attempt(call, candidate, last.refusal)
-            if next_step(call.work, last) is NextStep.GIVE_UP:
-                return last
-        if last is None:
+        assert call.work is not None and call.service is not None
+        self._retries.tell(RequestSeen(call.service))
+        tries = _Tries()
+        rounds = 0
+        while tries.final is None:
+            tries.codes.clear()
+            await self._round(call, sink, tries)
+            rounds += 1
+            if tries.final is None and not wants_another_round(tries.codes, rounds):
+                break
+            if tries.final is None:
+                await self._pause(call, rounds, ROUND_BASE_S, ROUND_CAP_S)
+        ended = tries.final or tries.last
+        if ended is None:
             raise InvariantError("a ranked call has no candidate")
-        return last
+        return _with_retry_after(_with_run_state(ended, tries))
+
+    async def _round(self, call: Call, sink: AnswerSink, tries: _Tries) -> None:
+        for candidate in call.candidates:
+            if self._clock.monotonic() >= call.deadline_at:
+                tries.final = Finished(False, _deadline_refusal(tries.last))
+                return
+            tries.last = await self._owners.relay(call, candidate, sink)
+            if tries.last.refusal is None:
+                tries.final = tries.last
+                return
+            _log_attempt(call, candidate, tries.last.refusal)
+            tries.codes.add(tries.last.refusal.code)
+            if not await self._goes_on(call, tries):
+                tries.final = tries.last
+                return
+
+    async def _goes_on(self, call: Call, tries: _Tries) -> bool:
+        assert call.work is not None and call.service is not None and tries.last is not None
+        step = next_step(call.work, tries.last)
+        if stage_of(tries.last) is not Stage.NOT_SENT:
+            tries.maybe_sent = True
+        if step is NextStep.GIVE_UP:
+            return False
+        if step is NextStep.REDIRECT:
+            self._metrics.count(REDIRECTS)
+            return True
+        if not await self._retries.ask(MayRetry(call.service)):
+            return False
+        self._metrics.count(RETRIES)
+        tries.retries += 1
+        await self._pause(call, tries.retries, RETRY_BASE_S, RETRY_CAP_S)
+        return True
+
+    async def _pause(self, call: Call, attempt: int, base_s: float, cap_s: float) -> None:
+        left_s = call.deadline_at - self._clock.monotonic()
+        wait_s = full_jitter(attempt, base_s, cap_s, self._random_share())
+        await asyncio.sleep(max(0.0, min(left_s, wait_s)))
+
+
+def _with_run_state(ended: Finished, tries: _Tries) -> Finished:
+    """Return `ended` without the claim "not run" when an earlier attempt may have run."""
+    refusal = ended.refusal
+    if refusal is None or not tries.maybe_sent or refusal.run_state is not RunState.NOT_RUN:
+        return ended
+    return replace(ended, refusal=replace(refusal, run_state=RunState.UNKNOWN))
+
+
+def _with_retry_after(ended: Finished) -> Finished:
+    refusal = ended.refusal
+    if refusal is None or refusal.code is not RefusalCode.FULL:
+        return ended
+    if refusal.retry_after_s is not None:
+        return ended
+    return replace(ended, refusal=replace(refusal, retry_after_s=FULL_RETRY_AFTER_S))
 
 
 def _deadline_refusal(last: Finished | None) -> Refusal:
--- a/almondspindle/chain/send.py
+++ b/almondspindle/chain/send.py
@@ -1,10 +1,15 @@
 """Send a call to its target and pass the answer on."""
 
+from functools import singledispatchmethod
 from typing import Protocol
 
-from almondspindle.controllers.admission.messages import Release
+from almondspindle.controllers.admission.messages import Answered, Release
 from almondspindle.controllers.admission.task import AdmissionController
-from almondspindle.core.calls import AnswerSink, Call, Finished
+from almondspindle.core.calls import AnswerHead, AnswerPart, AnswerSink, Call, Finished
+from almondspindle.core.clock import Clock
+from almondspindle.core.outcomes import RefusalCode
+
+FAILURES = frozenset({RefusalCode.TARGET_UNREACHABLE, RefusalCode.ANSWER_BROKEN})
 
 
 class TargetLink(Protocol):
@@ -15,17 +20,49 @@
         ...
 
 
+class _TimedSink:
+    """Tell admission of the first byte, and pass all parts on."""
+
+    def __init__(
+        self, sink: AnswerSink, admission: AdmissionController, clock: Clock, ticket: int
+    ) -> None:
+        self._sink = sink
+        self._admission = admission
+        self._clock = clock
+        self._ticket = ticket
+        self._sent_at = clock.monotonic()
+
+    async def write(self, part: AnswerPart) -> None:
+        """Pass on `part`."""
+        self._note(part)
+        await self._sink.write(part)
+
+    @singledispatchmethod
+    def _note(self, part: object) -> None:
+        """Note nothing of the parts after the head."""
+
+    @_note.register
+    def _(self, part: AnswerHead) -> None:
+        first_byte_s = self._clock.monotonic() - self._sent_at
+        self._admission.tell(Answered(self._ticket, first_byte_s))
+
+
 class SendToTarget:
     """The owner's terminal: one attempt, then the ticket goes back."""
 
-    def __init__(self, targets: TargetLink, admission: AdmissionController) -> None:
+    def __init__(self, targets: TargetLink, admission: AdmissionController, clock: Clock) -> None:
         self._targets = targets
         self._admission = admission
+        self._clock = clock
 
     async def finish(self, call: Call, sink: AnswerSink, now: float) -> Finished:
         """Return how the attempt ended. The ticket is given back also on cancellation."""
         assert call.ticket is not None
+        failed = False
         try:
-            return await self._targets.send(call, sink, now)
+            timed = _TimedSink(sink, self._admission, self._clock, call.ticket)
+            finished = await self._targets.send(call, timed, now)
+            failed = finished.refusal is not None and finished.refusal.code in FAILURES
+            return finished
         finally:
-            self._admission.tell(Release(call.ticket))
+            self._admission.tell(Release(call.ticket, failed))
--- a/almondspindle/conf/router.py
+++ b/almondspindle/conf/router.py
@@ -16,6 +16,12 @@
         1.0, gt=0, description="Time between readings of the platform's host list, seconds."
     )
     watch_wait_s: float = Field(20.0, gt=0, description="Longest wait of one watch, seconds.")
+    load_poll_s: float = Field(
+        5.0, gt=0, description="Time between two polls of a target's load, seconds."
+    )
+    takeover_s: float = Field(
+        5.0, ge=0, description="Time for all hosts to learn of a new owner, seconds."
+    )
     stop_bound_s: float = Field(
         600.0, ge=0, description="Longest wait for requests in flight at a stop, seconds."
     )
--- a/almondspindle/controllers/admission/messages.py
+++ b/almondspindle/controllers/admission/messages.py
@@ -1,11 +1,14 @@
 """Messages of the admission controller."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import Question
 from almondspindle.core.calls import WorkKind
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.identifiers import ChatId, ServiceName, TargetName, TeamName
+from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.identifiers import ChatId, HostName, ServiceName, TargetName, TeamName
+from almondspindle.core.load import LoadReport, OwnedTarget
 from almondspindle.core.outcomes import Outcome
 
 
@@ -16,6 +19,13 @@
     config: ConfigSet
 
 
+@dataclass(frozen=True, slots=True)
+class OwnedTargets:
+    """The targets in service that this host owns now."""
+
+    targets: tuple[OwnedTarget, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Admit(Question[Outcome[int]]):
     """Ask for a ticket for one request in flight at `target`."""
@@ -27,8 +37,55 @@
     chat_id: ChatId | None
 
 
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The first byte for a ticket came `first_byte_s` seconds after the request was sent."""
+
+    ticket: int
+    first_byte_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
-    """A request in flight has ended."""
+    """A request in flight has ended. `failed` tells that its connection was refused or broke."""
 
     ticket: int
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadHeard:
+    """A target answered a poll that was sent at `asked_at` (seconds, monotonic)."""
+
+    target: TargetName
+    report: LoadReport
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadMissed:
+    """A target did not answer a poll."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class GetDigests(Question[tuple[ServiceDigest, ...]]):
+    """Ask for the sums over the targets that this host owns, one digest per service."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDigests:
+    """The digests of all other hosts in view, each host's newest."""
+
+    by_host: dict[HostName, tuple[ServiceDigest, ...]]
+
+
+PollListener = Callable[[TargetName], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribePolls:
+    """Call `listener` with each target whose report is wanted before its next turn."""
+
+    listener: PollListener
--- /dev/null
+++ b/almondspindle/controllers/admission/record.py
@@ -0,0 +1,73 @@
+"""What the admission controller keeps per target."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.identifiers import TeamName
+from almondspindle.core.load import OwnedTarget
+from almondspindle.decisions.health import Health
+from almondspindle.decisions.sharing import DEMAND_S, URGENT, Demand
+
+
+@dataclass(slots=True)
+class OwnLoad:
+    """The owner's own requests in flight, with their range over the last two reports."""
+
+    in_flight: int = 0
+    low: int = 0
+    peak: int = 0
+    earlier_low: int = 0
+    earlier_peak: int = 0
+
+    def change(self, step: int) -> None:
+        """Add `step` to the requests in flight."""
+        self.in_flight += step
+        self.low = min(self.low, self.in_flight)
+        self.peak = max(self.peak, self.in_flight)
+
+    def range(self) -> tuple[int, int]:
+        """Return the low and the peak since the report before the last."""
+        return min(self.low, self.earlier_low), max(self.peak, self.earlier_peak)
+
+    def turn(self) -> None:
+        """Begin the next range, at a report."""
+        self.earlier_low, self.earlier_peak = self.low, self.peak
+        self.low = self.peak = self.in_flight
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """One target: its health, its load, and who asks for it.
+
+    `answered` holds when the first byte came for each open ticket, oldest first. A target that
+    is no longer owned keeps its record until its last ticket is back.
+    """
+
+    owned: OwnedTarget
+    health: Health
+    is_owned: bool = True
+    load: OwnLoad = field(default_factory=OwnLoad)
+    foreign: int = 0
+    teams: Counter[TeamName] = field(default_factory=Counter)
+    asked_at: dict[TeamName, float] = field(default_factory=dict)
+    urgent_at: float | None = None
+    answered: dict[int, float] = field(default_factory=dict)
+
+    def note_demand(self, team: TeamName, work: WorkKind, now: float) -> None:
+        """Remember that `team` asked for the target, and forget those that ceased to."""
+        if work in URGENT:
+            self.urgent_at = now
+        self.asked_at[team] = now
+        for name in [name for name, at in self.asked_at.items() if now - at >= DEMAND_S]:
+            del self.asked_at[name]
+
+    def demand(self) -> Demand:
+        """Return the teams' demand, for the decision on shares."""
+        return Demand(self.teams, self.asked_at, self.urgent_at)
+
+    def is_proven(self) -> bool:
+        """Return whether a request answered before the last poll was sent is still open."""
+        oldest = next(iter(self.answered.values()), None)
+        proven_at = self.health.proven_at
+        return oldest is not None and proven_at is not None and oldest < proven_at
--- /dev/null
+++ b/almondspindle/controllers/admission/report.py
@@ -0,0 +1,38 @@
+"""Tell repair, by numbered events, what changed in a target's health."""
+
+from dataclasses import replace
+
+from almondspindle.core.config import Policy
+from almondspindle.core.events import (
+    RAMP_ENDED,
+    TARGET_BACK,
+    TARGET_COLD,
+    TARGET_IN_DOUBT,
+    TARGET_UNREACHABLE,
+)
+from almondspindle.core.identifiers import TargetName
+from almondspindle.core.logs import emit
+from almondspindle.decisions.health import Health, is_cold
+
+
+def emit_changes(
+    target: TargetName, before: Health, after: Health, policy: Policy, limit: int, now: float
+) -> Health:
+    """Write an event per change from `before` to `after`; return `after` with ended ramps cleared.
+
+    A ramp ends by the passing of time alone, so that its end is told at the next observation.
+    """
+    cold = is_cold(after, policy, limit, now)
+    if cold and after.cold_at != before.cold_at:
+        emit(TARGET_COLD, target=target, boot_id=after.boot_id)
+    if after.in_doubt and not before.in_doubt:
+        emit(TARGET_IN_DOUBT, target=target)
+    if after.unreachable and not before.unreachable:
+        emit(TARGET_UNREACHABLE, target=target)
+    if before.unreachable and not after.unreachable:
+        emit(TARGET_BACK, target=target)
+    if after.cold_at is None or cold:
+        return after
+    if after.cold_at == before.cold_at:
+        emit(RAMP_ENDED, target=target)
+    return replace(after, cold_at=None)
--- /dev/null
+++ b/almondspindle/controllers/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Hold teams to their rate of requests at this entry."""
--- /dev/null
+++ b/almondspindle/controllers/limits/task.py
@@ -0,0 +1,53 @@
+"""The controller that owns one token bucket a team."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.limits.messages import HostsSeen, TakeToken
+from almondspindle.controllers.targets.messages import ConfigChanged
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import Team
+from almondspindle.core.identifiers import TeamName
+from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+from almondspindle.decisions.rate import TokenBucket, entry_rate, take
+
+
+class LimitsController(Controller):
+    """Own the buckets. A bucket exists from a team's first request on."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._teams: dict[TeamName, Team] = {}
+        self._hosts = 1
+        self._buckets: dict[TeamName, TokenBucket] = {}
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: ConfigChanged, now: float) -> None:
+        self._teams = msg.config.teams
+        self._buckets = {name: b for name, b in self._buckets.items() if name in self._teams}
+
+    @handle.register
+    def _(self, msg: HostsSeen, now: float) -> None:
+        self._hosts = msg.hosts
+
+    @handle.register
+    def _(self, msg: TakeToken, now: float) -> Outcome[None]:
+        team = self._teams.get(msg.team)
+        if team is None:
+            return Ok(None)
+        rate = entry_rate(team.requests_per_s, self._hosts)
+        taken = take(self._buckets.get(msg.team), rate, now)
+        self._buckets[msg.team] = taken.bucket
+        if taken.wait_s is None:
+            return Ok(None)
+        return refused(
+            RefusalCode.RATE_LIMITED,
+            f"team {msg.team!r} is over its rate of {team.requests_per_s:g} requests/s",
+            retry_after_s=taken.wait_s,
+        )
--- /dev/null
+++ b/almondspindle/controllers/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Poll the load of the owned targets that report it."""
--- /dev/null
+++ b/almondspindle/controllers/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the budget of retries per service."""
--- /dev/null
+++ b/almondspindle/controllers/retries/messages.py
@@ -0,0 +1,20 @@
+"""Messages of the controller of retry budgets."""
+
+from dataclasses import dataclass
+
+from almondspindle.controllers.base import Question
+from almondspindle.core.identifiers import ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSeen:
+    """A first attempt at a request of `service` begins."""
+
+    service: ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class MayRetry(Question[bool]):
+    """Ask for one retry out of the budget of `service`."""
+
+    service: ServiceName
--- /dev/null
+++ b/almondspindle/controllers/retries/task.py
@@ -0,0 +1,49 @@
+"""The controller that owns one retry budget a service."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.retries.messages import MayRetry, RequestSeen
+from almondspindle.controllers.targets.messages import ConfigChanged
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet, Policy
+from almondspindle.core.identifiers import ServiceName
+from almondspindle.decisions.budget import RetryBudget, add_request, spend_retry
+
+
+class RetriesController(Controller):
+    """Own the budgets."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._config = ConfigSet()
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message; see the module of messages."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: ConfigChanged, now: float) -> None:
+        self._config = msg.config
+        self._budgets = {
+            name: budget for name, budget in self._budgets.items() if name in msg.config.services
+        }
+
+    @handle.register
+    def _(self, msg: RequestSeen, now: float) -> None:
+        service = self._config.services.get(msg.service)
+        share = (service.policy if service else Policy()).retry_budget
+        self._budgets[msg.service] = add_request(self._budget(msg.service, now), share, now)
+
+    @handle.register
+    def _(self, msg: MayRetry, now: float) -> bool:
+        budget = self._budget(msg.service, now)
+        spent = spend_retry(budget, now)
+        self._budgets[msg.service] = spent or budget
+        return spent is not None
+
+    def _budget(self, service: ServiceName, now: float) -> RetryBudget:
+        return self._budgets.get(service, RetryBudget(at=now))
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -8,24 +8,35 @@
     ConfigChanged,
     FindOwned,
     GetRoster,
+    OwnedListener,
     RankTargets,
     RosterRead,
+    SubscribeOwned,
 )
+from almondspindle.controllers.targets.rankings import ServiceRankings
 from almondspindle.core.calls import Candidate
 from almondspindle.core.clock import Clock
-from almondspindle.core.config import ConfigSet, Intent
+from almondspindle.core.config import ConfigSet, Intent, ServiceKind
 from almondspindle.core.events import ROSTER_CHANGED
-from almondspindle.core.identifiers import HostName, ServiceName, TargetName
+from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.roster import Host, Roster, Target, TargetState
-from almondspindle.decisions.ownership import owner_of
-from almondspindle.decisions.ranking import Ranking, RendezvousScan
+from almondspindle.decisions.ownership import OWNING_STATES, owner_of
+from almondspindle.decisions.region import is_in_region
 
 CANDIDATES = 6  # targets tried for one request at the most
 RETRY_AFTER_S = 1.0
 
 
+def changed_targets(before: Roster, after: Roster) -> list[TargetName]:
+    """Return the targets that joined, left or changed between two rosters."""
+    old, new = before.targets, after.targets
+    gone = [name for name in old if name not in new]
+    return gone + [name for name, target in new.items() if old.get(name) != target]
+
+
 class DirectoryController(Controller):
     """Own the roster and what is derived from it: owners and a ranking per service."""
 
@@ -35,7 +46,10 @@
         self._roster = Roster()
         self._config = ConfigSet()
         self._owners: dict[TargetName, Host] = {}
-        self._rankings: dict[ServiceName, Ranking] = {}
+        self._rankings = ServiceRankings()
+        self._zone: ZoneName | None = None
+        self._previous: dict[TargetName, HostName] = {}
+        self._listener: OwnedListener = lambda owned: None
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -46,14 +60,29 @@
     def _(self, msg: RosterRead, now: float) -> None:
         if msg.roster == self._roster:
             return
+        before, owners = self._roster, self._owners
         self._roster = msg.roster
         emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
         self._derive()
+        own = self._own_zone()
+        everywhere = self._zone != own
+        self._zone = own
+        self._rank(self._all_names() if everywhere else changed_targets(before, msg.roster))
+        self._tell_owned(before, owners)
 
     @handle.register
     def _(self, msg: ConfigChanged, now: float) -> None:
+        if msg.config == self._config:
+            return
         self._config = msg.config
         self._derive()
+        self._rank(self._all_names())
+        self._tell_owned(self._roster, self._owners)
+
+    @handle.register
+    def _(self, msg: SubscribeOwned, now: float) -> None:
+        self._listener = msg.listener
+        self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -61,8 +90,7 @@
 
     @handle.register
     def _(self, msg: RankTargets, now: float) -> Outcome[tuple[Candidate, ...]]:
-        ranking = self._rankings.get(msg.service)
-        names = ranking.rank(msg.key, CANDIDATES) if ranking else []
+        names = self._rankings.rank(msg.service, msg.key, CANDIDATES)
         candidates = tuple(self._candidate(name) for name in names if name in self._owners)
         if not candidates:
             return refused(
@@ -99,11 +127,59 @@
     def _derive(self) -> None:
         hosts = list(self._roster.hosts.values())
         self._owners = {}
-        by_service: dict[ServiceName, list[TargetName]] = {}
         for target in self._roster.targets.values():
             owner = owner_of(target, hosts)
             if owner is not None:
                 self._owners[target.name] = owner
-            if self._out_of_service(target) is None:
-                by_service.setdefault(target.service, []).append(target.name)
-        self._rankings = {name: RendezvousScan(names) for name, names in by_service.items()}
+
+    def _own_zone(self) -> ZoneName | None:
+        host = self._roster.hosts.get(self._own_host)
+        return host.zone if host else None
+
+    def _all_names(self) -> list[TargetName]:
+        left = [name for name in self._rankings.names() if name not in self._roster.targets]
+        return left + list(self._roster.targets)
+
+    def _rank(self, names: list[TargetName]) -> None:
+        for name in names:
+            self._rankings.place(name, self._service_to_rank(name))
+
+    def _service_to_rank(self, name: TargetName) -> ServiceName | None:
+        target = self._roster.targets.get(name)
+        if target is None or self._out_of_service(target) is not None:
+            return None
+        if not is_in_region(self._config, self._zone, target.zone):
+            return None
+        return target.service
+
+    def _tell_owned(self, before: Roster, owners: dict[TargetName, Host]) -> None:
+        """Tell the listener of the owned targets, with what the view before says of them."""
+        owned = []
+        for name, owner in self._owners.items():
+            target = self._roster.targets[name]
+            if owner.name != self._own_host or self._out_of_service(target) is not None:
+                self._previous.pop(name, None)
+                continue
+            earlier = owners.get(name) if before.hosts else self._owner_without_us(target)
+            if earlier is not None and earlier.name != self._own_host:
+                self._previous[name] = earlier.name
+            joined = bool(before.targets) and name not in before.targets
+            owned.append(
+                OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
+            )
+        self._listener(tuple(owned))
+
+    def _owner_without_us(self, target: Target) -> Host | None:
+        """Return who owned `target` before this host came, as its first roster shows it."""
+        hosts = self._roster.hosts.values()
+        return owner_of(target, (host for host in hosts if host.name != self._own_host))
+
+    def _live_previous(self, name: TargetName) -> HostName | None:
+        host = self._roster.hosts.get(self._previous.get(name, HostName("")))
+        if host is None or host.state not in OWNING_STATES:
+            return None
+        return host.name
+
+    def _reports(self, target: Target) -> bool:
+        service = self._config.services.get(target.service)
+        return service is not None and service.kind is ServiceKind.CHAT
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -1,14 +1,18 @@
 """Messages of the controllers that know targets."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import Question
 from almondspindle.core.calls import Candidate
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import ServiceName, TargetName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.outcomes import Outcome
 from almondspindle.core.roster import Roster, Target
 
+OwnedListener = Callable[[tuple[OwnedTarget, ...]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class RosterRead:
@@ -42,3 +46,10 @@
 @dataclass(frozen=True, slots=True)
 class GetRoster(Question[Roster]):
     """Ask for the hosts and targets in view."""
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeOwned:
+    """Call `listener` with the targets in service that this host owns, after each change."""
+
+    listener: OwnedListener
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -50,3 +50,13 @@
 # 1300 to 1399: membership, ownership and targets.
 HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
 ROSTER_CHANGED = event(1301, "roster_changed", "The set of hosts or targets changed.")
+
+# 1400 to 1499: admission, load reports and slow start.
+TARGET_COLD = event(1400, "target_cold", "A target turned cold; its slow start begins.")
+RAMP_ENDED = event(1401, "ramp_ended", "A target's slow start is over.")
+TARGET_UNREACHABLE = event(1402, "target_unreachable", "A target left several polls unanswered.")
+TARGET_BACK = event(1403, "target_back", "A target answers polls again.")
+TARGET_IN_DOUBT = event(
+    1404, "target_in_doubt", "An attempt or poll failed; a restart can't be ruled out."
+)
+TARGETS_OWNED = event(1405, "targets_owned", "The set of targets that this host owns changed.")
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -28,7 +28,8 @@
 REQUESTS = metric("requests", "counter", "requests", "Requests that reached the chain.")
 REFUSALS = metric("refusals", "counter", "requests", "Requests that were refused.")
 ANSWERS = metric("answers", "counter", "requests", "Requests that were answered whole.")
-RETRIES = metric("retries", "counter", "attempts", "Attempts after the first one.")
+RETRIES = metric("retries", "counter", "attempts", "Repeats out of the budget of retries.")
+REDIRECTS = metric("redirects", "counter", "attempts", "Refusals that led to the next candidate.")
 FIRST_BYTE = metric("first_byte", "timer", "ms", "Time from request to first byte of the answer.")
 
 
--- a/almondspindle/decisions/admission.py
+++ b/almondspindle/decisions/admission.py
@@ -2,25 +2,172 @@
 
 import math
 from dataclasses import dataclass
+from enum import StrEnum
 
 from almondspindle.core.config import Policy
+from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.identifiers import ChatId, TargetName
+from almondspindle.core.outcomes import RefusalCode
+from almondspindle.decisions.health import Health, is_cold
+from almondspindle.decisions.slow_start import is_in_slice, ramp_limit, slice_share
+
+UNHEARD_S = 2.0  # longest wait of a new owner for the first report
+REPORT_LAG_S = 1.0  # age of what a report shows
+
+
+class Trust(StrEnum):
+    """How far an owner may rely on being the only one."""
+
+    UNHEARD = "unheard"  # no report since ownership began
+    SHARED = "shared"  # the previous owner may still admit
+    SETTLED = "settled"
+
+
+# Share of its bound that a target gets, by trust and by whether its start limit binds. Where it
+# binds, a second owner gets nothing, so that two owners together stay within that limit.
+BOUND_SHARE: dict[tuple[Trust, bool], float] = {
+    (Trust.UNHEARD, False): 0.0,
+    (Trust.UNHEARD, True): 0.0,
+    (Trust.SHARED, False): 0.5,
+    (Trust.SHARED, True): 0.0,
+    (Trust.SETTLED, False): 1.0,
+    (Trust.SETTLED, True): 1.0,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Sums over all targets of a service. Loads are requests in flight."""
+
+    in_flight: int = 0
+    warm: int = 0
+
+    def mean(self) -> float:
+        """Return the mean load of the warm targets with the new request counted in.
+
+        Cold targets stay out of the mean: with more than 1 - 1/multiple of the targets cold, a
+        bound on a mean over all of them would sink with every refusal until it met the floor.
+        """
+        return (self.in_flight + 1) / self.warm if self.warm else 0.0
+
+
+def sum_digests(digests: list[ServiceDigest]) -> ServiceLoad:
+    """Return the load of a service from the digests of all owners."""
+    return ServiceLoad(
+        sum(digest.in_flight - digest.cold_in_flight for digest in digests),
+        sum(digest.targets - digest.cold for digest in digests),
+    )
 
 
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
-    """What the owner knows of a target when it decides. Loads are requests in flight."""
+    """What the owner knows of a target when it decides. Loads are requests in flight.
 
+    `in_flight` are the owner's own, `foreign` those that others have there by the target's
+    report. `proven` tells that a request sent before the last report is still open, so that the
+    target can't have restarted since.
+    """
+
+    target: TargetName
     in_flight: int
+    foreign: int
     limit: int
-    service_mean: float
+    service: ServiceLoad
+    health: Health
+    trust: Trust
+    proven: bool
+
+
+def trust_of(health: Health, has_previous: bool, takeover_s: float, now: float) -> Trust:
+    """Return how far the owner may rely on being the only one at `now`.
+
+    `takeover_s` is the time for all hosts to learn of a new owner. After it a report must show
+    what the previous owner left in flight.
+    """
+    age_s = now - health.gained_at
+    if health.reports and health.boot_id is None and age_s < UNHEARD_S:
+        return Trust.UNHEARD
+    if not has_previous or takeover_s <= 0:
+        return Trust.SETTLED
+    if age_s < takeover_s:
+        return Trust.SHARED
+    seen_from = health.gained_at + takeover_s + REPORT_LAG_S
+    if health.reports and (health.proven_at is None or health.proven_at < seen_from):
+        return Trust.SHARED
+    return Trust.SETTLED
+
+
+def foreign_load(reported: int, own_low: int, own_peak: int, trust: Trust) -> int:
+    """Return the requests that others have in flight, by a report that lags.
+
+    `own_low` and `own_peak` bound the owner's own requests while the report was made. Reports lag,
+    so a settled owner takes the peak for its own; a new one takes the low.
+    """
+    own = own_peak if trust is Trust.SETTLED else own_low
+    return max(0, reported - own)
 
 
 def load_bound(policy: Policy, service_mean: float) -> int:
-    """Return the highest number of requests in flight that the set multiple allows."""
+    """Return the highest number of requests in flight that the set multiple allows.
+
+    A mean of a few requests makes the multiple useless: ceil(1.25 x 1) = 2 sends a third turn away
+    from its cache at a nearly idle target. `Policy.load_floor` is the bound there.
+    """
     return max(policy.load_floor, math.ceil(policy.load_multiple * service_mean))
 
 
-def has_room(policy: Policy, load: TargetLoad) -> bool:
-    """Return whether one more request keeps the target within every limit."""
-    bound = min(load.limit, load_bound(policy, load.service_mean))
-    return load.in_flight < bound
+def start_limit_binds(policy: Policy, load: TargetLoad, now: float) -> bool:
+    """Return whether the target is cold, or a restart since the last report can't be ruled out.
+
+    A restart breaks every open request. One that was answered before the last poll and is still
+    open thus shows that the boot which the report told of still runs.
+    """
+    health = load.health
+    if is_cold(health, policy, load.limit, now) or health.in_doubt:
+        return True
+    if not health.reports or policy.slow_start_s <= 0:
+        return False
+    return health.boot_id is None or not load.proven
+
+
+def start_limit(policy: Policy, load: TargetLoad, now: float) -> int:
+    """Return the limit of a target for which `start_limit_binds`, in requests in flight.
+
+    A doubt about the boot puts the ramp back to its beginning.
+    """
+    health = load.health
+    doubtful = health.in_doubt or (health.reports and not load.proven)
+    if doubtful or health.cold_at is None:
+        return policy.cold_limit
+    return ramp_limit(policy, now - health.cold_at)
+
+
+def target_bound(policy: Policy, load: TargetLoad, now: float) -> int:
+    """Return how many requests in flight the target may have at `now`."""
+    bound = load.limit
+    if load.service.warm:
+        bound = min(bound, load_bound(policy, load.service.mean()))
+    binds = start_limit_binds(policy, load, now)
+    if binds:
+        bound = min(bound, start_limit(policy, load, now))
+    return math.ceil(bound * BOUND_SHARE[load.trust, binds])
+
+
+def refusal_of(
+    policy: Policy, load: TargetLoad, chat_id: ChatId | None, now: float
+) -> RefusalCode | None:
+    """Return why one more request does not fit the target, or None when it does.
+
+    While no target of the service is warm there is nowhere to send the chats outside the slice;
+    then only the limits bind.
+    """
+    starting = load.trust is not Trust.SETTLED or start_limit_binds(policy, load, now)
+    if load.in_flight + load.foreign >= target_bound(policy, load, now):
+        return RefusalCode.STARTING if starting else RefusalCode.FULL
+    cold_at = load.health.cold_at
+    if cold_at is None or chat_id is None or not load.service.warm:
+        return None
+    if not is_cold(load.health, policy, load.limit, now):
+        return None
+    share = slice_share(policy, now - cold_at, load.service.mean())
+    return None if is_in_slice(load.target, chat_id, share) else RefusalCode.STARTING
--- /dev/null
+++ b/almondspindle/decisions/sharing.py
@@ -0,0 +1,62 @@
+"""How teams and kinds of work share a target that is near its limit."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.identifiers import TeamName
+
+CONTENDED_SHARE = 0.75  # of the bound; below it no team is held to its share
+DEMAND_S = 5.0  # time for which a team that asked counts as active
+
+# Share of the bound that stays free for work that goes first, while such work is asked for.
+RESERVE: dict[WorkKind, float] = {WorkKind.CHAT: 0.1, WorkKind.READ: 0.0, WorkKind.COMMIT: 0.0}
+URGENT = frozenset({WorkKind.READ, WorkKind.COMMIT})
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What teams have in flight at a target and when they last asked (seconds, monotonic)."""
+
+    in_flight: Mapping[TeamName, int]
+    asked_at: Mapping[TeamName, float]
+    urgent_at: float | None = None
+
+
+def active_teams(demand: Demand, now: float) -> set[TeamName]:
+    """Return the teams that have requests in flight or asked a short while ago."""
+    asking = {team for team, at in demand.asked_at.items() if now - at < DEMAND_S}
+    return asking | {team for team, count in demand.in_flight.items() if count > 0}
+
+
+def team_share(
+    team: TeamName, bound: int, weights: Mapping[TeamName, float], demand: Demand, now: float
+) -> int:
+    """Return how many of `bound` requests are the team's share among the active teams."""
+    active = active_teams(demand, now) | {team}
+    total = sum(weights.get(name, 1.0) for name in active)
+    return math.ceil(bound * weights.get(team, 1.0) / total)
+
+
+def has_share(
+    team: TeamName,
+    work: WorkKind,
+    bound: int,
+    weights: Mapping[TeamName, float],
+    demand: Demand,
+    now: float,
+) -> bool:
+    """Return whether the team may take one more of the target's `bound` requests in flight."""
+    used = sum(demand.in_flight.values())
+    if used >= bound - _reserve(work, bound, demand, now):
+        return False
+    if used < CONTENDED_SHARE * bound:
+        return True
+    return demand.in_flight.get(team, 0) < team_share(team, bound, weights, demand, now)
+
+
+def _reserve(work: WorkKind, bound: int, demand: Demand, now: float) -> int:
+    if demand.urgent_at is None or now - demand.urgent_at >= DEMAND_S:
+        return 0
+    return min(math.ceil(RESERVE[work] * bound), bound - 1)
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -13,6 +13,7 @@
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.limit import LimitTeam
 from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
@@ -21,6 +22,9 @@
 from almondspindle.conf.entry import EntryCfg
 from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.limits.messages import HostsSeen
+from almondspindle.controllers.limits.task import LimitsController
+from almondspindle.controllers.retries.task import RetriesController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.controllers.telemetry.collector import CollectorController
@@ -33,6 +37,7 @@
 from almondspindle.core.metrics import make_metrics
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.ownership import OWNING_STATES
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -49,16 +54,20 @@
         self._channels = Channels()
         self._configuration = ConfigurationController(self._clock)
         self._directory = DirectoryController(self._clock, HostName(cfg.host))
+        self._limits = LimitsController(self._clock)
+        self._retries = RetriesController(self._clock)
         metrics = make_metrics(cfg.statsd)
         owners = PeerOwnerLink(self._channels, self._clock)
         filters = (
             CheckDeadline(),
             IdentifyTeam(self._configuration),
+            LimitTeam(self._limits),
             ClassifyWork(self._configuration),
             RequireKey(),
             RankCandidates(self._directory),
         )
-        plain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        relay = RelayToOwner(owners, self._retries, self._clock, metrics)
+        plain = Chain(filters, relay, self._clock)
         self._collector = CollectorController(self._clock)
         link = PeerTallyLink(self._channels, cfg.routers)
         self._pusher = TallyPusher(self._collector, link)
@@ -92,16 +101,22 @@
         return None if roster.hosts else "no host is known yet"
 
     def _start_tasks(self) -> None:
-        self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
+        self._configuration.tell(SubscribeConfig(self._spread_config))
         listener = partial(pass_update, entry=self)
         host = HostName(self._cfg.host)
         subscription = Subscription(self._channels, self._cfg.routers, host, listener)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("limits", self._limits.run())
+        self._tasks.start("retries", self._retries.run())
         self._tasks.start("collector", self._collector.run())
         self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
+    def _spread_config(self, config: ConfigSet) -> None:
+        for controller in (self._directory, self._limits, self._retries):
+            controller.tell(ConfigChanged(config))
+
     async def _drain(self) -> None:
         left = await self._front.in_flight.wait_idle(self._cfg.stop_bound_s)
         if left:
@@ -114,6 +129,8 @@
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
         self._directory.tell(RosterRead(roster))
+        live = [host for host in roster.hosts.values() if host.state in OWNING_STATES]
+        self._limits.tell(HostsSeen(len(live)))
 
 
 @singledispatch
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -7,6 +7,7 @@
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
+from almondspindle.adapters.target.load import HttpLoadLink
 from almondspindle.chain.admit import AdmitToTarget
 from almondspindle.chain.base import Chain
 from almondspindle.chain.deadline import CheckDeadline
@@ -14,19 +15,26 @@
 from almondspindle.chain.send import SendToTarget
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
-from almondspindle.controllers.admission.messages import PolicyChanged
+from almondspindle.controllers.admission.messages import (
+    OwnedTargets,
+    PolicyChanged,
+    SubscribePolls,
+)
 from almondspindle.controllers.admission.task import AdmissionController
 from almondspindle.controllers.configuration.messages import SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
+from almondspindle.controllers.loads.messages import PollSoon, PollTargets
+from almondspindle.controllers.loads.task import LoadsController
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
-from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead, SubscribeOwned
 from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
 from almondspindle.core.identifiers import HostName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.roster import Roster
 from almondspindle.programs.base import StopSignal, announce
@@ -46,13 +54,16 @@
         self._platform = HttpPlatform(cfg.platform)
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
-        self._admission = AdmissionController(clock)
+        self._admission = AdmissionController(clock, cfg.takeover_s)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
-        terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        terminal = SendToTarget(HttpTargetLink(clock), self._admission, clock)
+        self._loads = LoadsController(
+            clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
+        )
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
         TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
@@ -71,11 +82,14 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
+        self._directory.tell(SubscribeOwned(self._spread_owned))
+        self._admission.tell(SubscribePolls(lambda target: self._loads.tell(PollSoon(target))))
         watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("loads", self._loads.run())
         self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("config-watcher", watcher.run())
         self._tasks.start("roster-reader", reader.run())
@@ -89,6 +103,10 @@
         self._directory.tell(RosterRead(roster))
         self._publisher.publish(roster)
 
+    def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
+        self._admission.tell(OwnedTargets(owned))
+        self._loads.tell(PollTargets(owned))
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
--- a/tests/decisions/test_retry.py
+++ b/tests/decisions/test_retry.py
@@ -1,10 +1,21 @@
-"""The table of retry steps."""
+"""The table of retry steps, the rounds, the budget and the jitter."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from almondspindle.core.calls import Finished, WorkKind
 from almondspindle.core.outcomes import Refusal, RefusalCode, RunState
-from almondspindle.decisions.retry import STEPS, NextStep, Stage, next_step
+from almondspindle.decisions.budget import LARGEST_BALANCE, RetryBudget, add_request, spend_retry
+from almondspindle.decisions.jitter import full_jitter, spread_interval
+from almondspindle.decisions.retry import (
+    ROUNDS,
+    STEPS,
+    NextStep,
+    Stage,
+    next_step,
+    wants_another_round,
+)
 
 
 def failed(started: bool, run_state: RunState) -> Finished:
@@ -21,5 +32,44 @@
 
 
 @pytest.mark.parametrize("work", list(WorkKind))
-def test_work_that_was_not_sent_goes_to_the_next_candidate(work):
-    assert next_step(work, failed(False, RunState.NOT_RUN)) is NextStep.NEXT_CANDIDATE
+def test_work_that_was_not_sent_goes_to_the_next_candidate_outside_the_budget(work):
+    assert next_step(work, failed(False, RunState.NOT_RUN)) is NextStep.REDIRECT
+
+
+@pytest.mark.parametrize("work", [WorkKind.CHAT, WorkKind.READ])
+def test_work_that_may_have_been_sent_is_repeated_out_of_the_budget(work):
+    assert next_step(work, failed(False, RunState.UNKNOWN)) is NextStep.RETRY
+    assert next_step(work, failed(True, RunState.UNKNOWN)) is NextStep.GIVE_UP
+
+
+@pytest.mark.parametrize(
+    ("codes", "rounds", "again"),
+    [
+        ({RefusalCode.STARTING}, 1, True),
+        ({RefusalCode.NOT_OWNER, RefusalCode.FULL}, ROUNDS - 1, True),
+        ({RefusalCode.NOT_OWNER}, ROUNDS, False),
+        ({RefusalCode.FULL, RefusalCode.LEAVING, RefusalCode.ZONE_OUT}, 1, False),
+    ],
+)
+def test_only_brief_refusals_ask_for_another_round(codes, rounds, again):
+    assert wants_another_round(codes, rounds) is again
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.booleans(), st.floats(0, 0.2)), max_size=300))
+def test_retries_stay_within_the_share_of_requests_and_the_least_rate(steps):
+    budget, now, requests, retries = RetryBudget(0.0), 0.0, 0, 0
+    for is_retry, gap_s in steps:
+        now += gap_s
+        spent = spend_retry(budget, now) if is_retry else add_request(budget, 0.1, now)
+        retries += is_retry and spent is not None
+        requests += not is_retry
+        budget = spent or budget
+        assert retries <= 3 + 0.1 * requests + 0.5 * now + 1e-6
+        assert 0 <= budget.balance <= LARGEST_BALANCE
+
+
+def test_full_jitter_lies_between_zero_and_a_doubling_bound():
+    assert [full_jitter(n, 0.1, 0.5, 1.0) for n in (1, 2, 3, 4)] == [0.1, 0.2, 0.4, 0.5]
+    assert full_jitter(3, 0.1, 0.5, 0.0) == 0.0
+    assert (spread_interval(5.0, 0.0), spread_interval(5.0, 1.0)) == (4.0, 6.0)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -132,7 +132,8 @@
 class Engine:
     """The running stand-in."""
 
-    def __init__(self, name: str, **settings: float) -> None:
+    def __init__(self, name: str, age_s: float = 0.0, **settings: float) -> None:
+        self._age_s = age_s
         self.state = EngineState(name, **settings)  # type: ignore[arg-type]
         self.address = ""
 
@@ -146,7 +147,7 @@
         sockets = bind_sockets(0, "127.0.0.1")
         self._server = HTTPServer(app)
         self._server.add_sockets(sockets)
-        self.state.booted_at = asyncio.get_running_loop().time()
+        self.state.booted_at = asyncio.get_running_loop().time() - self._age_s
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -42,7 +42,7 @@
         {"name": "plant-crews", "token_sha256": token_hash("plant-crews-token"), "weight": 2.0},
     ],
     "services": [
-        {"name": "forecast-llm", "kind": "chat"},
+        {"name": "forecast-llm", "kind": "chat", "policy": {"cold_limit": 4}},
         {"name": "dispatch-app", "kind": "plain"},
     ],
     "zones": [
@@ -123,7 +123,7 @@
     commits: PlainState = field(default_factory=PlainState)
     hosts: dict[str, HostProcesses] = field(default_factory=dict)
     entry_args: tuple[str, ...] = ("--balancer-lag-s", "0")
-    router_args: tuple[str, ...] = ()
+    router_args: tuple[str, ...] = ("--takeover-s", "0")
 
     async def __aenter__(self) -> "Fleet":
         self.store.start()
@@ -140,10 +140,15 @@
         return self.store.state.put(CONFIG_OBJECT, json.dumps(config).encode())
 
     def add_engine(
-        self, name: str, zone: str, service: str = "forecast-llm", **kw: float
+        self,
+        name: str,
+        zone: str,
+        service: str = "forecast-llm",
+        age_s: float = 60.0,
+        **kw: float,
     ) -> Engine:
-        """Start an engine and put it into the platform's list."""
-        engine = Engine(name, **kw)
+        """Start an engine that has run for `age_s` and put it into the platform's list."""
+        engine = Engine(name, age_s, **kw)
         engine.start()
         self.engines[name] = engine
         self._list_target(name, service, zone, engine.address)
