--- a/almondspindle/chain/relay.py
+++ b/almondspindle/chain/relay.py
@@ -95,11 +95,11 @@
                 return
             _log_attempt(call, candidate, tries.last.refusal)
             tries.codes.add(tries.last.refusal.code)
-            if not await self._goes_on(call, tries):
+            if not await self._goes_on(call, tries, candidate is call.candidates[-1]):
                 tries.final = tries.last
                 return
 
-    async def _goes_on(self, call: Call, tries: _Tries) -> bool:
+    async def _goes_on(self, call: Call, tries: _Tries, is_last: bool) -> bool:
         assert call.work is not None and call.service is not None and tries.last is not None
         step = next_step(call.work, tries.last)
         if stage_of(tries.last) is not Stage.NOT_SENT:
@@ -109,7 +109,7 @@
         if step is NextStep.REDIRECT:
             self._metrics.count(REDIRECTS)
             return True
-        if not await self._retries.ask(MayRetry(call.service)):
+        if is_last or not await self._retries.ask(MayRetry(call.service)):
             return False
         self._metrics.count(RETRIES)
         tries.retries += 1
--- a/almondspindle/controllers/admission/record.py
+++ b/almondspindle/controllers/admission/record.py
@@ -6,6 +6,7 @@
 from almondspindle.core.calls import WorkKind
 from almondspindle.core.identifiers import TeamName
 from almondspindle.core.load import OwnedTarget
+from almondspindle.decisions.admission import Trust, foreign_load
 from almondspindle.decisions.health import Health
 from almondspindle.decisions.sharing import DEMAND_S, URGENT, Demand
 
@@ -49,6 +50,7 @@
     is_owned: bool = True
     load: OwnLoad = field(default_factory=OwnLoad)
     foreign: int = 0
+    trust_at_report: Trust = Trust.UNHEARD
     teams: Counter[TeamName] = field(default_factory=Counter)
     asked_at: dict[TeamName, float] = field(default_factory=dict)
     urgent_at: float | None = None
@@ -62,6 +64,22 @@
         for name in [name for name, at in self.asked_at.items() if now - at >= DEMAND_S]:
             del self.asked_at[name]
 
+    def note_report(self, reported: int, trust: Trust) -> None:
+        """Bound what others have in flight, by a report that came under `trust`."""
+        settled = self.trust_at_report is Trust.SETTLED
+        low, peak = self.load.range()
+        self.foreign = foreign_load(reported, low, peak, self.foreign if settled else None)
+        self.trust_at_report = trust
+        self.load.turn()
+
+    def gain(self, owned: OwnedTarget, health: Health) -> None:
+        """Begin ownership anew; open tickets stay counted."""
+        self.owned = owned
+        self.health = health
+        self.is_owned = True
+        self.trust_at_report = Trust.UNHEARD
+        self.answered.clear()
+
     def demand(self) -> Demand:
         """Return the teams' demand, for the decision on shares."""
         return Demand(self.teams, self.asked_at, self.urgent_at)
--- a/almondspindle/controllers/admission/task.py
+++ b/almondspindle/controllers/admission/task.py
@@ -34,7 +34,6 @@
     ServiceLoad,
     TargetLoad,
     Trust,
-    foreign_load,
     refusal_of,
     start_limit_binds,
     sum_digests,
@@ -119,9 +118,7 @@
         if record is None:
             return
         self._observe(record, ReportHeard(msg.report, msg.asked_at), now)
-        trust = self._trust(record, now)
-        record.foreign = foreign_load(msg.report.in_flight, *record.load.range(), trust)
-        record.load.turn()
+        record.note_report(msg.report.in_flight, self._trust(record, now))
 
     @handle.register
     def _(self, msg: LoadMissed, now: float) -> None:
@@ -209,10 +206,8 @@
             return
         moved = record.owned.target.address != owned.target.address
         if moved or not record.is_owned or record.health.reports != owned.reports:
-            record.health = gained(now, owned.reports, owned.joined or moved)
-            record.answered.clear()
+            record.gain(owned, gained(now, owned.reports, owned.joined or moved))
         record.owned = owned
-        record.is_owned = True
 
     def _observe(self, record: TargetRecord, event: object, now: float) -> None:
         before = record.health
--- a/almondspindle/decisions/admission.py
+++ b/almondspindle/decisions/admission.py
@@ -97,14 +97,18 @@
     return Trust.SETTLED
 
 
-def foreign_load(reported: int, own_low: int, own_peak: int, trust: Trust) -> int:
-    """Return the requests that others have in flight, by a report that lags.
+def foreign_load(reported: int, own_low: int, own_peak: int, before: int | None) -> int:
+    """Return a bound on the requests that others have in flight, by a report that lags.
 
-    `own_low` and `own_peak` bound the owner's own requests while the report was made. Reports lag,
-    so a settled owner takes the peak for its own; a new one takes the low.
+    `own_low` and `own_peak` bound the owner's own requests while the report was made. `before` is
+    the bound by the report before, None where others could still admit work since then: what they
+    left behind can only shrink. More than the owner's own peak is others' work in any case.
     """
-    own = own_peak if trust is Trust.SETTLED else own_low
-    return max(0, reported - own)
+    at_most = max(0, reported - own_low)
+    at_least = max(0, reported - own_peak)
+    if before is None:
+        return at_most
+    return max(min(before, at_most), at_least)
 
 
 def load_bound(policy: Policy, service_mean: float) -> int:
--- a/almondspindle/decisions/health.py
+++ b/almondspindle/decisions/health.py
@@ -50,7 +50,7 @@
     """What is known of one target. Times are in seconds on the monotonic clock.
 
     `cold_at` is when it turned cold, None when it is warm. `proven_at` is when the last poll was
-    sent whose answer showed the known boot. `in_doubt` is set by a failure until a poll or, where
+    sent that was answered. `doubt_at` is the time of a failure until a poll sent later or, where
     the target does not report, an answer settles whether it restarted.
     """
 
@@ -61,11 +61,16 @@
     proven_at: float | None = None
     reported: int = 0
     missed: int = 0
-    in_doubt: bool = False
+    doubt_at: float | None = None
     first_byte_s: float = 0.0
     answers: int = 0
     slow_answers: int = 0
 
+    @property
+    def in_doubt(self) -> bool:
+        """Return whether a failure left it open if the target restarted."""
+        return self.doubt_at is not None
+
     @property
     def unreachable(self) -> bool:
         """Return whether polls have gone unanswered for long."""
@@ -100,7 +105,7 @@
         proven_at=event.asked_at,
         reported=report.in_flight,
         missed=0,
-        in_doubt=False,
+        doubt_at=_doubt_after(health, event.asked_at),
         first_byte_s=health.first_byte_s if known else 0.0,
         answers=health.answers if known else 0,
         slow_answers=health.slow_answers if known else 0,
@@ -110,18 +115,18 @@
 @observe.register
 def _(event: ReportMissed, health: Health, now: float) -> Health:
     missed = min(health.missed + 1, MISSES_UNTIL_UNREACHABLE)
-    return replace(health, missed=missed, in_doubt=True)
+    return replace(health, missed=missed, doubt_at=now)
 
 
 @observe.register
 def _(event: AttemptFailed, health: Health, now: float) -> Health:
-    return replace(health, in_doubt=True)
+    return replace(health, doubt_at=now)
 
 
 @observe.register
 def _(event: AttemptAnswered, health: Health, now: float) -> Health:
     if health.in_doubt and not health.reports:
-        return replace(health, in_doubt=False, cold_at=now, answers=0, slow_answers=0)
+        return replace(health, doubt_at=None, cold_at=now, answers=0, slow_answers=0)
     if _is_slow(event.first_byte_s, health):
         return _after_slow_answer(health, now)
     step = BASELINE_WEIGHT if health.answers else 1.0
@@ -130,6 +135,13 @@
     return replace(health, first_byte_s=baseline, answers=answers, slow_answers=0)
 
 
+def _doubt_after(health: Health, asked_at: float) -> float | None:
+    """Return the doubt that is left by a report: one sent before the failure settles nothing."""
+    if health.doubt_at is None or asked_at > health.doubt_at:
+        return None
+    return health.doubt_at
+
+
 def _is_slow(first_byte_s: float, health: Health) -> bool:
     if health.answers < BASELINE_ANSWERS:
         return False
--- /dev/null
+++ b/tests/chain/test_relay.py
@@ -0,0 +1,150 @@
+"""The entry's tries over candidates, and the owner's ticket when the caller goes away."""
+
+import asyncio
+
+import pytest
+
+from almondspindle.chain.admit import AdmitToTarget
+from almondspindle.chain.limit import LimitTeam
+from almondspindle.chain.relay import RelayToOwner
+from almondspindle.controllers.admission.messages import GetDigests, OwnedTargets
+from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.controllers.limits.messages import HostsSeen
+from almondspindle.controllers.limits.task import LimitsController
+from almondspindle.controllers.retries.task import RetriesController
+from almondspindle.controllers.targets.messages import ConfigChanged
+from almondspindle.core.calls import Call, Candidate, Finished, WorkKind
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import ConfigSet, Team
+from almondspindle.core.load import OwnedTarget
+from almondspindle.core.metrics import NullMetrics
+from almondspindle.core.outcomes import Refusal, RefusalCode, RunState
+from almondspindle.core.roster import Target
+from almondspindle.decisions.retry import ROUNDS
+
+DONE = Finished(started=True)
+
+
+def refusal(code: str, state: RunState = RunState.NOT_RUN, started: bool = False) -> Finished:
+    return Finished(started, Refusal(RefusalCode(code), code, state))
+
+
+FULL, STARTING = refusal("full"), refusal("starting")
+LOST = refusal("peer_unreachable", RunState.UNKNOWN)
+CUT = refusal("answer_broken", RunState.UNKNOWN, started=True)
+CHAT, READ, COMMIT = WorkKind.CHAT, WorkKind.READ, WorkKind.COMMIT
+
+# work, results of the attempts in order (the last one repeats), attempts, code, run state
+CASES = [
+    (CHAT, [DONE], 1, None, None),
+    (CHAT, [FULL, STARTING, DONE], 3, None, None),
+    (CHAT, [FULL], 3, "full", RunState.NOT_RUN),
+    (CHAT, [STARTING], 3 * ROUNDS, "starting", RunState.NOT_RUN),
+    (CHAT, [STARTING, FULL, FULL, DONE], 4, None, None),
+    (CHAT, [LOST, DONE], 2, None, None),
+    (READ, [LOST, FULL], 3, "full", RunState.UNKNOWN),
+    (COMMIT, [FULL, DONE], 2, None, None),
+    (COMMIT, [LOST], 1, "peer_unreachable", RunState.UNKNOWN),
+    (CHAT, [CUT], 1, "answer_broken", RunState.UNKNOWN),
+    (READ, [LOST], 3, "peer_unreachable", RunState.UNKNOWN),
+]
+
+
+class Owners:
+    """Give the attempts' results in order; the last one repeats."""
+
+    def __init__(self, results):
+        self.results = results
+        self.tried: list[str] = []
+
+    async def relay(self, call, candidate, sink):
+        self.tried.append(candidate.target)
+        return self.results[min(len(self.tried), len(self.results)) - 1]
+
+
+def make_call(work: WorkKind, deadline_at: float = 2000.0) -> Call:
+    names = ("t0", "t1", "t2")
+    candidates = tuple(Candidate(name, "h", "127.0.0.1:1") for name in names)
+    return Call(
+        "r", deadline_at, "POST", "/", service="s", work=work, candidates=candidates, team="a"
+    )
+
+
+async def relay(results, *calls: Call) -> tuple[Owners, list[Finished]]:
+    clock = ManualClock()
+    retries = RetriesController(clock)
+    running = asyncio.ensure_future(retries.run())
+    owners = Owners(results)
+    terminal = RelayToOwner(owners, retries, clock, NullMetrics(), random_share=lambda: 0.0)
+    finished = [await terminal.finish(call, None, clock.now) for call in calls]
+    running.cancel()
+    return owners, finished
+
+
+@pytest.mark.parametrize("case", CASES, ids=str)
+def test_tries(case):
+    work, results, attempts, code, state = case
+    owners, [finished] = asyncio.run(relay(results, make_call(work)))
+    assert len(owners.tried) == attempts
+    assert owners.tried[:3] == ["t0", "t1", "t2"][:attempts]
+    told = finished.refusal
+    assert (told and told.code, told and told.run_state) == (code, state)
+    if code == "full":
+        assert told.retry_after_s
+
+
+def test_a_spent_budget_ends_retries_but_not_redirects():
+    owners, finished = asyncio.run(relay([LOST], *[make_call(CHAT)] * 21))
+    assert all(f.refusal is not None for f in finished)
+    assert len(owners.tried) == 21 + 5  # 3 at the start and 0.1 of each request
+    owners, _ = asyncio.run(relay([FULL], *[make_call(CHAT)] * 20))
+    assert len(owners.tried) == 60
+
+
+def test_no_attempt_begins_after_the_deadline():
+    owners, [finished] = asyncio.run(relay([DONE], make_call(CHAT, deadline_at=999.0)))
+    assert owners.tried == []
+    assert finished.refusal.code is RefusalCode.DEADLINE_EXCEEDED
+
+
+@pytest.mark.parametrize("handled_first", [False, True])
+def test_a_ticket_for_a_caller_that_has_gone_is_given_back(handled_first):
+    async def check() -> None:
+        admission = AdmissionController(ManualClock(), 5.0)
+        admission.tell(OwnedTargets((OwnedTarget(Target("t0", "s", "z", "ip:1")),)))
+        call = make_call(CHAT).with_(target="t0")
+        running = asyncio.ensure_future(admission.run()) if handled_first else None
+        asking = asyncio.ensure_future(AdmitToTarget(admission).apply(call, 0.0))
+        for _ in range(3 if handled_first else 2):
+            await asyncio.sleep(0)
+        assert len(admission._tickets) == handled_first
+        asking.cancel()
+        running = running or asyncio.ensure_future(admission.run())
+        await asyncio.gather(asking, return_exceptions=True)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        [digest] = await admission.ask(GetDigests())
+        assert digest.in_flight == 0
+        running.cancel()
+
+    asyncio.run(check())
+
+
+def test_an_entry_lets_its_share_of_a_teams_rate_pass():
+    async def check() -> None:
+        clock = ManualClock()
+        limits = LimitsController(clock)
+        running = asyncio.ensure_future(limits.run())
+        limits.tell(ConfigChanged(ConfigSet(1, {"a": Team("a", "0" * 64, requests_per_s=100.0)})))
+        limits.tell(HostsSeen(10))
+        step = LimitTeam(limits)
+        outcomes = [await step.apply(make_call(CHAT), 0.0) for _ in range(30)]
+        assert sum(outcome.is_ok() for outcome in outcomes) == 20
+        assert outcomes[-1].error.code is RefusalCode.RATE_LIMITED
+        assert 0 < outcomes[-1].error.retry_after_s <= 0.1
+        clock.advance(1.0)
+        outcomes = [await step.apply(make_call(CHAT), 0.0) for _ in range(30)]
+        assert sum(outcome.is_ok() for outcome in outcomes) == 10
+        running.cancel()
+
+    asyncio.run(check())
--- /dev/null
+++ b/tests/controllers/test_directory.py
@@ -0,0 +1,115 @@
+"""The directory kept up to date step by step, against one made anew from the last state."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import (
+    ConfigChanged,
+    RankTargets,
+    RosterRead,
+    SubscribeOwned,
+)
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import (
+    AvailabilityZone,
+    ConfigSet,
+    Intent,
+    Service,
+    ServiceKind,
+    TargetOverride,
+)
+from almondspindle.core.outcomes import RefusalCode
+from almondspindle.core.roster import Host, HostState, Roster, Target, TargetState
+
+ZONES = ["za", "zb", "south"]
+SERVICES = {name: Service(name, ServiceKind.CHAT) for name in ("llm", "draft")}
+
+
+def config(version: int, out: frozenset[str]) -> ConfigSet:
+    zones = {
+        name: AvailabilityZone(
+            name, "s" if name == "south" else "n", Intent.OUT if name in out else Intent.IN
+        )
+        for name in ZONES
+    }
+    targets = {n: TargetOverride(n, Intent.OUT) for n in out if n.startswith("t")}
+    return ConfigSet(version, services=SERVICES, zones=zones, targets=targets)
+
+
+TARGETS = st.builds(
+    lambda n, service, zone, state: Target(f"t{n}", service, ZONES[zone], f"127.0.0.1:{n}", state),
+    st.integers(0, 12),
+    st.sampled_from(sorted(SERVICES)),
+    st.integers(0, 2),
+    st.sampled_from(TargetState),
+)
+HOSTS = st.dictionaries(
+    st.sampled_from(["h0", "h1", "h2"]),
+    st.tuples(st.integers(0, 2), st.sampled_from([HostState.LIVE, HostState.LEAVING])),
+)
+ROSTERS = st.builds(
+    lambda hosts, targets: Roster(
+        {n: Host(n, ZONES[zone], f"ip:{n}", state) for n, (zone, state) in hosts.items()},
+        {target.name: target for target in targets},
+    ),
+    HOSTS,
+    st.lists(TARGETS, max_size=12),
+)
+OUTS = st.frozensets(st.sampled_from(["za", "zb", "t1", "t2", "t3"]))
+
+
+def answers(directory: DirectoryController) -> list:
+    asks = [RankTargets(s, f"chat-{n}") for s in sorted(SERVICES) for n in range(5)]
+    outcomes = [directory.handle(ask, 0.0) for ask in asks]
+    return [o.error.code if o.is_error() else o.ok for o in outcomes]
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.one_of(ROSTERS, OUTS), min_size=1, max_size=6))
+def test_steps_lead_where_a_fresh_start_leads(steps):
+    owned: list = [(), ()]
+    stepwise = DirectoryController(ManualClock(), "h0")
+    stepwise.handle(SubscribeOwned(lambda targets: owned.__setitem__(0, targets)), 0.0)
+    roster, current = Roster(), config(1, frozenset())
+    stepwise.handle(ConfigChanged(current), 0.0)
+    for number, step in enumerate(steps, 2):
+        if isinstance(step, Roster):
+            roster = step
+            stepwise.handle(RosterRead(roster), 0.0)
+        else:
+            current = config(number, step)
+            stepwise.handle(ConfigChanged(current), 0.0)
+    fresh = DirectoryController(ManualClock(), "h0")
+    fresh.handle(SubscribeOwned(lambda targets: owned.__setitem__(1, targets)), 0.0)
+    fresh.handle(ConfigChanged(current), 0.0)
+    fresh.handle(RosterRead(roster), 0.0)
+    assert answers(stepwise) == answers(fresh)
+    assert [o.target for o in owned[0]] == [o.target for o in owned[1]]
+
+
+def roster(*hosts: str, targets: int = 4, state: HostState = HostState.LIVE) -> Roster:
+    made = {n: Host(n, "za", f"ip:{n}", state if n != "h0" else HostState.LIVE) for n in hosts}
+    names = [f"t{n}" for n in range(targets)]
+    return Roster(made, {n: Target(n, "llm", "za", f"ip:{n}") for n in names})
+
+
+def test_the_listener_learns_who_owned_a_target_before_and_which_targets_joined():
+    told: list = []
+    directory = DirectoryController(ManualClock(), "h0")
+    directory.handle(SubscribeOwned(told.append), 0.0)
+    directory.handle(ConfigChanged(config(1, frozenset())), 0.0)
+    directory.handle(RosterRead(roster("h0", "h1")), 0.0)
+    assert told[-1]
+    assert all(o.previous == "h1" and o.reports and not o.joined for o in told[-1])
+    directory.handle(RosterRead(roster("h0", "h1", state=HostState.LEAVING)), 0.0)
+    assert len(told[-1]) == 4
+    assert all(o.previous is None for o in told[-1])
+    directory.handle(RosterRead(roster("h0", targets=5)), 0.0)
+    assert [o.target.name for o in told[-1] if o.joined] == ["t4"]
+
+
+def test_a_service_without_targets_in_reach_is_refused_with_a_time():
+    directory = DirectoryController(ManualClock(), "h0")
+    refusal = directory.handle(RankTargets("llm", "k"), 0.0).error
+    assert (refusal.code, refusal.retry_after_s) == (RefusalCode.NO_TARGET, 1.0)
--- /dev/null
+++ b/tests/decisions/test_admission.py
@@ -0,0 +1,153 @@
+"""The bound of a target: a table of cases, and shares among teams and kinds of work."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.config import Policy
+from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.outcomes import RefusalCode
+from almondspindle.decisions.admission import (
+    ServiceLoad,
+    TargetLoad,
+    Trust,
+    foreign_load,
+    refusal_of,
+    sum_digests,
+    target_bound,
+    trust_of,
+)
+from almondspindle.decisions.health import Health
+from almondspindle.decisions.rate import burst, take
+from almondspindle.decisions.sharing import DEMAND_S, Demand, has_share
+
+NOW = 1000.0
+POLICY = Policy(load_multiple=1.25, load_floor=4, cold_limit=2, slow_start_s=30.0)
+WARM = Health(0.0, True, boot_id="a", proven_at=990.0)
+COLD = replace(WARM, cold_at=990.0)
+LOAD = TargetLoad("t", 0, 0, 64, ServiceLoad(399, 10), WARM, Trust.SETTLED, True)
+JOINED_PLAIN = Health(990.0, False, cold_at=990.0)
+
+# what differs from LOAD, the bound
+BOUNDS = [
+    ({}, 50),
+    ({"limit": 30}, 30),
+    ({"service": ServiceLoad(0, 10)}, 4),
+    ({"service": ServiceLoad(0, 0)}, 64),
+    ({"health": COLD}, 2),
+    ({"health": replace(COLD, cold_at=967.0)}, 4),
+    ({"health": replace(COLD, cold_at=967.0), "proven": False}, 2),
+    ({"health": replace(WARM, doubt_at=995.0)}, 2),
+    ({"health": Health(990.0, True)}, 2),
+    ({"health": JOINED_PLAIN}, 2),
+    ({"health": Health(990.0, False), "proven": False}, 50),
+    ({"proven": False}, 2),
+    ({"trust": Trust.UNHEARD}, 0),
+    ({"trust": Trust.SHARED}, 25),
+    ({"trust": Trust.SHARED, "proven": False}, 0),
+    ({"trust": Trust.SHARED, "health": COLD}, 0),
+]
+
+
+@pytest.mark.parametrize(("changes", "bound"), BOUNDS)
+def test_the_bound_is_the_least_of_all_limits(changes, bound):
+    load = replace(LOAD, **changes)
+    assert target_bound(POLICY, load, NOW) == bound
+    full = replace(load, in_flight=bound // 2, foreign=bound - bound // 2)
+    assert refusal_of(POLICY, full, None, NOW) in (RefusalCode.FULL, RefusalCode.STARTING)
+    if bound:
+        assert refusal_of(POLICY, replace(full, foreign=full.foreign - 1), None, NOW) is None
+
+
+def test_work_outside_the_slice_is_refused_unless_all_targets_are_cold():
+    chats = [f"c-{n}" for n in range(200)]
+    refusals = {refusal_of(POLICY, replace(LOAD, health=COLD), chat, NOW) for chat in chats}
+    assert refusals == {None, RefusalCode.STARTING}
+    alone = replace(LOAD, health=COLD, service=ServiceLoad(0, 0))
+    assert {refusal_of(POLICY, alone, chat, NOW) for chat in chats} == {None}
+
+
+@pytest.mark.parametrize(
+    ("health", "previous", "now", "trust"),
+    [
+        (Health(100.0, True), False, 101.0, Trust.UNHEARD),
+        (Health(100.0, True), False, 102.0, Trust.SETTLED),
+        (Health(100.0, False), False, 100.0, Trust.SETTLED),
+        (Health(100.0, False), True, 104.9, Trust.SHARED),
+        (Health(100.0, False), True, 105.0, Trust.SETTLED),
+        (Health(100.0, True, boot_id="a", proven_at=101.0), False, 101.0, Trust.SETTLED),
+        (Health(100.0, True, boot_id="a", proven_at=104.0), True, 120.0, Trust.SHARED),
+        (Health(100.0, True, boot_id="a", proven_at=106.0), True, 106.0, Trust.SETTLED),
+    ],
+)
+def test_a_new_owner_trusts_a_report_after_the_takeover(health, previous, now, trust):
+    assert trust_of(health, previous, 5.0, now) is trust
+
+
+def test_a_new_owner_counts_what_others_have_in_flight():
+    assert foreign_load(5, own_low=0, own_peak=3, before=None) == 5
+    assert foreign_load(5, own_low=0, own_peak=3, before=4) == 4
+    assert foreign_load(5, own_low=0, own_peak=3, before=0) == 2
+    assert foreign_load(1, own_low=0, own_peak=3, before=0) == 0
+
+
+def test_cold_targets_stay_out_of_the_mean():
+    digests = [ServiceDigest("s", 22, 3, 1, 2), ServiceDigest("s", 19, 2)]
+    assert sum_digests(digests) == ServiceLoad(39, 4)
+    assert sum_digests(digests).mean() == 10.0
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from(["a", "b", "c"]), st.booleans()), max_size=200),
+    st.integers(1, 30),
+)
+def test_a_surging_team_cannot_starve_the_others(steps, bound):
+    """Whoever asks and is below a fair share gets in once the surging team's work ends."""
+    weights = {"a": 1.0, "b": 2.0, "c": 1.0}
+    flights: dict[str, int] = {"surge": 0}
+    asked = {"surge": 0.0}
+    while has_share("surge", WorkKind.CHAT, bound, weights, Demand(flights, asked), 0.0):
+        flights["surge"] += 1
+    assert flights["surge"] == bound
+    for team, ends in steps:
+        asked[team] = asked["surge"] = 0.0
+        demand = Demand(flights, asked)
+        flights[team] = flights.get(team, 0) + has_share(
+            team, WorkKind.CHAT, bound, weights, demand, 0.0
+        )
+        if ends and flights["surge"]:
+            flights["surge"] -= 1
+        if has_share("surge", WorkKind.CHAT, bound, weights, Demand(flights, asked), 0.0):
+            flights["surge"] += 1
+        assert sum(flights.values()) <= bound
+    if len(asked) > 1 and bound >= 8:
+        freed = sum(ends for _, ends in steps)
+        others = sum(count for team, count in flights.items() if team != "surge")
+        assert others >= min(freed, bound // 4, len(steps)) - 1
+
+
+def test_commits_and_reads_go_before_chats_while_they_are_asked_for():
+    busy = Demand({"a": 9}, {"a": NOW}, urgent_at=NOW)
+    assert not has_share("a", WorkKind.CHAT, 10, {}, busy, NOW)
+    assert has_share("a", WorkKind.COMMIT, 10, {}, busy, NOW)
+    assert has_share("a", WorkKind.READ, 10, {}, busy, NOW)
+    assert has_share("a", WorkKind.CHAT, 10, {}, busy, NOW + DEMAND_S)
+    assert has_share("a", WorkKind.CHAT, 1, {}, Demand({}, {}, urgent_at=NOW), NOW)
+
+
+@settings(derandomize=True)
+@given(st.lists(st.floats(0.0, 2.0), max_size=100), st.floats(0.05, 20.0))
+def test_an_entry_passes_no_more_than_rate_and_burst(gaps, rate):
+    bucket, now, passed = None, 0.0, 0
+    for gap_s in gaps:
+        now += gap_s
+        taken = take(bucket, rate, now)
+        bucket = taken.bucket
+        passed += taken.wait_s is None
+        assert passed <= burst(rate) + rate * now + 1e-6
+        if taken.wait_s is not None:
+            assert take(bucket, rate, now + taken.wait_s + 1e-6).wait_s is None
