--- a/almondspindle/decisions/ranking.py
+++ b/almondspindle/decisions/ranking.py
@@ -16,7 +16,7 @@
 from almondspindle.core.identifiers import TargetName
 from almondspindle.decisions.hashing import score
 
-POINTS = 2  # places of a target on the ring; more points help the targets with small shares
+POINTS = 4  # places of a target on the ring; more points help the targets with small shares
 PROBES = 11  # probes of a key; more probes lower the largest share and lengthen the look-up
 SPAN_BITS = 64
 SPAN_MASK = (1 << SPAN_BITS) - 1
--- /dev/null
+++ b/bench/bench_churn.py
@@ -0,0 +1,38 @@
+"""Cache reuse and overload while targets leave, join and turn cold."""
+
+from almondspindle.core.config import Policy
+from bench import churn
+from bench.churn import Churn, Order, Tally
+from bench.output import figure
+
+POLICY = Policy(
+    load_multiple=1.25, load_floor=4, cold_limit=churn.BEARS_COLD, slow_start_s=churn.COLD_S
+)
+NO_SLOW_START = Policy(load_multiple=1.25, load_floor=4, cold_limit=64, slow_start_s=0.0)
+
+
+def measure(order: Order, policy: Policy = POLICY) -> Tally:
+    """Return what one run counted."""
+    return Churn(order, policy).run()
+
+
+def reuse(tally: Tally) -> float:
+    """Return the share of returning turns that found their prefix."""
+    return tally.hits / tally.returning
+
+
+def run() -> None:
+    """Print the figures, each policy's reuse divided by the best possible."""
+    best = measure(churn.all_knowing)
+    ring = measure(churn.by_ring)
+    figure("cache_reuse_churn_best_share", reuse(best), "share")
+    figure("cache_reuse_churn_share", reuse(ring), "share")
+    figure("cache_reuse_churn", reuse(ring) / reuse(best), "ratio")
+    for order in (churn.round_robin, churn.plain_hash):
+        figure(f"cache_reuse_churn_{order.__name__}", reuse(measure(order)) / reuse(best), "ratio")
+    figure("load_max_over_mean", ring.worst_over_mean, "ratio")
+    figure("cold_overload_events", ring.cold_overloads, "requests")
+    figure("churn_refused", ring.refused / ring.returning, "share")
+    bare = measure(churn.by_ring, NO_SLOW_START)
+    figure("cold_overload_events_no_slow_start", bare.cold_overloads, "requests")
+    figure("cache_reuse_churn_no_slow_start", reuse(bare) / reuse(best), "ratio")
--- /dev/null
+++ b/bench/churn.py
@@ -0,0 +1,277 @@
+"""A deterministic model of returning chats while targets leave, join and turn cold.
+
+The admission controller and the ranking are the real code; engines, chats and the times of
+reports are modelled. All policies of choice run under the same admission.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from almondspindle.controllers.admission.messages import (
+    Admit,
+    Answered,
+    LoadHeard,
+    OwnedTargets,
+    PolicyChanged,
+    Release,
+    SubscribePolls,
+)
+from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import ConfigSet, Policy, Service, ServiceKind
+from almondspindle.core.load import LoadReport, OwnedTarget
+from almondspindle.core.roster import Target
+from almondspindle.decisions.ranking import MultiProbeRing
+
+TARGETS = 24
+CHATS = 2000
+TURNS = 10
+THINK_S = 20.0
+HIT_FIRST_BYTE_S = 0.1
+MISS_FIRST_BYTE_S = 0.5
+STREAM_S = 1.5
+CACHE_CHATS = 150
+POLL_S = 5.0
+POLL_DELAY_S = 0.01
+BEARS_COLD = 3  # requests in flight that a cold engine bears
+COLD_S = 10.0  # time for which an engine is cold after its boot
+SECONDS = 240.0
+CHURN_FROM_S = 60.0
+LEAVE_EVERY_S = 20.0
+AWAY_S = 12.0
+RESTART_EVERY_S = 17.0
+CANDIDATES = 6
+OLD_BOOT_S = -1000.0
+
+
+@dataclass
+class Engine:
+    """A modelled engine."""
+
+    name: str
+    boot: int = 0
+    booted_at: float = OLD_BOOT_S
+    listed: bool = True
+    open: dict[int, "Turn"] = field(default_factory=dict)
+    cache: OrderedDict[int, None] = field(default_factory=OrderedDict)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the engine bears little."""
+        return now - self.booted_at < COLD_S
+
+    def remember(self, chat: int) -> bool:
+        """Put a chat's prefix into the cache and return whether it was there."""
+        hit = chat in self.cache
+        self.cache[chat] = None
+        self.cache.move_to_end(chat)
+        if len(self.cache) > CACHE_CHATS:
+            self.cache.popitem(last=False)
+        return hit
+
+
+@dataclass(frozen=True)
+class Turn:
+    """One turn of a chat; number 0 is its first."""
+
+    chat: int
+    number: int
+
+
+@dataclass
+class Tally:
+    """What a run counted."""
+
+    returning: int = 0
+    hits: int = 0
+    refused: int = 0
+    cold_overloads: int = 0
+    worst_over_mean: float = 0.0
+
+
+Order = Callable[["Churn", int], list[str]]
+
+
+class Churn:
+    """One run under one policy of choice."""
+
+    def __init__(self, order: Order, policy: Policy) -> None:
+        self.order = order
+        self.policy = policy
+        self.random = Random(5)
+        self.now = 0.0
+        self.tally = Tally()
+        self.engines = {f"t{n}": Engine(f"t{n}") for n in range(TARGETS)}
+        self.ring = MultiProbeRing(self.engines)
+        self.turns_taken = 0
+        self._numbers = count()
+        self._chat_numbers = count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._polled_soon: set[str] = set()
+        self._admission = AdmissionController(ManualClock(), takeover_s=0.0)
+        service = Service("llm", ServiceKind.CHAT, policy)
+        self._tell(PolicyChanged(ConfigSet(1, services={"llm": service})))
+        self._tell(SubscribePolls(self._poll_soon))
+        self._own(joined="")
+
+    def run(self) -> Tally:
+        """Run the model and return what it counted."""
+        for number, name in enumerate(self.engines):
+            self._at(number * POLL_S / TARGETS, lambda name=name: self._poll(name, again=True))
+        for _ in range(CHATS):
+            self._new_chat(self.random.uniform(POLL_S, POLL_S + THINK_S))
+        self._at(CHURN_FROM_S, lambda: self._leave(0))
+        self._at(CHURN_FROM_S + RESTART_EVERY_S / 2, lambda: self._restart(5))
+        while self._events and self._events[0][0] < SECONDS:
+            self.now, _, event = heappop(self._events)
+            event()
+        return self.tally
+
+    def listed(self) -> list[str]:
+        """Return the targets in service."""
+        return [name for name, engine in self.engines.items() if engine.listed]
+
+    def admits(self, name: str, chat: int) -> int | None:
+        """Return a ticket for `chat` at the target, or None when it is refused."""
+        ask = Admit(name, "llm", f"team-{chat % 10}", WorkKind.CHAT, f"chat-{chat}")
+        outcome = self._tell(ask)
+        return outcome.ok if outcome.is_ok() else None
+
+    def _tell(self, msg: object):
+        return self._admission.handle(msg, self.now)
+
+    def _at(self, after_s: float, event: Callable[[], None]) -> None:
+        heappush(self._events, (self.now + after_s, next(self._numbers), event))
+
+    def _own(self, joined: str) -> None:
+        owned = (
+            OwnedTarget(Target(name, "llm", "z", name), reports=True, joined=name == joined)
+            for name in self.listed()
+        )
+        self._tell(OwnedTargets(tuple(owned)))
+
+    def _new_chat(self, after_s: float) -> None:
+        chat = next(self._chat_numbers)
+        self._at(after_s, lambda: self._begin(Turn(chat, 0)))
+
+    def _begin(self, turn: Turn) -> None:
+        self.turns_taken += 1
+        for name in self.order(self, turn.chat)[:CANDIDATES]:
+            ticket = self.admits(name, turn.chat)
+            if ticket is not None:
+                self._serve(self.engines[name], ticket, turn)
+                return
+        self.tally.refused += 1
+        self._next(turn)
+
+    def _serve(self, engine: Engine, ticket: int, turn: Turn) -> None:
+        engine.open[ticket] = turn
+        hit = engine.remember(turn.chat)
+        if self.now >= CHURN_FROM_S:
+            self._count(engine, turn, hit)
+        first_byte_s = HIT_FIRST_BYTE_S if hit else MISS_FIRST_BYTE_S
+        self._at(first_byte_s, lambda: self._head(engine, ticket, first_byte_s))
+        self._at(first_byte_s + STREAM_S, lambda: self._end(engine, ticket))
+
+    def _count(self, engine: Engine, turn: Turn, hit: bool) -> None:
+        self.tally.returning += turn.number > 0
+        self.tally.hits += hit and turn.number > 0
+        if engine.is_cold(self.now) and len(engine.open) > BEARS_COLD:
+            self.tally.cold_overloads += 1
+        warm = [e for e in self.engines.values() if e.listed and not e.is_cold(self.now)]
+        mean = sum(len(e.open) for e in warm) / len(warm)
+        self.tally.worst_over_mean = max(self.tally.worst_over_mean, len(engine.open) / mean)
+
+    def _head(self, engine: Engine, ticket: int, first_byte_s: float) -> None:
+        if ticket in engine.open:
+            self._tell(Answered(ticket, first_byte_s))
+
+    def _end(self, engine: Engine, ticket: int) -> None:
+        turn = engine.open.pop(ticket, None)
+        if turn is not None:
+            self._tell(Release(ticket))
+            self._next(turn)
+
+    def _next(self, turn: Turn) -> None:
+        if turn.number + 1 == TURNS:
+            self._new_chat(self.random.expovariate(1 / THINK_S))
+            return
+        following = Turn(turn.chat, turn.number + 1)
+        self._at(self.random.expovariate(1 / THINK_S), lambda: self._begin(following))
+
+    def _poll_soon(self, name: str) -> None:
+        if name not in self._polled_soon:
+            self._polled_soon.add(name)
+            self._at(POLL_DELAY_S, lambda: self._poll(name, again=False))
+
+    def _poll(self, name: str, again: bool) -> None:
+        self._polled_soon.discard(name)
+        engine = self.engines[name]
+        if engine.listed:
+            report = LoadReport(str(engine.boot), self.now - engine.booted_at, len(engine.open))
+            self._tell(LoadHeard(name, report, self.now))
+        if again:
+            self._at(POLL_S, lambda: self._poll(name, again=True))
+
+    def _boot(self, engine: Engine) -> None:
+        engine.boot += 1
+        engine.booted_at = self.now
+        engine.cache.clear()
+        broken, engine.open = engine.open, {}
+        for ticket, turn in broken.items():
+            self._tell(Release(ticket, failed=True))
+            self._at(0.0, lambda turn=turn: self._begin(turn))
+
+    def _leave(self, number: int) -> None:
+        engine = self.engines[f"t{number % TARGETS}"]
+        engine.listed = False
+        self.ring.remove(engine.name)
+        self._own(joined="")
+        self._at(AWAY_S, lambda: self._join(engine))
+        self._at(LEAVE_EVERY_S, lambda: self._leave(number + 7))
+
+    def _join(self, engine: Engine) -> None:
+        engine.listed = True
+        self.ring.add(engine.name)
+        self._boot(engine)
+        self._own(joined=engine.name)
+        self._poll_soon(engine.name)
+
+    def _restart(self, number: int) -> None:
+        engine = self.engines[f"t{number % TARGETS}"]
+        if engine.listed:
+            self._boot(engine)
+        self._at(RESTART_EVERY_S, lambda: self._restart(number + 7))
+
+
+def by_ring(run: Churn, chat: int) -> list[str]:
+    """Return the order that the product uses."""
+    return run.ring.rank(f"chat-{chat}", CANDIDATES)
+
+
+def round_robin(run: Churn, chat: int) -> list[str]:
+    """Return the targets in turn."""
+    names = run.listed()
+    start = run.turns_taken % len(names)
+    return names[start:] + names[:start]
+
+
+def plain_hash(run: Churn, chat: int) -> list[str]:
+    """Return the targets from the chat's number modulo their count on."""
+    names = run.listed()
+    start = Random(chat).randrange(1 << 30) % len(names)
+    return names[start:] + names[:start]
+
+
+def all_knowing(run: Churn, chat: int) -> list[str]:
+    """Return the targets that hold the chat first, then the least loaded, as no router can."""
+
+    def rank(name: str) -> tuple[bool, int]:
+        engine = run.engines[name]
+        return chat not in engine.cache, len(engine.open)
+
+    return sorted(run.listed(), key=rank)
