--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -7,9 +7,12 @@
 from almondspindle.core.calls import Candidate
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import ServiceName, TargetName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.outcomes import Outcome
 from almondspindle.core.roster import Roster, Target
 
+OwnedListener = Callable[[tuple[OwnedTarget, ...]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class RosterRead:
@@ -60,3 +63,10 @@
     """Call `listener` with each set of targets that returns to service."""
 
     listener: Callable[[TargetsReturned], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeOwned:
+    """Call `listener` with the targets in service that this host owns, after each change."""
+
+    listener: OwnedListener
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -94,3 +94,12 @@
 CLAIM_LEFT = event(
     1507, "claim_left", "The caller left while its commit was claimed; the claim is released."
 )
+# 1400 to 1499: admission, load reports and slow start.
+TARGET_COLD = event(1400, "target_cold", "A target turned cold; its slow start begins.")
+RAMP_ENDED = event(1401, "ramp_ended", "A target's slow start is over.")
+TARGET_UNREACHABLE = event(1402, "target_unreachable", "A target left several polls unanswered.")
+TARGET_BACK = event(1403, "target_back", "A target answers polls again.")
+TARGET_IN_DOUBT = event(
+    1404, "target_in_doubt", "An attempt or poll failed; a restart can't be ruled out."
+)
+TARGETS_OWNED = event(1405, "targets_owned", "The set of targets that this host owns changed.")
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -18,6 +18,7 @@
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.limit import LimitTeam
 from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
@@ -29,6 +30,9 @@
 from almondspindle.controllers.configuration.follower import ConfigFollower
 from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.limits.messages import HostsSeen
+from almondspindle.controllers.limits.task import LimitsController
+from almondspindle.controllers.retries.task import RetriesController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.controllers.telemetry.collector import CollectorController
@@ -42,6 +46,7 @@
 from almondspindle.core.metrics import MetricSender, make_metrics
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.ownership import OWNING_STATES
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -62,16 +67,19 @@
         self._directory = DirectoryController(self._clock, HostName(cfg.host))
         self._settler = SettlerController(self._clock)
         self._claims = PeerClaimsLink(self._channels, self._directory, self._clock)
+        self._limits = LimitsController(self._clock)
+        self._retries = RetriesController(self._clock)
         metrics = make_metrics(cfg.statsd)
         owners = PeerOwnerLink(self._channels, self._clock)
         filters = (
             CheckDeadline(),
             IdentifyTeam(self._configuration),
+            LimitTeam(self._limits),
             ClassifyWork(self._configuration),
             RequireKey(),
             self._claim_filter(metrics),
         )
-        relay = RelayToOwner(owners, self._clock, metrics)
+        relay = RelayToOwner(owners, self._retries, self._clock, metrics)
         inner = Chain((RankCandidates(self._directory),), relay, self._clock)
         self._settle = SettleClaim(inner, self._settler, HostName(cfg.host))
         plain = Chain(filters, self._settle, self._clock)
@@ -114,7 +122,7 @@
         return None if roster.hosts else "no host is known yet"
 
     def _start_tasks(self) -> None:
-        self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
+        self._configuration.tell(SubscribeConfig(self._spread_config))
         listener = partial(pass_update, entry=self)
         subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
         subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
@@ -130,10 +138,16 @@
         self._tasks.start("settler", self._settler.run())
         self._tasks.start("settle-sender", SettleSender(self._claims, self._settler).run())
         self._tasks.start("config-follower", self._follower.run())
+        self._tasks.start("limits", self._limits.run())
+        self._tasks.start("retries", self._retries.run())
         self._tasks.start("collector", self._collector.run())
         self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
+    def _spread_config(self, config: ConfigSet) -> None:
+        for controller in (self._directory, self._limits, self._retries):
+            controller.tell(ConfigChanged(config))
+
     async def _drain(self) -> None:
         left = await self._front.in_flight.wait_idle(self._cfg.stop_bound_s)
         if left:
@@ -151,6 +165,8 @@
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
         self._directory.tell(RosterRead(roster))
+        live = [host for host in roster.hosts.values() if host.state in OWNING_STATES]
+        self._limits.tell(HostsSeen(len(live)))
 
 
 @singledispatch
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -10,6 +10,7 @@
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
+from almondspindle.adapters.target.load import HttpLoadLink
 from almondspindle.chain.admit import AdmitToTarget
 from almondspindle.chain.base import Chain
 from almondspindle.chain.deadline import CheckDeadline
@@ -17,7 +18,11 @@
 from almondspindle.chain.send import SendToTarget
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
-from almondspindle.controllers.admission.messages import PolicyChanged
+from almondspindle.controllers.admission.messages import (
+    OwnedTargets,
+    PolicyChanged,
+    SubscribePolls,
+)
 from almondspindle.controllers.admission.task import AdmissionController
 from almondspindle.controllers.claims.desk import ClaimsDesk
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
@@ -33,14 +38,17 @@
 from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
+from almondspindle.controllers.loads.messages import PollSoon, PollTargets
+from almondspindle.controllers.loads.task import LoadsController
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
-from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead, SubscribeOwned
 from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
 from almondspindle.core.identifiers import HostName, ZoneName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
@@ -62,7 +70,7 @@
         self._platform = HttpPlatform(cfg.platform)
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
-        self._admission = AdmissionController(clock)
+        self._admission = AdmissionController(clock, cfg.takeover_s)
         host = HostName(cfg.host)
         self._published = ConfigSet()
         self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
@@ -77,7 +85,10 @@
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
-        terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        terminal = SendToTarget(HttpTargetLink(clock), self._admission, clock)
+        self._loads = LoadsController(
+            clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
+        )
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
         self._claims = ClaimsController(clock)
@@ -102,6 +113,8 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
+        self._directory.tell(SubscribeOwned(self._spread_owned))
+        self._admission.tell(SubscribePolls(lambda target: self._loads.tell(PollSoon(target))))
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
@@ -112,6 +125,7 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("config-courier", self._courier.run())
         self._tasks.start("config-start", self._follow_config())
+        self._tasks.start("loads", self._loads.run())
         self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
@@ -133,6 +147,10 @@
         self._tasks.start("config-watcher", self._watcher.run())
         self._tasks.start("config-pulls", self._courier.run_pulls())
 
+    def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
+        self._admission.tell(OwnedTargets(owned))
+        self._loads.tell(PollTargets(owned))
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
