Check answers event by event, notice silence, resume broken streams

Cause: only the end mark's last bytes and one header were checked; a silent connection was held until the deadline; a broken stream was an error. Change: event numbers and ids are checked at the owner, relayed parts are numbered, streams carry heartbeats, the entry resumes a stream at its target.

--- a/almondspindle/adapters/http_front/base.py
+++ b/almondspindle/adapters/http_front/base.py
@@ -35,6 +35,7 @@
     RefusalCode.PEER_UNREACHABLE: 502,
     RefusalCode.TARGET_UNREACHABLE: 502,
     RefusalCode.ANSWER_BROKEN: 502,
+    RefusalCode.RESUME_REFUSED: 502,
     RefusalCode.STORE_UNAVAILABLE: 503,
 }
 
--- a/almondspindle/adapters/peer/base.py
+++ b/almondspindle/adapters/peer/base.py
@@ -7,6 +7,7 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 KEEPALIVE_INTERVAL_MS = 2_000
 KEEPALIVE_TIMEOUT_MS = 2_000
+STREAM_WINDOW_BYTES = 64 * 1024
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2_000
 
@@ -19,6 +20,13 @@
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 0),
     ("grpc.http2.max_pings_without_data", 0),
+    # A server must not close a connection because of the pings that keep idle streams alive.
+    ("grpc.http2.max_ping_strikes", 0),
+    # A channel opened in place of a silent one must not share its connection.
+    ("grpc.use_local_subchannel_pool", 1),
+    # Fixed windows bound what a stream buffers for a reader that is slow.
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", STREAM_WINDOW_BYTES),
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
     ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
--- a/almondspindle/adapters/peer/client.py
+++ b/almondspindle/adapters/peer/client.py
@@ -1,7 +1,6 @@
 """The client side of the peer protocol."""
 
 import asyncio
-from functools import singledispatchmethod
 from typing import Any
 
 import grpc
@@ -10,20 +9,17 @@
 from almondspindle.adapters.peer.base import OPTIONS, RELAY, method_path
 from almondspindle.adapters.peer.codec import decode, encode
 from almondspindle.adapters.peer.messages import relay_request
-from almondspindle.core.calls import (
-    AnswerChunk,
-    AnswerEnd,
-    AnswerHead,
-    AnswerSink,
-    Call,
-    Candidate,
-    Finished,
-)
+from almondspindle.adapters.peer.reader import AnswerReader
+from almondspindle.core.calls import AnswerSink, Call, Candidate, Finished
 from almondspindle.core.clock import Clock
-from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
+from almondspindle.core.outcomes import Refusal, RefusalCode, RunState
+from almondspindle.decisions.silence import SilenceBounds
+from almondspindle.utils.silence import SilenceTimer
 
 CONNECT_TIMEOUT_S = 1.0
 SETTLED = frozenset({grpc.ChannelConnectivity.READY, grpc.ChannelConnectivity.TRANSIENT_FAILURE})
+SILENCE_BOUND_S = 4.0
+ABANDON_GRACE_S = 600.0
 SEND_MARGIN_S = 0.5  # the owner's own deadline fires first and gives the better reason
 
 
@@ -32,6 +28,7 @@
 
     def __init__(self) -> None:
         self._channels: dict[str, aio.Channel] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     def get(self, address: str) -> aio.Channel:
         """Return the channel to `address`, opened when first asked for."""
@@ -57,6 +54,20 @@
         for channel in self._channels.values():
             await channel.close()
         self._channels.clear()
+        for task in self._closing:
+            task.cancel()
+
+    def abandon(self, address: str) -> None:
+        """Use a new connection to `address` from now on.
+
+        Calls on the old one end by themselves; its close is not awaited.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            return
+        task = asyncio.ensure_future(channel.close(ABANDON_GRACE_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
 
 async def _wait_connected(channel: aio.Channel) -> None:
@@ -66,49 +77,19 @@
         state = channel.get_state(try_to_connect=True)
 
 
-class _AnswerReader:
-    """Follow the parts of one relayed answer."""
-
-    def __init__(self, sink: AnswerSink) -> None:
-        self._sink = sink
-        self._started = False
-
-    @singledispatchmethod
-    async def take(self, part: object) -> Finished | None:
-        """Pass `part` on; return how the answer ended when `part` is its last."""
-        raise InvariantError(f"unexpected answer part {type(part).__name__}")
-
-    @take.register
-    async def _(self, part: AnswerHead) -> Finished | None:
-        self._started = True
-        await self._sink.write(part)
-        return None
-
-    @take.register
-    async def _(self, part: AnswerChunk) -> Finished | None:
-        await self._sink.write(part)
-        return None
-
-    @take.register
-    async def _(self, part: AnswerEnd) -> Finished | None:
-        await self._sink.write(part)
-        return Finished(started=True)
-
-    @take.register
-    async def _(self, part: Refusal) -> Finished | None:
-        return Finished(self._started, part)
-
-    def broken(self, code: RefusalCode, message: str) -> Finished:
-        """Return the end of an answer whose rest will not come."""
-        return Finished(self._started, Refusal(code, message, RunState.UNKNOWN))
-
-
 class PeerOwnerLink:
-    """Hand calls to the owners of targets over gRPC."""
+    """Hand calls to the owners of targets over gRPC.
+
+    Owners send heartbeats, so a stream without any part for `silence_bound_s` seconds is abandoned
+    together with its channel; later calls open a new connection.
+    """
 
-    def __init__(self, channels: Channels, clock: Clock) -> None:
+    def __init__(
+        self, channels: Channels, clock: Clock, silence_bound_s: float = SILENCE_BOUND_S
+    ) -> None:
         self._channels = channels
         self._clock = clock
+        self._bounds = SilenceBounds(silence_bound_s, silence_bound_s)
 
     async def relay(self, call: Call, candidate: Candidate, sink: AnswerSink) -> Finished:
         """Have the candidate's owner answer `call` into `sink`; return how that ended."""
@@ -118,17 +99,30 @@
         now = self._clock.monotonic()
         req = relay_request(call, candidate.target, now)
         stream = self._open(candidate.owner_address, req, call.deadline_at - now)
-        reader = _AnswerReader(sink)
+        reader = AnswerReader(call.request_id, sink)
         try:
-            async for part in stream:
-                finished = await reader.take(part)
-                if finished is not None:
-                    return finished
-        except aio.AioRpcError as exc:
-            return reader.broken(_code_of(exc), f"{candidate.owner}: {exc.details()}")
+            return await self._read(candidate, stream, reader)
         finally:
             stream.cancel()
-        return reader.broken(RefusalCode.ANSWER_BROKEN, f"{candidate.owner}: no end mark")
+
+    async def _read(self, candidate: Candidate, stream: Any, reader: AnswerReader) -> Finished:
+        owner = candidate.owner
+        try:
+            with SilenceTimer(self._bounds, self._clock, stream.cancel) as timer:
+                async for part in stream:
+                    timer.progress()
+                    finished = await reader.take(part)
+                    if finished is not None:
+                        return finished
+                    timer.wait()
+        except aio.AioRpcError as exc:
+            return reader.broken(_code_of(exc), f"{owner}: {exc.details()}")
+        except asyncio.CancelledError:
+            if not timer.fired or is_cancelling():
+                raise
+            self._channels.abandon(candidate.owner_address)
+            return reader.broken(RefusalCode.PEER_UNREACHABLE, f"{owner}: the router went silent")
+        return reader.broken(RefusalCode.ANSWER_BROKEN, f"{owner}: no end mark")
 
     def _open(self, address: str, req: object, budget_s: float) -> Any:
         method = self._channels.get(address).unary_stream(
@@ -137,6 +131,12 @@
         return method(req, timeout=budget_s + SEND_MARGIN_S)
 
 
+def is_cancelling() -> bool:
+    """Return whether the running task was asked to cancel, beside its own cancelled call."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _code_of(exc: aio.AioRpcError) -> RefusalCode:
     if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
         return RefusalCode.DEADLINE_EXCEEDED
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
@@ -23,6 +24,10 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    50: RelayedHead,
+    51: RelayedChunk,
+    52: RelayedEnd,
+    53: Heartbeat,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/adapters/peer/messages.py
+++ b/almondspindle/adapters/peer/messages.py
@@ -28,6 +28,7 @@
     chat_id: ChatId | None = None
     idempotency_key: str | None = None
     claim_nonce: str | None = None
+    resume_after: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,7 @@
         chat_id=call.chat_id,
         idempotency_key=call.idempotency_key,
         claim_nonce=call.claim_nonce,
+        resume_after=call.resume_after,
     )
 
 
@@ -73,4 +75,5 @@
         idempotency_key=req.idempotency_key,
         claim_nonce=req.claim_nonce,
         target=req.target,
+        resume_after=req.resume_after,
     )
--- a/almondspindle/adapters/peer/server.py
+++ b/almondspindle/adapters/peer/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import grpc
@@ -11,25 +10,18 @@
 from almondspindle.adapters.peer.base import OPTIONS, RELAY, SERVICE, SUBSCRIBE
 from almondspindle.adapters.peer.codec import decode, encode
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest, call_from_relay
+from almondspindle.adapters.peer.streams import Heartbeats, LiveStream, RelaySink
 from almondspindle.chain.base import Chain
-from almondspindle.core.calls import AnswerPart
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import RELAY_DONE, REQUEST_REFUSED
+from almondspindle.core.events import DRAIN_BEGUN, RELAY_DONE, REQUEST_REFUSED
 from almondspindle.core.logs import emit
-from almondspindle.core.outcomes import Refusal
+from almondspindle.core.outcomes import Refusal, RefusalCode
+from almondspindle.utils.in_flight import InFlight
 
-STOP_GRACE_S = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class _ContextSink:
-    """Write answer parts to a gRPC stream. A write waits while the reader is slow."""
-
-    context: Any
-
-    async def write(self, part: AnswerPart) -> None:
-        """Pass `part` to the peer."""
-        await self.context.write(part)
+STOP_GRACE_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
+STOPPING = Refusal(RefusalCode.STOPPING, "this router takes no new work; it is stopping")
+_NO_MORE = object()
 
 
 class Publisher:
@@ -38,6 +30,7 @@
     def __init__(self) -> None:
         self._latest: dict[type, object] = {}
         self._queues: set[asyncio.Queue[object]] = set()
+        self._closed = False
 
     def publish(self, update: object) -> None:
         """Send `update` to all subscribers, and to later ones until a newer one comes."""
@@ -45,15 +38,23 @@
         for queue in self._queues:
             queue.put_nowait(update)
 
+    def close(self) -> None:
+        """End all subscriptions, so that subscribers go to another router."""
+        self._closed = True
+        for queue in self._queues:
+            queue.put_nowait(_NO_MORE)
+
     async def updates(self) -> AsyncIterator[object]:
         """Yield the newest update of each type, then every later one."""
         queue: asyncio.Queue[object] = asyncio.Queue()
+        if self._closed:
+            return
         for update in self._latest.values():
             queue.put_nowait(update)
         self._queues.add(queue)
         try:
-            while True:
-                yield await queue.get()
+            while (update := await queue.get()) is not _NO_MORE:
+                yield update
         finally:
             self._queues.discard(queue)
 
@@ -61,11 +62,21 @@
 class PeerServer:
     """Serve the peer methods of a router."""
 
-    def __init__(self, owner_chain: Chain, publisher: Publisher, clock: Clock) -> None:
+    def __init__(
+        self,
+        owner_chain: Chain,
+        publisher: Publisher,
+        clock: Clock,
+        heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
+    ) -> None:
         self._chain = owner_chain
         self._publisher = publisher
         self._clock = clock
         self._server = aio.server(options=OPTIONS)
+        self._heartbeats = Heartbeats(heartbeat_interval_s)
+        self._in_flight = InFlight()
+        self._draining = False
+        self._beating: asyncio.Task[None] | None = None
         self._unary: dict[str, Callable[[Any], Awaitable[object]]] = {}
 
     def add_method(self, name: str, handler: Callable[[Any], Awaitable[object]]) -> None:
@@ -77,11 +88,25 @@
         port = self._server.add_insecure_port(address)
         self._server.add_generic_rpc_handlers((self._handlers(),))
         await self._server.start()
+        self._beating = asyncio.ensure_future(self._heartbeats.run())
         return port
 
+    async def drain(self, bound_s: float) -> int:
+        """Refuse new relays and end subscriptions; return the relays left after `bound_s`.
+
+        The server goes on listening, so that a late relay gets a refusal that says "not run"
+        instead of a broken connection.
+        """
+        emit(DRAIN_BEGUN, in_flight=self._in_flight.count)
+        self._draining = True
+        self._publisher.close()
+        return await self._in_flight.wait_idle(bound_s)
+
     async def stop(self, grace_s: float = STOP_GRACE_S) -> None:
-        """Stop listening; requests in flight get `grace_s` seconds."""
+        """Stop listening; what is still in flight gets `grace_s` seconds."""
         await self._server.stop(grace_s)
+        if self._beating is not None:
+            self._beating.cancel()
 
     def _handlers(self) -> grpc.GenericRpcHandler:
         codec = {"request_deserializer": decode, "response_serializer": encode}
@@ -94,17 +119,33 @@
         return grpc.method_handlers_generic_handler(SERVICE, methods)
 
     async def _relay(self, req: RelayRequest, context: Any) -> None:
+        if self._draining:
+            await context.write(STOPPING)
+            return
+        stream = self._heartbeats.open(context)
+        self._in_flight.enter()
+        try:
+            await self._answer(req, stream)
+        finally:
+            self._in_flight.leave()
+            self._heartbeats.close(stream)
+
+    async def _answer(self, req: RelayRequest, stream: LiveStream) -> None:
         call = call_from_relay(req, self._clock.monotonic())
-        finished = await self._chain.run(call, _ContextSink(context))
+        finished = await self._chain.run(call, RelaySink(stream, req.request_id))
         if finished.refusal is None:
             emit(RELAY_DONE, request_id=req.request_id, target=req.target)
             return
         _log_refusal(req, finished.refusal)
-        await context.write(finished.refusal)
+        await stream.write(finished.refusal)
 
     async def _subscribe(self, req: SubscribeRequest, context: Any) -> None:
-        async for update in self._publisher.updates():
-            await context.write(update)
+        stream = self._heartbeats.open(context)
+        try:
+            async for update in self._publisher.updates():
+                await stream.write(update)
+        finally:
+            self._heartbeats.close(stream)
 
 
 def _unary(handler: Callable[[Any], Awaitable[object]]) -> Callable[[Any, Any], Awaitable[object]]:
--- a/almondspindle/adapters/peer/subscription.py
+++ b/almondspindle/adapters/peer/subscription.py
@@ -2,14 +2,21 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from grpc import aio
 
 from almondspindle.adapters.peer.base import SUBSCRIBE, method_path
-from almondspindle.adapters.peer.client import Channels
+from almondspindle.adapters.peer.client import SILENCE_BOUND_S, Channels, is_cancelling
 from almondspindle.adapters.peer.codec import decode, encode
 from almondspindle.adapters.peer.messages import SubscribeRequest
+from almondspindle.adapters.peer.parts import Heartbeat
+from almondspindle.core.clock import Clock
+from almondspindle.core.events import SUBSCRIPTION_LOST
 from almondspindle.core.identifiers import HostName
+from almondspindle.core.logs import emit
+from almondspindle.decisions.silence import SilenceBounds
+from almondspindle.utils.silence import SilenceTimer
 
 RECONNECT_PAUSE_S = 0.2
 
@@ -23,11 +30,15 @@
         addresses: Sequence[str],
         subscriber: HostName,
         listener: Callable[[object], None],
+        clock: Clock,
+        silence_bound_s: float = SILENCE_BOUND_S,
     ) -> None:
         self._channels = channels
         self._addresses = list(addresses)
         self._subscriber = subscriber
         self._listener = listener
+        self._clock = clock
+        self._bounds = SilenceBounds(silence_bound_s, silence_bound_s)
 
     async def run(self) -> None:
         """Pass updates to the listener until cancelled."""
@@ -42,8 +53,24 @@
         method = self._channels.get(address).unary_stream(
             method_path(SUBSCRIBE), request_serializer=encode, response_deserializer=decode
         )
+        stream = method(SubscribeRequest(self._subscriber))
         try:
-            async for update in method(SubscribeRequest(self._subscriber)):
-                self._listener(update)
-        except aio.AioRpcError:
-            return
+            await self._read(address, stream)
+        finally:
+            stream.cancel()
+
+    async def _read(self, address: str, stream: Any) -> None:
+        try:
+            with SilenceTimer(self._bounds, self._clock, stream.cancel) as timer:
+                async for update in stream:
+                    timer.progress()
+                    if not isinstance(update, Heartbeat):
+                        self._listener(update)
+                    timer.wait()
+        except aio.AioRpcError as exc:
+            emit(SUBSCRIPTION_LOST, address=address, reason=exc.details())
+        except asyncio.CancelledError:
+            if not timer.fired or is_cancelling():
+                raise
+            self._channels.abandon(address)
+            emit(SUBSCRIPTION_LOST, address=address, reason="the router went silent")
--- a/almondspindle/adapters/target/base.py
+++ b/almondspindle/adapters/target/base.py
@@ -4,9 +4,10 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 TEAM_HEADER = "X-Team"
+RESUME_HEADER = "Last-Event-ID"  # as in the HTML standard on server-sent events
 FORWARDED = frozenset({"content-type", "accept", "idempotency-key", "x-chat-id"})
 HOP_BY_HOP = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade"}
+    {"connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"}
 )
 
 
@@ -20,9 +21,16 @@
         ("Content-Length", str(len(call.body))),
         (REQUEST_ID_HEADER, call.request_id),
         (TEAM_HEADER, call.team or ""),
+        *_resume_headers(call),
     )
 
 
 def answer_headers(headers: Headers) -> Headers:
     """Return the headers of a target's answer that go on to the caller."""
     return tuple((name, value) for name, value in headers if name.lower() not in HOP_BY_HOP)
+
+
+def _resume_headers(call: Call) -> Headers:
+    if call.resume_after is None:
+        return ()
+    return ((RESUME_HEADER, str(call.resume_after)),)
--- /dev/null
+++ b/almondspindle/adapters/target/delegate.py
@@ -0,0 +1,203 @@
+"""Check an answer of a target while it arrives, and pass it on."""
+
+import asyncio
+from collections.abc import Awaitable
+from dataclasses import dataclass
+from typing import cast
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from almondspindle.adapters.target.base import REQUEST_ID_HEADER, answer_headers
+from almondspindle.adapters.target.events import Event, EventScanner, EventTooLong
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    AnswerSink,
+    Call,
+    CallerGone,
+    Finished,
+)
+from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
+from almondspindle.decisions.answers import AnswerCheck, HeadFacts
+from almondspindle.utils.silence import SilenceTimer
+
+FIRST_FINAL_STATUS = 200
+NO_BODY_STATUSES = frozenset({204, 304})
+CUT_SHORT = "the target closed the connection before the answer was whole"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What is wrong with an answer."""
+
+    code: RefusalCode
+    text: str
+
+
+class AnswerDelegate(HTTPMessageDelegate):
+    """Pass the parts of an answer to the sink as they arrive.
+
+    The last piece, or the end mark of a stream, is held back until the answer is known to be
+    whole, so that a caller never takes a broken answer for a whole one.
+    """
+
+    def __init__(self, call: Call, sink: AnswerSink, stream: IOStream) -> None:
+        self._call = call
+        self._sink = sink
+        self._stream = stream
+        self._check = AnswerCheck(call.request_id, call.resume_after)
+        self._scanner = EventScanner()
+        self._left_bytes: int | None = None
+        self._held = b""
+        self._started = False
+        self._ended = False
+        self._fault: Fault | None = None
+        self._failure: BaseException | None = None
+        self.timer: SilenceTimer | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Check the head and pass it on."""
+        if not isinstance(start_line, ResponseStartLine):
+            raise InvariantError("a target's answer began with a request line")
+        if start_line.code < FIRST_FINAL_STATUS:
+            return None
+        has_body = start_line.code not in NO_BODY_STATUSES and self._call.method != "HEAD"
+        problem = self._read_length(headers, has_body) or self._check.head(
+            HeadFacts(
+                headers.get("Content-Type", ""),
+                headers.get(REQUEST_ID_HEADER),
+                not has_body or self._left_bytes is not None or _is_chunked(headers),
+            )
+        )
+        if problem is not None:
+            self.fail(RefusalCode.ANSWER_BROKEN, problem)
+            return None
+        self._check.is_stream = self._check.is_stream and has_body
+        passed = answer_headers(tuple(headers.get_all()))
+        if self._call.target is None:
+            raise InvariantError("a call was sent without a target")
+        return self._pass_on(AnswerHead(start_line.code, passed, self._call.target))
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Check a piece of the body and pass on what is known to be right."""
+        if self.timer is not None:
+            self.timer.progress()
+            self.timer.wait()
+        if self._fault is not None:
+            return None
+        if self._check.is_stream:
+            return self._pass_events(chunk)
+        if self._left_bytes is not None:
+            self._left_bytes -= len(chunk)
+            if self._left_bytes <= 0:
+                self._held = chunk
+                return None
+        return self._pass_on(AnswerChunk(chunk))
+
+    def finish(self) -> None:
+        """Note the end of a body that HTTP says is whole."""
+        self._ended = True
+        last = self._scanner.close()
+        if last is not None:
+            self._take_event(last)
+        problem = self._check.end()
+        if problem is not None:
+            self.fail(RefusalCode.ANSWER_BROKEN, problem)
+
+    def on_connection_close(self) -> None:
+        """Leave the end unset: the connection closed before the answer was whole."""
+
+    def fail(self, code: RefusalCode, text: str) -> None:
+        """Abandon the answer. The first fault is the one that is told."""
+        if self._fault is None:
+            self._fault = Fault(code, text)
+        self._stream.close()
+
+    async def conclude(self) -> Finished:
+        """Pass on what was held back when the answer is whole; return how it ended."""
+        if self._failure is not None:
+            raise self._failure
+        if self._fault is None and not self._ended:
+            self.fail(RefusalCode.ANSWER_BROKEN, CUT_SHORT)
+        if self._fault is None and _has_more(self._stream):
+            self.fail(RefusalCode.ANSWER_BROKEN, "the answer goes on after its end")
+        if self._fault is not None:
+            refusal = Refusal(self._fault.code, self._fault.text, RunState.UNKNOWN)
+            return Finished(self._started, refusal)
+        if self._held:
+            await self._sink.write(AnswerChunk(self._held))
+        await self._sink.write(AnswerEnd())
+        return Finished(started=True)
+
+    def _read_length(self, headers: HTTPHeaders, has_body: bool) -> str | None:
+        text = headers.get("Content-Length")
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdigit()):
+            return f"the answer has the length {text!r}"
+        if has_body:
+            self._left_bytes = int(text)
+        return None
+
+    async def _pass_events(self, data: bytes) -> None:
+        try:
+            events = self._scanner.feed(data)
+        except EventTooLong:
+            self.fail(RefusalCode.ANSWER_BROKEN, "an event of the stream is too long")
+            return
+        good = [event.raw for event in events if self._take_event(event)]
+        if good:
+            await self._pass_on(AnswerChunk(b"".join(good), self._check.last_number))
+
+    def _take_event(self, event: Event) -> bool:
+        """Return whether `event` goes on now; hold back the end mark and what follows it."""
+        if self._fault is not None:
+            return False
+        problem = None
+        if event.mark is not None:
+            problem = self._check.event(event.mark)
+        elif self._check.has_ended and event.raw.strip():
+            problem = "the stream goes on after its end mark"
+        if problem is not None:
+            self.fail(RefusalCode.ANSWER_BROKEN, problem)
+            return False
+        if self._check.has_ended:
+            self._held += event.raw
+            return False
+        return True
+
+    async def _pass_on(self, part: AnswerPart) -> None:
+        if self._failure is not None:
+            return
+        self._started = True
+        if self.timer is not None:
+            self.timer.progress()
+        try:
+            await self._sink.write(part)
+        except CallerGone as exc:
+            self._failure = exc
+            self._stream.close()
+        if self.timer is not None:
+            self.timer.wait()
+
+
+def _is_chunked(headers: HTTPHeaders) -> bool:
+    return headers.get("Transfer-Encoding", "").lower() == "chunked"
+
+
+def _has_more(stream: IOStream) -> bool:
+    try:
+        fut = cast("asyncio.Future[bytes]", stream.read_bytes(1, partial=True))
+    except StreamClosedError:
+        return False
+    return fut.done() and fut.exception() is None
--- /dev/null
+++ b/almondspindle/chain/resume.py
@@ -0,0 +1,144 @@
+"""Resume streams that broke off, so that the caller gets each event once."""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.chain.relay import OwnerLink
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import FindCandidate
+from almondspindle.core.calls import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    AnswerSink,
+    Call,
+    Candidate,
+    Finished,
+)
+from almondspindle.core.clock import Clock
+from almondspindle.core.events import ATTEMPT_FAILED, STREAM_RESUMED
+from almondspindle.core.logs import emit
+from almondspindle.core.metrics import RESUMES, MetricSender
+from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
+from almondspindle.decisions.answers import EVENT_STREAM
+from almondspindle.decisions.resume import Progress, ResumeStep, next_resume, resume_pause_s
+
+STATUS_OK = 200
+
+
+class ResumeRefused(Exception):
+    """The target's answer to a resume is not the rest of the stream."""
+
+
+class StreamSink:
+    """Pass one answer on, whose parts may come from several attempts.
+
+    `last_event` is the number of the last event that the caller has.
+    """
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self._sink = sink
+        self._head: AnswerHead | None = None
+        self.last_event: int | None = None
+
+    @property
+    def started(self) -> bool:
+        """Return whether an answer head was passed on."""
+        return self._head is not None
+
+    async def write(self, part: AnswerPart) -> None:
+        """Pass `part` on. Raise `ResumeRefused` for a head that cannot be a resume's."""
+        await self._write(part)
+
+    @singledispatchmethod
+    async def _write(self, part: Any) -> None:
+        raise InvariantError(f"unexpected answer part {type(part).__name__}")
+
+    @_write.register
+    async def _(self, part: AnswerChunk) -> None:
+        await self._sink.write(part)
+        if part.last_event is not None:
+            self.last_event = part.last_event
+
+    @_write.register
+    async def _(self, part: AnswerHead) -> None:
+        if self._head is None:
+            self._head = part
+            await self._sink.write(part)
+        elif not _goes_on(self._head, part):
+            raise ResumeRefused(f"the target answered the resume with status {part.status}")
+
+    @_write.register
+    async def _(self, part: AnswerEnd) -> None:
+        await self._sink.write(part)
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeStreams:
+    """A way to owners that resumes a stream at its target when the path to it breaks."""
+
+    owners: OwnerLink
+    directory: DirectoryController
+    clock: Clock
+    metrics: MetricSender
+    window_s: float
+
+    async def relay(self, call: Call, candidate: Candidate, sink: AnswerSink) -> Finished:
+        """Have the candidate's owner answer `call` into `sink`; return how that ended."""
+        stream = StreamSink(sink)
+        finished = await self.owners.relay(call, candidate, stream)
+        progress = Progress(call.work, stream.last_event, self.clock.monotonic())
+        while finished.refusal is not None and stream.started:
+            step = next_resume(
+                progress, finished, self.clock.monotonic(), self.window_s, call.deadline_at
+            )
+            if step is ResumeStep.GIVE_UP:
+                return Finished(True, finished.refusal)
+            _log_break(call, candidate, finished.refusal)
+            await asyncio.sleep(resume_pause_s(progress, random.random()))
+            finished = await self._resume(call, candidate, stream)
+            progress = self._advance(progress, stream)
+        return finished
+
+    async def _resume(self, call: Call, candidate: Candidate, stream: StreamSink) -> Finished:
+        found = await self.directory.ask(FindCandidate(candidate.target))
+        self.metrics.count(RESUMES)
+        emit(
+            STREAM_RESUMED,
+            request_id=call.request_id,
+            target=candidate.target,
+            after=stream.last_event,
+        )
+        try:
+            rest = call.with_(resume_after=stream.last_event)
+            return await self.owners.relay(rest, found or candidate, stream)
+        except ResumeRefused as exc:
+            return Finished(True, Refusal(RefusalCode.RESUME_REFUSED, str(exc), RunState.UNKNOWN))
+
+    def _advance(self, progress: Progress, stream: StreamSink) -> Progress:
+        if stream.last_event == progress.last_event:
+            return replace(progress, tries=progress.tries + 1)
+        return Progress(progress.work, stream.last_event, self.clock.monotonic())
+
+
+def _goes_on(first: AnswerHead, second: AnswerHead) -> bool:
+    return (second.status, second.target) == (STATUS_OK, first.target) and any(
+        name.lower() == "content-type" and value.startswith(EVENT_STREAM)
+        for name, value in second.headers
+    )
+
+
+def _log_break(call: Call, candidate: Candidate, refusal: Refusal) -> None:
+    emit(
+        ATTEMPT_FAILED,
+        request_id=call.request_id,
+        target=candidate.target,
+        owner=candidate.owner,
+        code=refusal.code,
+        reason=refusal.message,
+        run_state=refusal.run_state,
+    )
--- a/almondspindle/conf/entry.py
+++ b/almondspindle/conf/entry.py
@@ -24,3 +24,9 @@
     stop_bound_s: float = Field(
         600.0, ge=0, description="Longest wait for requests in flight at a stop, seconds."
     )
+    peer_silence_bound_s: float = Field(
+        4.0, gt=0, description="Longest silence of a router, which sends heartbeats, seconds."
+    )
+    resume_window_s: float = Field(
+        10.0, ge=0, description="Longest time to try to resume a broken stream, seconds."
+    )
--- a/almondspindle/conf/router.py
+++ b/almondspindle/conf/router.py
@@ -19,3 +19,14 @@
     stop_bound_s: float = Field(
         600.0, ge=0, description="Longest wait for requests in flight at a stop, seconds."
     )
+    first_byte_bound_s: float = Field(
+        30.0, gt=0, description="Longest wait for a target's first byte, seconds."
+    )
+    between_bytes_bound_s: float = Field(
+        10.0, gt=0, description="Longest silence of a target within an answer, seconds."
+    )
+    heartbeat_interval_s: float = Field(
+        1.0,
+        gt=0,
+        description="Time between heartbeats on an idle stream to a peer, seconds.",
+    )
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -6,6 +6,7 @@
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.targets.messages import (
     ConfigChanged,
+    FindCandidate,
     FindOwned,
     GetRoster,
     RankTargets,
@@ -72,6 +73,10 @@
             )
         return Ok(candidates)
 
+    @handle.register
+    def _(self, msg: FindCandidate, now: float) -> Candidate | None:
+        return self._candidate(msg.target) if msg.target in self._owners else None
+
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
         target = self._roster.targets.get(msg.target)
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -39,6 +39,13 @@
     target: TargetName
 
 
+@dataclass(frozen=True, slots=True)
+class FindCandidate(Question[Candidate | None]):
+    """Ask for a target with its present owner, also when it takes no new work."""
+
+    target: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class GetRoster(Question[Roster]):
     """Ask for the hosts and targets in view."""
--- a/almondspindle/core/calls.py
+++ b/almondspindle/core/calls.py
@@ -41,7 +41,8 @@
 class Call:
     """A caller's request. Each filter returns a copy with what it has found out.
 
-    `deadline_at` is in seconds on this process's monotonic clock.
+    `deadline_at` is in seconds on this process's monotonic clock. `resume_after` is the number of
+    the last event that the caller has, when the call resumes a stream.
     """
 
     request_id: RequestId
@@ -62,6 +63,7 @@
     target: TargetName | None = None
     target_address: str = ""
     ticket: int | None = None
+    resume_after: int | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first header called `name`, compared without case, or None."""
@@ -87,9 +89,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerChunk:
-    """A piece of an answer's body, in order."""
+    """A piece of an answer's body, in order.
+
+    `last_event` is the number of the last event of a stream in the piece, None without numbers.
+    """
 
     data: bytes
+    last_event: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -30,6 +30,7 @@
 PROCESS_STOPPING = event(1001, "process_stopping", "A signal asked for a planned stop.")
 PROCESS_STOPPED = event(1002, "process_stopped", "The process ended with nothing in flight.")
 STOP_CUT_STREAMS = event(1003, "stop_cut_streams", "The bound on the stop cut requests in flight.")
+DRAIN_BEGUN = event(1005, "drain_begun", "The process takes no new work; requests in flight end.")
 TASK_FAILED = event(1004, "task_failed", "A task met a broken invariant; the process stops.")
 
 # 1100 to 1199: requests.
@@ -40,6 +41,10 @@
 ATTEMPT_FAILED = event(1102, "attempt_failed", "One attempt at a request failed at the entry.")
 RELAY_DONE = event(1103, "relay_done", "The owner passed a whole answer on.")
 CALLER_GONE = event(1104, "caller_gone", "The caller left before the answer was whole.")
+SUBSCRIPTION_LOST = event(
+    1110, "subscription_lost", "A router's updates broke off; the next router is asked."
+)
+STREAM_RESUMED = event(1111, "stream_resumed", "A stream that broke off goes on at its target.")
 
 # 1200 to 1299: configuration.
 CONFIG_APPLIED = event(1200, "config_applied", "A higher configuration version came into force.")
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -29,6 +29,7 @@
 REFUSALS = metric("refusals", "counter", "requests", "Requests that were refused.")
 ANSWERS = metric("answers", "counter", "requests", "Requests that were answered whole.")
 RETRIES = metric("retries", "counter", "attempts", "Attempts after the first one.")
+RESUMES = metric("resumes", "counter", "attempts", "Attempts to resume a stream.")
 FIRST_BYTE = metric("first_byte", "timer", "ms", "Time from request to first byte of the answer.")
 
 
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -47,6 +47,7 @@
     PEER_UNREACHABLE = "peer_unreachable"
     TARGET_UNREACHABLE = "target_unreachable"
     ANSWER_BROKEN = "answer_broken"
+    RESUME_REFUSED = "resume_refused"
     STORE_UNAVAILABLE = "store_unavailable"
 
 
--- /dev/null
+++ b/almondspindle/decisions/silence.py
@@ -0,0 +1,39 @@
+"""Whether a connection that owes an answer has gone silent."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceBounds:
+    """The longest times without a byte while an answer is due, in seconds."""
+
+    first_s: float
+    between_s: float
+
+
+@dataclass(slots=True)
+class SilenceWatch:
+    """Follow the waits for the next bytes of one answer.
+
+    Time in which the reader itself is busy, say with a slow caller, does not count.
+    """
+
+    bounds: SilenceBounds
+    waiting_since: float | None = None
+    has_begun: bool = False
+
+    def wait(self, now: float) -> None:
+        """Note that the reader waits for bytes from `now` on."""
+        self.waiting_since = now
+
+    def progress(self) -> None:
+        """Note that bytes came and that the reader is busy with them."""
+        self.has_begun = True
+        self.waiting_since = None
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until the connection counts as silent; 0 or less when it does."""
+        bound_s = self.bounds.between_s if self.has_begun else self.bounds.first_s
+        if self.waiting_since is None:
+            return bound_s
+        return self.waiting_since + bound_s - now
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -15,6 +15,7 @@
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
+from almondspindle.chain.resume import ResumeStreams
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
 from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
@@ -46,7 +47,8 @@
         self._configuration = ConfigurationController(self._clock)
         self._directory = DirectoryController(self._clock, HostName(cfg.host))
         metrics = make_metrics(cfg.statsd)
-        owners = PeerOwnerLink(self._channels, self._clock)
+        direct = PeerOwnerLink(self._channels, self._clock, cfg.peer_silence_bound_s)
+        owners = ResumeStreams(direct, self._directory, self._clock, metrics, cfg.resume_window_s)
         filters = (
             CheckDeadline(),
             IdentifyTeam(self._configuration),
@@ -86,7 +88,14 @@
         self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
         listener = partial(pass_update, entry=self)
         host = HostName(self._cfg.host)
-        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        subscription = Subscription(
+            self._channels,
+            self._cfg.routers,
+            host,
+            listener,
+            self._clock,
+            self._cfg.peer_silence_bound_s,
+        )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("subscription", subscription.run())
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -23,10 +23,11 @@
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.events import PROCESS_STOPPED
+from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.silence import SilenceBounds
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -50,8 +51,11 @@
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
-        terminal = SendToTarget(HttpTargetLink(clock), self._admission)
-        self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        bounds = SilenceBounds(cfg.first_byte_bound_s, cfg.between_bytes_bound_s)
+        terminal = SendToTarget(HttpTargetLink(clock, bounds), self._admission)
+        self._server = PeerServer(
+            Chain(filters, terminal, clock), self._publisher, clock, cfg.heartbeat_interval_s
+        )
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -60,11 +64,17 @@
         port = await self._server.start(self._cfg.listen)
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
-        await self._server.stop(self._cfg.stop_bound_s)
+        await self._drain()
+        await self._server.stop()
         await self._tasks.cancel_all()
         emit(PROCESS_STOPPED)
         return status
 
+    async def _drain(self) -> None:
+        left = await self._server.drain(self._cfg.stop_bound_s)
+        if left:
+            emit(STOP_CUT_STREAMS, streams=left)
+
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
         watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
--- /dev/null
+++ b/almondspindle/utils/silence.py
@@ -0,0 +1,46 @@
+"""A timer that calls back when a connection has gone silent."""
+
+import asyncio
+from collections.abc import Callable
+
+from almondspindle.core.clock import Clock
+from almondspindle.decisions.silence import SilenceBounds, SilenceWatch
+
+MIN_PAUSE_S = 0.001
+
+
+class SilenceTimer:
+    """Follow one answer with a single timer, so that a part costs no timer of its own."""
+
+    def __init__(self, bounds: SilenceBounds, clock: Clock, on_silence: Callable[[], None]) -> None:
+        self._watch = SilenceWatch(bounds)
+        self._clock = clock
+        self._on_silence = on_silence
+        self._handle: asyncio.TimerHandle | None = None
+        self.fired = False
+
+    def __enter__(self) -> "SilenceTimer":
+        self.wait()
+        self._check()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def wait(self) -> None:
+        """Note that the reader waits for bytes from now on."""
+        self._watch.wait(self._clock.monotonic())
+
+    def progress(self) -> None:
+        """Note that bytes came and that the reader is busy with them."""
+        self._watch.progress()
+
+    def _check(self) -> None:
+        left_s = self._watch.left_s(self._clock.monotonic())
+        if left_s > 0:
+            loop = asyncio.get_running_loop()
+            self._handle = loop.call_later(max(left_s, MIN_PAUSE_S), self._check)
+            return
+        self.fired = True
+        self._on_silence()
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -36,7 +36,8 @@
         events = [e for e in self.body.decode().split("\n\n") if e]
         if len(events) != tokens + 1 or events[-1] != "data: [DONE]":
             return False
-        parts = [json.loads(e[6:])["choices"][0]["delta"]["content"] for e in events[:-1]]
+        payloads = [json.loads(event.partition("data: ")[2]) for event in events[:-1]]
+        parts = [payload["choices"][0]["delta"]["content"] for payload in payloads]
         return parts == [f"{text}:{index} " for index in range(tokens)]
 
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -12,6 +12,16 @@
 from tornado.web import Application, RequestHandler
 
 COLD_SECONDS = 3.0
+KEPT_STREAMS = 1000
+ID_PREFIX = "chatcmpl-"
+
+
+@dataclass(frozen=True)
+class KeptStream:
+    """A stream that the engine can resume: what it says, and how many events it has."""
+
+    text: str
+    count: int
 
 
 @dataclass
@@ -20,6 +30,9 @@
 
     truncate: bool = False
     cross: bool = False
+    cross_events: bool = False
+    break_after_tokens: int | None = None
+    forget_streams: bool = False
     silent_after_tokens: int | None = None
     refuse_connections: bool = False
 
@@ -39,6 +52,8 @@
     cold_overloads: int = 0
     requests: int = 0
     cancelled: int = 0
+    resumed: int = 0
+    streams: OrderedDict[str, KeptStream] = field(default_factory=OrderedDict)
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     faults: EngineFaults = field(default_factory=EngineFaults)
 
@@ -60,6 +75,12 @@
         if self.is_cold(now) and self.in_flight > self.cold_limit:
             self.cold_overloads += 1
 
+    def keep(self, request_id: str, stream: KeptStream) -> None:
+        """Keep a stream for a resume; the oldest one gives way."""
+        self.streams[request_id] = stream
+        while len(self.streams) > KEPT_STREAMS:
+            self.streams.popitem(last=False)
+
     def remember(self, chat_id: str) -> bool:
         """Put a chat's prefix into the cache and return whether it was there."""
         hit = chat_id in self.cache
@@ -97,21 +118,41 @@
             await asyncio.sleep(self.state.token_pause_s * count)
             self.finish({"choices": [{"message": {"content": f"{text}:{count}"}}]})
             return
+        last = self.request.headers.get("Last-Event-ID")
+        if last is not None and not self._can_resume(answered_id):
+            self.set_status(410)
+            self.finish({"error": "the stream is not kept"})
+            return
+        self.state.keep(answered_id, KeptStream(text, count))
         self.set_header("Content-Type", "text/event-stream")
-        await self._stream(text, count)
+        await self._stream(answered_id, text, range(int(last or -1) + 1, count))
+
+    def _can_resume(self, request_id: str) -> bool:
+        if self.state.faults.forget_streams or request_id not in self.state.streams:
+            return False
+        self.state.resumed += 1
+        return True
 
-    async def _stream(self, text: str, count: int) -> None:
+    async def _stream(self, request_id: str, text: str, indexes: range) -> None:
         faults = self.state.faults
-        for index in range(count):
+        for index in indexes:
             if faults.silent_after_tokens == index:
                 await asyncio.sleep(3600)
-            delta = {"choices": [{"delta": {"content": f"{text}:{index} "}}]}
-            self.write(f"data: {json.dumps(delta)}\n\n")
+            if faults.break_after_tokens == index:
+                faults.break_after_tokens = None
+                self.request.connection.stream.close()
+                return
+            self._write_event(request_id, text, index)
             await self.flush()
             await asyncio.sleep(self.state.token_pause_s)
         if not faults.truncate:
             self.write("data: [DONE]\n\n")
 
+    def _write_event(self, request_id: str, text: str, index: int) -> None:
+        named = "f" * 24 if self.state.faults.cross_events and index else request_id
+        delta = {"id": ID_PREFIX + named, "choices": [{"delta": {"content": f"{text}:{index} "}}]}
+        self.write(f"id: {index}\ndata: {json.dumps(delta)}\n\n")
+
 
 class _Load(RequestHandler):
     def initialize(self, state: EngineState) -> None:
