Drain entries and routers without a cut; prove it with real processes

Found on the way: the silence timer was armed with the first bound and kept it after the first byte, so a target that fell silent within a stream was noticed after 30 s in place of 1 s. The test of silence in a stream failed with the old timer and passes now.

--- a/almondspindle/decisions/silence.py
+++ b/almondspindle/decisions/silence.py
@@ -37,3 +37,10 @@
         if self.waiting_since is None:
             return bound_s
         return self.waiting_since + bound_s - now
+
+    def next_check_s(self, now: float) -> float:
+        """Return the seconds after which to look again.
+
+        The first bytes may shorten the bound, so a look never waits longer than the shorter one.
+        """
+        return min(self.left_s(now), self.bounds.between_s)
--- a/almondspindle/utils/silence.py
+++ b/almondspindle/utils/silence.py
@@ -37,10 +37,10 @@
         self._watch.progress()
 
     def _check(self) -> None:
-        left_s = self._watch.left_s(self._clock.monotonic())
-        if left_s > 0:
-            loop = asyncio.get_running_loop()
-            self._handle = loop.call_later(max(left_s, MIN_PAUSE_S), self._check)
+        now = self._clock.monotonic()
+        if self._watch.left_s(now) > 0:
+            pause_s = max(self._watch.next_check_s(now), MIN_PAUSE_S)
+            self._handle = asyncio.get_running_loop().call_later(pause_s, self._check)
             return
         self.fired = True
         self._on_silence()
--- a/tests/adapters/test_target_answers.py
+++ b/tests/adapters/test_target_answers.py
@@ -50,9 +50,9 @@
     )
 
 
-async def send(script: Script, sink: ListSink, **kw) -> Finished:
+async def send(script: Script, sink: ListSink, bounds=BOUNDS, **kw) -> Finished:
     async with RawTarget(script) as target:
-        link = HttpTargetLink(SystemClock(), BOUNDS)
+        link = HttpTargetLink(SystemClock(), bounds)
         call = make_call(target.address, **kw)
         return await asyncio.wait_for(link.send(call, sink, SystemClock().monotonic()), 15)
 
@@ -121,7 +121,11 @@
     "not HTTP": ([b"\x00\x01\r\n\r\n"], "without an answer", b""),
     "no answer": ([], "without an answer", b""),
 }
-SILENT = {"before the head": [], "in the stream": [CHUNKED, chunk(E0)], "in a head": [SSE]}
+SILENT = {
+    "before the head": ([], BOUNDS),
+    "in a head": ([SSE], BOUNDS),
+    "in the stream": ([CHUNKED, chunk(E0)], SilenceBounds(first_s=1000.0, between_s=0.3)),
+}
 
 
 @pytest.mark.parametrize("writes,body", WHOLE.values(), ids=WHOLE.keys())
@@ -145,9 +149,9 @@
     assert body is None or sink.body == sent(body)
 
 
-@pytest.mark.parametrize("writes", SILENT.values(), ids=SILENT.keys())
-def test_a_silent_target_is_abandoned(writes):
-    finished = asyncio.run(send(Script(writes, keep_open=True), ListSink()))
+@pytest.mark.parametrize("writes,bounds", SILENT.values(), ids=SILENT.keys())
+def test_a_silent_target_is_abandoned(writes, bounds):
+    finished = asyncio.run(send(Script(writes, keep_open=True), ListSink(), bounds))
     assert finished.refusal.code is RefusalCode.TARGET_UNREACHABLE
     assert finished.refusal.message == "the target has gone silent"
 
@@ -177,8 +181,8 @@
     assert ("Content-Length", "7") in sink.heads[0].headers
 
 
-@pytest.mark.parametrize("writes", SILENT.values(), ids=SILENT.keys())
-def test_a_cancelled_call_closes_its_connection_at_once(writes):
+@pytest.mark.parametrize("writes,_", SILENT.values(), ids=SILENT.keys())
+def test_a_cancelled_call_closes_its_connection_at_once(writes, _):
     async def check() -> None:
         async with RawTarget(Script(writes, keep_open=True)) as target:
             link = HttpTargetLink(SystemClock())
--- /dev/null
+++ b/tests/programs/test_planned_stop.py
@@ -0,0 +1,93 @@
+"""Planned stops of real processes: nothing in flight is cut."""
+
+import asyncio
+import signal
+
+import uuid_utils
+
+from tests.programs.common import TOKENS, all_whole, small_fleet, start_chats, wait_streaming
+from tests.standins.caller import wait_until
+from tests.standins.raw_caller import RawCaller, chat_request
+
+ONE = {"entry-1": "walvis-a"}
+TWO = {"entry-1": "walvis-a", "entry-2": "swakop-a"}
+STREAMS = 4
+LAG = ("--balancer-lag-s", "1.5")
+CUT = "stop_cut_streams"
+
+
+def test_an_entry_serves_for_the_lag_and_cuts_nothing(tmp_path):
+    async def check() -> None:
+        async with small_fleet(tmp_path, ONE, entry_args=LAG) as (fleet, callers):
+            entry, engine = fleet.hosts["entry-1"].entry, fleet.engines["forecast-0"]
+            fleet.engines["forecast-0"].state.cold_limit = 100
+            caller = callers[0]
+            idle = await RawCaller.connect(entry.address)
+            await idle.send(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            await idle.read_to(b"ok\n")
+            kept = await RawCaller.connect(entry.address)
+            await kept.send(chat_request("kept", TOKENS))
+            tasks = start_chats(caller, STREAMS - 1)
+            await wait_streaming([engine], STREAMS)
+            entry.proc.send_signal(signal.SIGTERM)
+
+            async def is_stopping() -> bool:
+                return (await caller.send("GET", "/readyz")).status == 503
+
+            await wait_until(is_stopping, "readyz does not turn false")
+            late = await caller.read()
+            assert (late.status, late.headers["Connection"]) == (200, "close")
+            entry.proc.send_signal(signal.SIGTERM)
+            assert await all_whole(tasks)
+            _, body = await kept.read_message()
+            assert body.endswith(b"data: [DONE]\n\n")
+            assert await kept.read_rest() == b""
+            assert await idle.read_rest() == b""
+            assert await entry.stop() == 0
+
+    asyncio.run(check())
+    assert CUT not in (tmp_path / "entry-entry-1.log").read_text()
+
+
+def test_an_entry_logs_what_its_bound_cuts(tmp_path):
+    async def check() -> None:
+        args = ("--balancer-lag-s", "0", "--stop-bound-s", "0.1")
+        async with small_fleet(tmp_path, ONE, entry_args=args) as (fleet, _):
+            entry = fleet.hosts["entry-1"].entry
+            raw = await RawCaller.connect(entry.address)
+            await raw.send(chat_request("long", 10_000))
+            await wait_streaming([fleet.engines["forecast-0"]], 1)
+            assert await entry.stop() == 0
+            assert not (await raw.read_rest()).endswith(b"0\r\n\r\n")
+
+    asyncio.run(check())
+    assert '"streams":1' in (tmp_path / "entry-entry-1.log").read_text()
+
+
+def test_a_router_cuts_nothing_and_the_entry_goes_on(tmp_path):
+    async def check() -> None:
+        async with small_fleet(tmp_path, TWO) as (fleet, callers):
+            engines = list(fleet.engines.values())
+            router = fleet.hosts["entry-1"].router
+            tasks = start_chats(callers[0], STREAMS) + start_chats(callers[1], STREAMS)
+            await wait_streaming(engines, 2 * STREAMS)
+            stopping = asyncio.ensure_future(router.stop())
+            keys = [str(uuid_utils.uuid7()) for _ in range(6)]
+            for number, key in enumerate(keys):
+                answer = await callers[number % 2].commit(key)
+                assert (answer.status, fleet.commits.runs[key]) == (200, 1)
+            assert await all_whole(tasks[:STREAMS])
+            assert await all_whole(tasks[STREAMS:])
+            assert await stopping == 0
+            fleet.unlist("entry-1")
+            for caller in callers:
+                assert (await caller.chat("later", "later")).is_whole_stream("later", 8)
+
+            async def in_force() -> bool:
+                return (await callers[0].chat("c", "x")).status == 401
+
+            fleet.configure({"teams": [], "services": [], "zones": [], "targets": []})
+            await wait_until(in_force, "the entry no longer hears of configurations")
+
+    asyncio.run(check())
+    assert CUT not in (tmp_path / "router-entry-1.log").read_text()
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -53,6 +53,7 @@
     requests: int = 0
     cancelled: int = 0
     resumed: int = 0
+    tokens: int = 0
     streams: OrderedDict[str, KeptStream] = field(default_factory=OrderedDict)
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     faults: EngineFaults = field(default_factory=EngineFaults)
@@ -94,12 +95,18 @@
 class _Chat(RequestHandler):
     def initialize(self, state: EngineState) -> None:
         self.state = state
+        self._task: asyncio.Future[None] | None = None
+
+    def on_connection_close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
 
     async def post(self) -> None:
         now = asyncio.get_running_loop().time()
         self.state.begin(now)
         try:
-            await self._answer(json.loads(self.request.body))
+            self._task = asyncio.ensure_future(self._answer(json.loads(self.request.body)))
+            await self._task
         except (StreamClosedError, asyncio.CancelledError):
             self.state.cancelled += 1
         finally:
@@ -149,6 +156,7 @@
             self.write("data: [DONE]\n\n")
 
     def _write_event(self, request_id: str, text: str, index: int) -> None:
+        self.state.tokens += 1
         named = "f" * 24 if self.state.faults.cross_events and index else request_id
         delta = {"id": ID_PREFIX + named, "choices": [{"delta": {"content": f"{text}:{index} "}}]}
         self.write(f"id: {index}\ndata: {json.dumps(delta)}\n\n")
--- /dev/null
+++ b/tests/standins/raw_caller.py
@@ -0,0 +1,67 @@
+"""A caller that holds its socket itself: reads slowly, leaves, or closes one half."""
+
+import asyncio
+import json
+import socket
+from dataclasses import dataclass
+
+SMALL_BUFFER_BYTES = 16 * 1024
+STREAM_LIMIT_BYTES = 32 * 1024
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chat_request(text: str, tokens: int) -> bytes:
+    """Return the bytes of a streamed chat request on a connection that is kept."""
+    messages = [{"role": "user", "content": text}]
+    doc = {"model": "forecast-llm", "messages": messages, "stream": True, "max_tokens": tokens}
+    body = json.dumps(doc).encode()
+    return (
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Chat-Id: raw\r\n"
+        b"Authorization: Bearer grid-desk-token\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    )
+
+
+@dataclass
+class RawCaller:
+    """One connection to an entry."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @classmethod
+    async def connect(cls, address: str) -> "RawCaller":
+        """Open a connection whose own buffers are small."""
+        host, _, port = address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        streams = await asyncio.open_connection(sock=sock, limit=STREAM_LIMIT_BYTES)
+        return cls(*streams)
+
+    async def send(self, data: bytes) -> None:
+        """Send `data`."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read_to(self, mark: bytes) -> bytes:
+        """Return the bytes up to `mark` and with it; raise when the connection ends before."""
+        return await self.reader.readuntil(mark)
+
+    async def read_message(self) -> tuple[bytes, bytes]:
+        """Return the head and the chunked body of an answer; raise when it is cut short."""
+        head = await self.read_to(b"\r\n\r\n")
+        body = bytearray()
+        while size := int(await self.read_to(b"\r\n"), 16):
+            body += await self.reader.readexactly(size)
+            await self.reader.readexactly(2)
+        await self.reader.readexactly(2)
+        return head, bytes(body)
+
+    async def read_rest(self) -> bytes:
+        """Return all bytes until the other end closes."""
+        return await self.reader.read()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
