--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
 from almondspindle.adapters.peer.telemetry_messages import (
     Accepted,
     GetTelemetry,
@@ -56,6 +57,10 @@
     61: Accepted,
     62: GetTelemetry,
     63: HostTelemetry,
+    50: RelayedHead,
+    51: RelayedChunk,
+    52: RelayedEnd,
+    53: Heartbeat,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -6,6 +6,8 @@
 from contextlib import suppress
 from functools import partial, singledispatch
 
+from tornado.httpserver import HTTPServer
+
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.claims import PeerClaimsLink
@@ -23,6 +25,7 @@
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
+from almondspindle.chain.resume import ResumeStreams
 from almondspindle.chain.settle import SettleClaim
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
@@ -40,7 +43,7 @@
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.events import CLAIMS_CUT, PROCESS_STOPPED, STOP_CUT_STREAMS
+from almondspindle.core.events import CLAIMS_CUT, DRAIN_BEGUN, PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.metrics import MetricSender, make_metrics
@@ -70,7 +73,8 @@
         self._limits = LimitsController(self._clock)
         self._retries = RetriesController(self._clock)
         metrics = make_metrics(cfg.statsd)
-        owners = PeerOwnerLink(self._channels, self._clock)
+        direct = PeerOwnerLink(self._channels, self._clock, cfg.peer_silence_bound_s)
+        owners = ResumeStreams(direct, self._directory, self._clock, metrics, cfg.resume_window_s)
         filters = (
             CheckDeadline(),
             IdentifyTeam(self._configuration),
@@ -103,11 +107,7 @@
         server, port = listen(app, self._cfg.listen, self._cfg.max_header_bytes)
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
-        self._front.stopping = True
-        await asyncio.sleep(self._cfg.balancer_lag_s)
-        server.stop()
-        await self._drain()
-        await self._pusher.push_once()
+        await self._stop(server)
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -125,7 +125,14 @@
         self._configuration.tell(SubscribeConfig(self._spread_config))
         listener = partial(pass_update, entry=self)
         subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
-        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        subscription = Subscription(
+            self._channels,
+            self._cfg.routers,
+            subscriber,
+            listener,
+            self._clock,
+            self._cfg.peer_silence_bound_s,
+        )
         self._follower = ConfigFollower(
             subscriber,
             self._configuration,
@@ -158,6 +165,17 @@
         if unsettled:
             emit(CLAIMS_CUT, endings=unsettled)
 
+    async def _stop(self, server: HTTPServer) -> None:
+        """Serve for the balancer's lag, stop listening, and let requests in flight end."""
+        self._front.stopping = True
+        server.conn_params.no_keep_alive = True
+        await asyncio.sleep(self._cfg.balancer_lag_s)
+        server.stop()
+        emit(DRAIN_BEGUN, in_flight=self._front.in_flight.count)
+        await self._drain()
+        await self._pusher.push_once()
+        await server.close_all_connections()
+
     def take_config(self, update: ConfigSet | ConfigDelta) -> None:
         """Pass a configuration, or a change of it, from a router to the follower."""
         self._follower.tell(update)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -46,13 +46,14 @@
 from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.events import PROCESS_STOPPED
+from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
 from almondspindle.decisions.configuration.delta import diff
+from almondspindle.decisions.silence import SilenceBounds
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -85,12 +86,15 @@
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
-        terminal = SendToTarget(HttpTargetLink(clock), self._admission, clock)
+        bounds = SilenceBounds(cfg.first_byte_bound_s, cfg.between_bytes_bound_s)
+        terminal = SendToTarget(HttpTargetLink(clock, bounds), self._admission, clock)
         self._loads = LoadsController(
             clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
         )
         self._telemetry = TelemetryController(clock)
-        self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        self._server = PeerServer(
+            Chain(filters, terminal, clock), self._publisher, clock, cfg.heartbeat_interval_s
+        )
         self._claims = ClaimsController(clock)
         metrics = make_metrics(cfg.statsd)
         self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
@@ -106,11 +110,17 @@
         port = await self._server.start(self._cfg.listen)
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
-        await self._server.stop(self._cfg.stop_bound_s)
+        await self._drain()
+        await self._server.stop()
         await self._tasks.cancel_all()
         emit(PROCESS_STOPPED)
         return status
 
+    async def _drain(self) -> None:
+        left = await self._server.drain(self._cfg.stop_bound_s)
+        if left:
+            emit(STOP_CUT_STREAMS, streams=left)
+
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
         self._directory.tell(SubscribeOwned(self._spread_owned))
