--- a/almondspindle/conf/router.py
+++ b/almondspindle/conf/router.py
@@ -17,7 +17,7 @@
     )
     watch_wait_s: float = Field(20.0, gt=0, description="Longest wait of one watch, seconds.")
     load_poll_s: float = Field(
-        5.0, gt=0, description="Time between two polls of a target's load, seconds."
+        8.0, gt=0, description="Time between two polls of a target's load, seconds."
     )
     takeover_s: float = Field(
         5.0, ge=0, description="Time for all hosts to learn of a new owner, seconds."
