--- a/bench/bench_churn.py
+++ b/bench/bench_churn.py
@@ -1,5 +1,7 @@
 """Cache reuse and overload while targets leave, join and turn cold."""
 
+from dataclasses import replace
+
 from almondspindle.core.config import Policy
 from bench import churn
 from bench.churn import Churn, Order, Tally
@@ -33,6 +35,9 @@
     figure("churn_load_max_over_mean", ring.worst_over_mean, "ratio")
     figure("cold_overload_events", ring.cold_overloads, "requests")
     figure("churn_refused", ring.refused / ring.returning, "share")
+    for multiple in (1.5, 2.0):
+        wider = measure(churn.by_ring, replace(POLICY, load_multiple=multiple))
+        figure(f"cache_reuse_churn_share_multiple_{multiple:g}", reuse(wider), "share")
     bare = measure(churn.by_ring, NO_SLOW_START)
     figure("cold_overload_events_no_slow_start", bare.cold_overloads, "requests")
     figure("cache_reuse_churn_no_slow_start", reuse(bare) / reuse(best), "ratio")
--- a/tests/controllers/test_admission.py
+++ b/tests/controllers/test_admission.py
@@ -96,6 +96,9 @@
         self.check()
 
     def check(self) -> None:
+        for number, router in enumerate(self.routers):
+            own = sum(one[0] == number for one in self.open)
+            assert all(digest.in_flight == own for digest in router.handle(GetDigests(), self.now))
         load = len(self.open)
         mean = (PEER_LOAD + load) / (PEER_TARGETS + 1)
         assert load <= load_bound(POLICY, mean)
--- a/tests/programs/test_owner_load.py
+++ b/tests/programs/test_owner_load.py
@@ -84,3 +84,21 @@
 
 def test_an_engine_that_restarts_unannounced_is_not_overloaded():
     asyncio.run(check_restart())
+
+
+async def check_deadline() -> None:
+    async with Fleet() as fleet:
+        caller = await start(fleet, LIMITED)
+        faults = fleet.engines["forecast-0"].state.faults
+        faults.silent_after_tokens = 0
+        late = [caller.chat(f"c-{n}", "x", X_Deadline_Ms="300") for n in range(4)]
+        answers = await asyncio.gather(*late)
+        assert {(a.status, a.error["code"]) for a in answers} == {(504, "deadline_exceeded")}
+        assert {a.error["run_state"] for a in answers} == {"outcome unknown"}
+        faults.silent_after_tokens = None
+        again = await asyncio.gather(*(caller.chat(f"c-{n}", "x") for n in range(4)))
+        assert all(answer.is_whole_stream("x", 8) for answer in again)
+
+
+def test_a_deadline_ends_the_work_at_the_owner_and_frees_its_place():
+    asyncio.run(check_deadline())
