--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -16,9 +16,19 @@
     PushTelemetry,
 )
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigPush,
+    ConfigUpToDate,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
 
 WIRE_TYPES: dict[int, type] = {
     1: RelayRequest,
@@ -29,6 +39,14 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    30: GetConfigRequest,
+    31: ConfigDelta,
+    32: ConfigUpToDate,
+    33: ConfigPush,
+    34: ConfigVersionNote,
+    35: StatusRequest,
+    36: HostStatus,
+    37: ConfigAck,
     60: PushTelemetry,
     61: Accepted,
     62: GetTelemetry,
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -1,5 +1,6 @@
 """The controller that knows all targets, their owners, and their order for a key."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -12,12 +13,14 @@
     RankTargets,
     RosterRead,
     SubscribeOwned,
+    SubscribeReturned,
+    TargetsReturned,
 )
 from almondspindle.controllers.targets.rankings import ServiceRankings
 from almondspindle.core.calls import Candidate
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet, Intent, ServiceKind
-from almondspindle.core.events import ROSTER_CHANGED
+from almondspindle.core.events import ROSTER_CHANGED, TARGETS_RETURNED
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
@@ -28,6 +31,7 @@
 
 CANDIDATES = 6  # targets tried for one request at the most
 RETRY_AFTER_S = 1.0
+ZONE_RETRY_AFTER_S = 5.0  # operators act in minutes rather than seconds
 
 
 def changed_targets(before: Roster, after: Roster) -> list[TargetName]:
@@ -50,6 +54,9 @@
         self._zone: ZoneName | None = None
         self._previous: dict[TargetName, HostName] = {}
         self._listener: OwnedListener = lambda owned: None
+        self._out: dict[TargetName, RefusalCode] = {}
+        self._returned: frozenset[TargetName] = frozenset()
+        self._on_returned: list[Callable[[TargetsReturned], None]] = []
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -93,15 +100,18 @@
         names = self._rankings.rank(msg.service, msg.key, CANDIDATES)
         candidates = tuple(self._candidate(name) for name in names if name in self._owners)
         if not candidates:
-            return refused(
-                RefusalCode.NO_TARGET,
-                f"no target of service {msg.service!r} is in service",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            return self._refuse(msg.service)
         return Ok(candidates)
 
+    @handle.register
+    def _(self, msg: SubscribeReturned, now: float) -> None:
+        self._on_returned.append(msg.listener)
+
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
+        if self._config.version == 0:
+            text = "this router has no configuration yet"
+            return refused(RefusalCode.NOT_READY, text, retry_after_s=RETRY_AFTER_S)
         target = self._roster.targets.get(msg.target)
         owner = self._owners.get(msg.target)
         if target is None or owner is None or owner.name != self._own_host:
@@ -115,6 +125,18 @@
         owner = self._owners[name]
         return Candidate(name, owner.name, owner.address)
 
+    def _refuse(self, service: ServiceName) -> Outcome[tuple[Candidate, ...]]:
+        targets = [t for t in self._roster.targets.values() if t.service == service]
+        zones = {t.zone for t in targets if self._out.get(t.name) is RefusalCode.ZONE_OUT}
+        if not zones:
+            text = f"no target of service {service!r} is in service"
+            return refused(RefusalCode.NO_TARGET, text, retry_after_s=RETRY_AFTER_S)
+        text = (
+            f"no target of service {service!r} is in service; availability zones that operators"
+            f" have taken out: {', '.join(sorted(zones))}"
+        )
+        return refused(RefusalCode.ZONE_OUT, text, retry_after_s=ZONE_RETRY_AFTER_S)
+
     def _out_of_service(self, target: Target) -> RefusalCode | None:
         if self._config.zone_intent(target.zone) is Intent.OUT:
             return RefusalCode.ZONE_OUT
@@ -127,10 +149,27 @@
     def _derive(self) -> None:
         hosts = list(self._roster.hosts.values())
         self._owners = {}
+        was_out = self._out
+        self._out = {}
         for target in self._roster.targets.values():
             owner = owner_of(target, hosts)
             if owner is not None:
                 self._owners[target.name] = owner
+            code = self._out_of_service(target)
+            if code is not None:
+                self._out[target.name] = code
+        self._tell_returned(was_out)
+
+    def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
+        known = self._roster.targets
+        self._returned = frozenset(
+            name for name in was_out if name in known and name not in self._out
+        )
+        if not self._returned:
+            return
+        emit(TARGETS_RETURNED, targets=sorted(self._returned))
+        for listener in self._on_returned:
+            listener(TargetsReturned(self._returned))
 
     def _own_zone(self) -> ZoneName | None:
         host = self._roster.hosts.get(self._own_host)
@@ -163,7 +202,8 @@
             earlier = owners.get(name) if before.hosts else self._owner_without_us(target)
             if earlier is not None and earlier.name != self._own_host:
                 self._previous[name] = earlier.name
-            joined = bool(before.targets) and name not in before.targets
+            is_new = bool(before.targets) and name not in before.targets
+            joined = is_new or name in self._returned
             owned.append(
                 OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
             )
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -53,3 +53,20 @@
     """Call `listener` with the targets in service that this host owns, after each change."""
 
     listener: OwnedListener
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsReturned:
+    """Targets that were out of service and may now receive new work again, as cold ones.
+
+    The directory tells its listeners before it ranks these targets again.
+    """
+
+    targets: frozenset[TargetName]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeReturned:
+    """Call `listener` with each set of targets that returns to service."""
+
+    listener: Callable[[TargetsReturned], None]
--- a/almondspindle/core/load.py
+++ b/almondspindle/core/load.py
@@ -20,9 +20,9 @@
 class OwnedTarget:
     """A target that this host owns and that is in service.
 
-    `reports` tells whether the target answers polls of its load. `joined` tells that it was not
-    listed before. `previous` is the host that owned it before, while that host is still able to
-    own targets.
+    `reports` tells whether the target answers polls of its load. `joined` tells that it is new
+    in the list or back in service. `previous` is the host that owned it before, while that host
+    is still able to own targets.
     """
 
     target: Target
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -1,12 +1,14 @@
 """almondspindle-entry: the HTTP front for callers."""
 
 import asyncio
+import secrets
 import sys
 from functools import partial, singledispatch
 
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
+from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
 from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
@@ -20,7 +22,8 @@
 from almondspindle.chain.require_key import RequireKey
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
-from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
+from almondspindle.controllers.configuration.follower import ConfigFollower
+from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.limits.messages import HostsSeen
 from almondspindle.controllers.limits.task import LimitsController
@@ -29,6 +32,7 @@
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.controllers.telemetry.collector import CollectorController
 from almondspindle.controllers.telemetry.pusher import TallyPusher
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
@@ -42,6 +46,7 @@
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-entry"
+INSTANCE_BYTES = 4  # of the identifier that tells the entries of one host apart
 
 
 class Entry:
@@ -103,12 +108,20 @@
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
         listener = partial(pass_update, entry=self)
-        host = HostName(self._cfg.host)
-        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
+        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        self._follower = ConfigFollower(
+            subscriber,
+            self._configuration,
+            PeerConfigLink(),
+            lambda: subscription.address,
+            lambda: self._directory.ask(GetRoster()),
+        )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("limits", self._limits.run())
         self._tasks.start("retries", self._retries.run())
+        self._tasks.start("config-follower", self._follower.run())
         self._tasks.start("collector", self._collector.run())
         self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
@@ -122,9 +135,9 @@
         if left:
             emit(STOP_CUT_STREAMS, streams=left)
 
-    def take_config(self, config: ConfigSet) -> None:
-        """Pass a configuration from a router to the controller."""
-        self._configuration.tell(ConfigRead(config))
+    def take_config(self, update: ConfigSet | ConfigDelta) -> None:
+        """Pass a configuration, or a change of it, from a router to the follower."""
+        self._follower.tell(update)
 
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
@@ -144,6 +157,11 @@
     entry.take_config(update)
 
 
+@pass_update.register
+def _(update: ConfigDelta, *, entry: Entry) -> None:
+    entry.take_config(update)
+
+
 @pass_update.register
 def _(update: Roster, *, entry: Entry) -> None:
     entry.take_roster(update)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,6 +3,8 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
@@ -21,7 +23,14 @@
     SubscribePolls,
 )
 from almondspindle.controllers.admission.task import AdmissionController
-from almondspindle.controllers.configuration.messages import SubscribeConfig
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    HostsRead,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
 from almondspindle.controllers.loads.messages import PollSoon, PollTargets
@@ -33,10 +42,11 @@
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED
-from almondspindle.core.identifiers import HostName
+from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -55,6 +65,15 @@
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
         self._admission = AdmissionController(clock, cfg.takeover_s)
+        host = HostName(cfg.host)
+        self._published = ConfigSet()
+        self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
+        spread_cfg = SpreadCfg(host, ZoneName(cfg.zone), tuple(cfg.seeds))
+        self._spread = SpreadController(clock, spread_cfg, self._watcher.set_watching)
+        link = PeerConfigLink()
+        self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
+        self._courier = ConfigCourier(self._spread, self._configuration, link)
+        receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
@@ -66,6 +85,7 @@
         )
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
+        ConfigMethods(self._spread, self._directory, receiver).register(self._server)
         TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
@@ -84,29 +104,39 @@
         self._configuration.tell(SubscribeConfig(self._spread_config))
         self._directory.tell(SubscribeOwned(self._spread_owned))
         self._admission.tell(SubscribePolls(lambda target: self._loads.tell(PollSoon(target))))
-        watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
         self._tasks.start("loads", self._loads.run())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("config-courier", self._courier.run())
+        self._tasks.start("config-start", self._follow_config())
         self._tasks.start("telemetry", self._telemetry.run())
-        self._tasks.start("config-watcher", watcher.run())
         self._tasks.start("roster-reader", reader.run())
 
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
-        self._publisher.publish(config)
+        self._spread.tell(ConfigInForce(config))
+        old = self._published
+        self._published = config
+        self._publisher.publish(config, diff(old, config) if old.version else None)
 
     def _spread_roster(self, roster: Roster) -> None:
         self._directory.tell(RosterRead(roster))
+        self._spread.tell(HostsRead(tuple(roster.hosts.values())))
         self._publisher.publish(roster)
 
     def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
         self._admission.tell(OwnedTargets(owned))
         self._loads.tell(PollTargets(owned))
 
+    async def _follow_config(self) -> None:
+        await self._starter.run()
+        self._tasks.start("config-watcher", self._watcher.run())
+        self._tasks.start("config-pulls", self._courier.run_pulls())
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
--- /dev/null
+++ b/bench/bench_admit.py
@@ -0,0 +1,53 @@
+"""What one admission and the digests of all peers cost an owner."""
+
+from almondspindle.controllers.admission.messages import (
+    Admit,
+    GetDigests,
+    LoadHeard,
+    OwnedTargets,
+    PeerDigests,
+    PolicyChanged,
+    Release,
+)
+from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import ConfigSet, Service, ServiceKind
+from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.load import LoadReport, OwnedTarget
+from almondspindle.core.roster import Target
+from bench.output import figure, percentile, timed
+
+TARGETS = 10
+SERVICES = 7
+PEERS = 1099
+ADMISSIONS = 2000
+US_PER_S = 1e6
+MS_PER_S = 1e3
+
+
+def run() -> None:
+    """Print the median times of an admission with its release, and of the digests."""
+    admission = AdmissionController(ManualClock(), takeover_s=0.0)
+    services = {f"s{n}": Service(f"s{n}", ServiceKind.CHAT) for n in range(SERVICES)}
+    admission.handle(PolicyChanged(ConfigSet(1, services=services)), 0.0)
+    targets = [Target(f"t{n}", f"s{n % SERVICES}", "z", "ip:1") for n in range(TARGETS)]
+    admission.handle(OwnedTargets(tuple(OwnedTarget(target, True) for target in targets)), 0.0)
+    for target in targets:
+        admission.handle(LoadHeard(target.name, LoadReport("a", 600.0, 0), 0.0), 0.0)
+    digests = tuple(ServiceDigest(name, 60, 2) for name in services)
+    peers = PeerDigests({f"h{n}": digests for n in range(PEERS)})
+    taken = timed(lambda: admission.handle(peers, 0.0))
+    times = [timed(lambda n=n: admit_and_release(admission, n)) for n in range(ADMISSIONS)]
+    given = [timed(lambda: admission.handle(GetDigests(), 1.0)) for _ in range(ADMISSIONS)]
+    figure("admit_and_release_us_p50", percentile(times, 0.5) * US_PER_S, "us")
+    figure("own_digests_us_p50", percentile(given, 0.5) * US_PER_S, "us")
+    figure("peer_digests_ms_1100", taken * MS_PER_S, "ms")
+
+
+def admit_and_release(admission: AdmissionController, number: int) -> None:
+    """Admit one request and give its ticket back."""
+    target = number % TARGETS
+    ask = Admit(f"t{target}", f"s{target % SERVICES}", "a", WorkKind.CHAT, f"c-{number}")
+    ticket = admission.handle(ask, 1.0)
+    admission.handle(Release(ticket.ok), 1.0)
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -73,6 +73,7 @@
     ),
     ("one missed poll", R, [OLD, (ReportMissed(), 105)], False, True, False),
     ("three missed polls", R, [OLD, *[(ReportMissed(), 105)] * 3], False, True, True),
+    ("joined with an old boot", (True, True), [OLD], True, False, False),
     ("plain, listed before", P, [], False, False, False),
     ("plain, joined", J, [], True, False, False),
     (
