--- a/almondspindle/controllers/loads/poller.py
+++ b/almondspindle/controllers/loads/poller.py
@@ -14,6 +14,7 @@
 from almondspindle.decisions.jitter import spread_interval
 
 SHORTEST_GAP_S = 0.1  # between two polls of one target
+AFTER_MISS_S = 1.0  # longest wait after a poll that was not answered
 
 
 class LoadLink(Protocol):
@@ -53,15 +54,19 @@
         """Poll until cancelled."""
         while True:
             self._wanted.clear()
-            self._listener(await self._poll())
+            missed = await self._poll()
             await asyncio.sleep(SHORTEST_GAP_S)
-            wait_s = spread_interval(self._interval_s, random.random()) - SHORTEST_GAP_S
+            interval_s = min(self._interval_s, AFTER_MISS_S) if missed else self._interval_s
+            wait_s = spread_interval(interval_s, random.random()) - SHORTEST_GAP_S
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._wanted.wait(), max(0.0, wait_s))
 
-    async def _poll(self) -> LoadHeard | LoadMissed:
+    async def _poll(self) -> bool:
+        """Tell the listener of one poll and return whether it was missed."""
         asked_at = self._clock.monotonic()
         found = await self._link.read(self.target.address)
         if found.is_error():
-            return LoadMissed(self.target.name)
-        return LoadHeard(self.target.name, found.ok, asked_at)
+            self._listener(LoadMissed(self.target.name))
+        else:
+            self._listener(LoadHeard(self.target.name, found.ok, asked_at))
+        return found.is_error()
--- a/almondspindle/decisions/health.py
+++ b/almondspindle/decisions/health.py
@@ -117,8 +117,10 @@
 
 @observe.register
 def _(event: ReportMissed, health: Health, now: float) -> Health:
+    # One lost answer is no sign of a restart: the requests that are open tell better.
     missed = min(health.missed + 1, MISSES_UNTIL_UNREACHABLE)
-    return replace(health, missed=missed, doubt_at=now)
+    doubtful = missed == MISSES_UNTIL_UNREACHABLE
+    return replace(health, missed=missed, doubt_at=now if doubtful else health.doubt_at)
 
 
 @observe.register
