Hand targets over from owner to owner

Cause: a new owner waited 5 s and for a report, so that a fleet that starts refused all chats for 5.5 s. Ruled out: a shorter wait (two owners could fill a cold target), a share of the limit for the second owner (the model found cold overloads). Change: the new owner asks the previous one, which answers from its admission controller what it has let go of and has left in flight. Seen to fail: the model with the left load not counted or with a release of targets still owned; the process test with no one asking.

--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -18,6 +18,7 @@
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet
+from almondspindle.core.handover import ReleaseAnswer, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
 from almondspindle.core.spread import (
@@ -47,6 +48,8 @@
     35: StatusRequest,
     36: HostStatus,
     37: ConfigAck,
+    40: ReleaseRequest,
+    41: ReleaseAnswer,
     60: PushTelemetry,
     61: Accepted,
     62: GetTelemetry,
--- a/almondspindle/controllers/admission/messages.py
+++ b/almondspindle/controllers/admission/messages.py
@@ -7,9 +7,11 @@
 from almondspindle.core.calls import WorkKind
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.handover import ReleaseAnswer
 from almondspindle.core.identifiers import ChatId, HostName, ServiceName, TargetName, TeamName
 from almondspindle.core.load import LoadReport, OwnedTarget
 from almondspindle.core.outcomes import Outcome
+from almondspindle.core.roster import Host
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +83,34 @@
     by_host: dict[HostName, tuple[ServiceDigest, ...]]
 
 
+@dataclass(frozen=True, slots=True)
+class Awaited:
+    """Targets that this host waits for `previous` to let go of."""
+
+    previous: Host
+    targets: tuple[TargetName, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GetAwaited(Question[tuple[Awaited, ...]]):
+    """Ask which targets wait for their previous owners."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """What the previous owner has let go of."""
+
+    previous: HostName
+    answer: ReleaseAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class GetReleased(Question[ReleaseAnswer]):
+    """Ask which of `targets` this host does not own, and what it has left in flight there."""
+
+    targets: tuple[TargetName, ...]
+
+
 PollListener = Callable[[TargetName], None]
 
 
--- a/almondspindle/controllers/admission/record.py
+++ b/almondspindle/controllers/admission/record.py
@@ -6,6 +6,7 @@
 from almondspindle.core.calls import WorkKind
 from almondspindle.core.identifiers import TeamName
 from almondspindle.core.load import OwnedTarget
+from almondspindle.core.roster import Host
 from almondspindle.decisions.admission import Trust, foreign_load
 from almondspindle.decisions.health import Health
 from almondspindle.decisions.sharing import DEMAND_S, URGENT, Demand
@@ -52,6 +53,7 @@
     load: OwnLoad = field(default_factory=OwnLoad)
     foreign: int = 0
     trust_at_report: Trust = Trust.UNHEARD
+    handed_over: bool = False
     teams: Counter[TeamName] = field(default_factory=Counter)
     asked_at: dict[TeamName, float] = field(default_factory=dict)
     urgent_at: float | None = None
@@ -74,12 +76,23 @@
         self.trust_at_report = trust
         self.load.turn()
 
+    def previous(self) -> Host | None:
+        """Return the host that may still admit work to the target, None when there is none."""
+        return None if self.handed_over else self.owned.previous
+
+    def hand_over(self, in_flight: int) -> None:
+        """Note that the previous owner has let go, with `in_flight` requests left there."""
+        self.handed_over = True
+        self.foreign = in_flight
+        self.trust_at_report = Trust.SETTLED
+
     def gain(self, owned: OwnedTarget, health: Health) -> None:
         """Begin ownership anew; open tickets stay counted."""
         self.owned = owned
         self.health = health
         self.is_owned = True
         self.trust_at_report = Trust.UNHEARD
+        self.handed_over = False
         self.answered.clear()
         self.anchored.clear()
 
--- a/almondspindle/controllers/admission/task.py
+++ b/almondspindle/controllers/admission/task.py
@@ -9,7 +9,11 @@
 from almondspindle.controllers.admission.messages import (
     Admit,
     Answered,
+    Awaited,
+    GetAwaited,
     GetDigests,
+    GetReleased,
+    HandedOver,
     LoadHeard,
     LoadMissed,
     OwnedTargets,
@@ -26,10 +30,12 @@
 from almondspindle.core.config import ConfigSet, Policy
 from almondspindle.core.digest import ServiceDigest
 from almondspindle.core.events import TARGETS_OWNED
+from almondspindle.core.handover import ReleaseAnswer, Released
 from almondspindle.core.identifiers import ServiceName, TargetName, TeamName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import InvariantError, Ok, Outcome, RefusalCode, refused
+from almondspindle.core.roster import Host
 from almondspindle.decisions.admission import (
     ServiceLoad,
     TargetLoad,
@@ -72,6 +78,7 @@
         self._tickets: dict[int, _Ticket] = {}
         self._records: dict[TargetName, TargetRecord] = {}
         self._peers: dict[ServiceName, ServiceLoad] = {}
+        self._has_view = False
         self._poll: PollListener = lambda target: None
 
     @singledispatchmethod
@@ -103,6 +110,7 @@
 
     @handle.register
     def _(self, msg: OwnedTargets, now: float) -> None:
+        self._has_view = True
         names = {owned.target.name for owned in msg.targets}
         if names != {record.owned.target.name for record in self._owned()}:
             emit(TARGETS_OWNED, targets=len(names))
@@ -112,6 +120,36 @@
         for owned in msg.targets:
             self._take(owned, now)
 
+    @handle.register
+    def _(self, msg: GetAwaited, now: float) -> tuple[Awaited, ...]:
+        by_host: dict[Host, list[TargetName]] = {}
+        for record in self._owned():
+            previous = record.previous()
+            if previous is not None and now - record.health.gained_at < self._takeover_s:
+                by_host.setdefault(previous, []).append(record.owned.target.name)
+        return tuple(Awaited(host, tuple(names)) for host, names in by_host.items())
+
+    @handle.register
+    def _(self, msg: HandedOver, now: float) -> None:
+        for released in msg.answer.released:
+            record = self._records.get(released.target)
+            previous = record.previous() if record is not None and record.is_owned else None
+            if record is not None and previous is not None and previous.name == msg.previous:
+                record.hand_over(released.in_flight)
+
+    @handle.register
+    def _(self, msg: GetReleased, now: float) -> ReleaseAnswer:
+        if not self._has_view:
+            return ReleaseAnswer(())
+        released = []
+        for name in msg.targets:
+            record = self._records.get(name)
+            if record is None:
+                released.append(Released(name, 0))
+            elif not record.is_owned:
+                released.append(Released(name, record.load.in_flight))
+        return ReleaseAnswer(tuple(released))
+
     @handle.register
     def _(self, msg: LoadHeard, now: float) -> None:
         record = self._records.get(msg.target)
@@ -198,8 +236,7 @@
         )
 
     def _trust(self, record: TargetRecord, now: float) -> Trust:
-        has_previous = record.owned.previous is not None
-        return trust_of(record.health, has_previous, self._takeover_s, now)
+        return trust_of(record.health, record.previous() is not None, self._takeover_s, now)
 
     def _take(self, owned: OwnedTarget, now: float) -> None:
         record = self._records.get(owned.target.name)
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -84,12 +84,14 @@
         self._config = msg.config
         self._derive()
         self._rank(self._all_names())
-        self._tell_owned(self._roster, self._owners)
+        if self._roster.hosts:
+            self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: SubscribeOwned, now: float) -> None:
         self._listener = msg.listener
-        self._tell_owned(self._roster, self._owners)
+        if self._roster.hosts:
+            self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -214,11 +216,11 @@
         hosts = self._roster.hosts.values()
         return owner_of(target, (host for host in hosts if host.name != self._own_host))
 
-    def _live_previous(self, name: TargetName) -> HostName | None:
+    def _live_previous(self, name: TargetName) -> Host | None:
         host = self._roster.hosts.get(self._previous.get(name, HostName("")))
         if host is None or host.state not in OWNING_STATES:
             return None
-        return host.name
+        return host
 
     def _reports(self, target: Target) -> bool:
         service = self._config.services.get(target.service)
--- a/almondspindle/core/load.py
+++ b/almondspindle/core/load.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from almondspindle.core.identifiers import HostName
-from almondspindle.core.roster import Target
+from almondspindle.core.roster import Host, Target
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,4 +27,4 @@
     target: Target
     reports: bool = False
     joined: bool = False
-    previous: HostName | None = None
+    previous: Host | None = None
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,8 +3,10 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.client import Channels
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.config_methods import ConfigMethods
+from almondspindle.adapters.peer.handover import HandoverMethods, PeerHandoverLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
@@ -17,6 +19,7 @@
 from almondspindle.chain.send import SendToTarget
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
+from almondspindle.controllers.admission.handover import HandoverTask
 from almondspindle.controllers.admission.messages import (
     OwnedTargets,
     PolicyChanged,
@@ -83,9 +86,13 @@
         self._loads = LoadsController(
             clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
         )
+        self._channels = Channels()
+        link_to_previous = PeerHandoverLink(self._channels)
+        self._handover = HandoverTask(host, self._admission, link_to_previous)
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
         ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        HandoverMethods(self._admission).register(self._server)
         TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
@@ -97,6 +104,7 @@
         status = await stop.wait(self._tasks)
         await self._server.stop(self._cfg.stop_bound_s)
         await self._tasks.cancel_all()
+        await self._channels.close()
         emit(PROCESS_STOPPED)
         return status
 
@@ -108,6 +116,7 @@
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("handover", self._handover.run())
         self._tasks.start("loads", self._loads.run())
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("config-courier", self._courier.run())
@@ -131,6 +140,7 @@
     def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
         self._admission.tell(OwnedTargets(owned))
         self._loads.tell(PollTargets(owned))
+        self._handover.owned_changed()
 
     async def _follow_config(self) -> None:
         await self._starter.run()
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -6,6 +6,7 @@
 from almondspindle.adapters.peer.messages import RelayRequest
 from almondspindle.core.calls import AnswerChunk, AnswerHead, WorkKind
 from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
+from almondspindle.core.handover import Released, ReleaseAnswer, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode
 
 MESSAGES = [
@@ -13,6 +14,8 @@
     AnswerHead(200, (("Content-Type", "text/plain"),), "t1"),
     AnswerChunk(b"\x80data"),
     Refusal(RefusalCode.FULL, "no room", retry_after_s=1.0),
+    ReleaseRequest("h1", ("t1", "t2")),
+    ReleaseAnswer((Released("t1", 3),)),
     ConfigSet(3, {"a": Team("a", "0" * 64)}, {"s": Service("s", ServiceKind.PLAIN)}),
 ]
 
--- a/tests/controllers/test_admission.py
+++ b/tests/controllers/test_admission.py
@@ -9,7 +9,10 @@
 from almondspindle.controllers.admission.messages import (
     Admit,
     Answered,
+    GetAwaited,
     GetDigests,
+    GetReleased,
+    HandedOver,
     LoadHeard,
     LoadMissed,
     OwnedTargets,
@@ -25,13 +28,14 @@
 from almondspindle.core.digest import ServiceDigest
 from almondspindle.core.load import LoadReport, OwnedTarget
 from almondspindle.core.outcomes import InvariantError, RefusalCode
-from almondspindle.core.roster import Target
+from almondspindle.core.roster import Host, Target
 from almondspindle.decisions.admission import REPORT_LAG_S, load_bound
 
 POLICY = Policy(load_multiple=1.25, load_floor=4, cold_limit=2, slow_start_s=10.0, target_limit=30)
 CONFIG = ConfigSet(1, services={"llm": Service("llm", ServiceKind.CHAT, POLICY)})
 TARGET = Target("t", "llm", "z", "127.0.0.1:1")
 TAKEOVER_S = 5.0
+FIRST = Host("first", "z", "127.0.0.1:2")
 PEER_LOAD, PEER_TARGETS = 40, 4
 
 
@@ -131,10 +135,17 @@
         """The second router believes that it owns the target, while the first still does."""
         if self.taken_at is None:
             self.taken_at = self.now
-            owned = OwnedTarget(TARGET, True, previous="first")
+            owned = OwnedTarget(TARGET, True, previous=FIRST)
             self.routers[1].handle(OwnedTargets((owned,)), self.now)
             self.poll(1)
 
+    def ask(self, _: int) -> None:
+        """The second router asks the first whether it has let go."""
+        answer = self.routers[0].handle(GetReleased(("t",)), self.now)
+        if self.routers[1].handle(GetAwaited(), self.now):
+            assert bool(answer.released) is self.dropped
+            self.routers[1].handle(HandedOver("first", answer), self.now)
+
     def drop(self, _: int) -> None:
         """The first router learns of the second; its open streams go on."""
         if self.taken_at is not None and not self.dropped:
@@ -151,7 +162,18 @@
 STEPS = st.one_of(
     *(
         st.tuples(st.just(name), st.integers(0, 1))
-        for name in ("admit", "admit", "admit", "head", "head", "end", "poll", "take", "drop")
+        for name in (
+            "admit",
+            "admit",
+            "admit",
+            "head",
+            "head",
+            "end",
+            "poll",
+            "take",
+            "drop",
+            "ask",
+        )
     ),
     st.tuples(st.just("restart"), st.just(0)),
     st.tuples(st.just("deliver"), st.just(None)),
@@ -205,6 +227,27 @@
     assert burst(model, 1) == POLICY.cold_limit
 
 
+def test_a_handover_ends_the_wait_and_counts_what_is_left():
+    model = Model()
+    burst(model, 0)
+    model.take(0)
+    model.deliver()
+    model.ask(0)
+    assert burst(model, 1) == 0
+    model.drop(0)
+    model.ask(0)
+    assert model.routers[1].handle(GetAwaited(), model.now) == ()
+    assert burst(model, 1) == 0  # the first owner's two streams fill the start limit
+    model.end(0)
+    model.end(0)
+    model.wait(11)
+    model.poll(1)
+    model.deliver()
+    assert burst(model, 1) == POLICY.cold_limit
+    starting = AdmissionController(ManualClock(), TAKEOVER_S)
+    assert starting.handle(GetReleased(("t",)), 0.0).released == ()
+
+
 def test_tickets_are_given_back_just_once():
     router = make_router(OwnedTarget(TARGET, False), 0.0)
     ticket = admit(router, 0.0).ok
--- a/tests/programs/test_owner_load.py
+++ b/tests/programs/test_owner_load.py
@@ -102,3 +102,23 @@
 
 def test_a_deadline_ends_the_work_at_the_owner_and_frees_its_place():
     asyncio.run(check_deadline())
+
+
+async def check_handover() -> None:
+    async with Fleet(router_args=("--takeover-s", "3600")) as fleet:
+        fleet.configure(BUREAU_CONFIG)
+        for zone in ("walvis-a", "swakop-a"):
+            fleet.add_engine(f"forecast-{zone}", zone)
+        await fleet.add_hosts({"entry-1": "walvis-a", "entry-2": "swakop-a"})
+        caller = Caller(fleet.hosts["entry-1"].entry.address)
+        await wait_ready(caller)
+
+        async def all_engines_serve() -> bool:
+            answers = [await caller.chat(f"c-{n}", "x") for n in range(12)]
+            return {a.target for a in answers if a.status == 200} == set(fleet.engines)
+
+        await wait_until(all_engines_serve, "a target was not handed over")
+
+
+def test_new_owners_get_their_targets_handed_over_by_the_previous_ones():
+    asyncio.run(check_handover())
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -123,7 +123,7 @@
     commits: PlainState = field(default_factory=PlainState)
     hosts: dict[str, HostProcesses] = field(default_factory=dict)
     entry_args: tuple[str, ...] = ("--balancer-lag-s", "0")
-    router_args: tuple[str, ...] = ("--takeover-s", "0")
+    router_args: tuple[str, ...] = ()
 
     async def __aenter__(self) -> "Fleet":
         self.store.start()
