--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -6,7 +6,7 @@
 from almondspindle.adapters.peer.messages import RelayRequest
 from almondspindle.core.calls import AnswerChunk, AnswerHead, WorkKind
 from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
-from almondspindle.core.handover import Released, ReleaseAnswer, ReleaseRequest
+from almondspindle.core.handover import ReleaseAnswer, Released, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode
 
 MESSAGES = [
