--- a/almondspindle/conf/router.py
+++ b/almondspindle/conf/router.py
@@ -20,7 +20,7 @@
         [], description="Peer addresses to ask while no host is known, as a JSON list."
     )
     load_poll_s: float = Field(
-        5.0, gt=0, description="Time between two polls of a target's load, seconds."
+        8.0, gt=0, description="Time between two polls of a target's load, seconds."
     )
     takeover_s: float = Field(
         5.0, ge=0, description="Time for all hosts to learn of a new owner, seconds."
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -51,12 +51,13 @@
         self._roster = Roster()
         self._config = ConfigSet()
         self._owners: dict[TargetName, Host] = {}
-        self._out: dict[TargetName, RefusalCode] = {}
-        self._on_returned: list[Callable[[TargetsReturned], None]] = []
         self._rankings = ServiceRankings()
         self._zone: ZoneName | None = None
         self._previous: dict[TargetName, HostName] = {}
         self._listener: OwnedListener = lambda owned: None
+        self._out: dict[TargetName, RefusalCode] = {}
+        self._returned: frozenset[TargetName] = frozenset()
+        self._on_returned: list[Callable[[TargetsReturned], None]] = []
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -84,12 +85,14 @@
         self._config = msg.config
         self._derive()
         self._rank(self._all_names())
-        self._tell_owned(self._roster, self._owners)
+        if self._roster.hosts:
+            self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: SubscribeOwned, now: float) -> None:
         self._listener = msg.listener
-        self._tell_owned(self._roster, self._owners)
+        if self._roster.hosts:
+            self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -166,12 +169,14 @@
 
     def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
         known = self._roster.targets
-        returned = frozenset(name for name in was_out if name in known and name not in self._out)
-        if not returned:
+        self._returned = frozenset(
+            name for name in was_out if name in known and name not in self._out
+        )
+        if not self._returned:
             return
-        emit(TARGETS_RETURNED, targets=sorted(returned))
+        emit(TARGETS_RETURNED, targets=sorted(self._returned))
         for listener in self._on_returned:
-            listener(TargetsReturned(returned))
+            listener(TargetsReturned(self._returned))
 
     def _own_zone(self) -> ZoneName | None:
         host = self._roster.hosts.get(self._own_host)
@@ -204,7 +209,8 @@
             earlier = owners.get(name) if before.hosts else self._owner_without_us(target)
             if earlier is not None and earlier.name != self._own_host:
                 self._previous[name] = earlier.name
-            joined = bool(before.targets) and name not in before.targets
+            is_new = bool(before.targets) and name not in before.targets
+            joined = is_new or name in self._returned
             owned.append(
                 OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
             )
@@ -215,11 +221,11 @@
         hosts = self._roster.hosts.values()
         return owner_of(target, (host for host in hosts if host.name != self._own_host))
 
-    def _live_previous(self, name: TargetName) -> HostName | None:
+    def _live_previous(self, name: TargetName) -> Host | None:
         host = self._roster.hosts.get(self._previous.get(name, HostName("")))
         if host is None or host.state not in OWNING_STATES:
             return None
-        return host.name
+        return host
 
     def _reports(self, target: Target) -> bool:
         service = self._config.services.get(target.service)
--- a/almondspindle/core/load.py
+++ b/almondspindle/core/load.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from almondspindle.core.identifiers import HostName
-from almondspindle.core.roster import Target
+from almondspindle.core.roster import Host, Target
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,12 +19,12 @@
 class OwnedTarget:
     """A target that this host owns and that is in service.
 
-    `reports` tells whether the target answers polls of its load. `joined` tells that it was not
-    listed before. `previous` is the host that owned it before, while that host is still able to
-    own targets.
+    `reports` tells whether the target answers polls of its load. `joined` tells that it is new
+    in the list or back in service. `previous` is the host that owned it before, while that host
+    is still able to own targets.
     """
 
     target: Target
     reports: bool = False
     joined: bool = False
-    previous: HostName | None = None
+    previous: Host | None = None
--- a/almondspindle/decisions/health.py
+++ b/almondspindle/decisions/health.py
@@ -78,8 +78,11 @@
 
 
 def gained(now: float, reports: bool, joined: bool) -> Health:
-    """Return the health of a target that this host owns from `now` on."""
-    return Health(now, reports, cold_at=now if joined and not reports else None)
+    """Return the health of a target that this host owns from `now` on.
+
+    `joined` tells that it is new or back in service; it then starts slowly whatever its uptime.
+    """
+    return Health(now, reports, cold_at=now if joined else None)
 
 
 def is_cold(health: Health, policy: Policy, limit: int, now: float) -> bool:
@@ -101,7 +104,7 @@
     return replace(
         health,
         boot_id=report.boot_id,
-        cold_at=health.cold_at if known else booted_at,
+        cold_at=health.cold_at if known else max(booted_at, health.cold_at or booted_at),
         proven_at=event.asked_at,
         reported=report.in_flight,
         missed=0,
@@ -114,8 +117,10 @@
 
 @observe.register
 def _(event: ReportMissed, health: Health, now: float) -> Health:
+    # One lost answer is no sign of a restart: the requests that are open tell better.
     missed = min(health.missed + 1, MISSES_UNTIL_UNREACHABLE)
-    return replace(health, missed=missed, doubt_at=now)
+    doubtful = missed == MISSES_UNTIL_UNREACHABLE
+    return replace(health, missed=missed, doubt_at=now if doubtful else health.doubt_at)
 
 
 @observe.register
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -4,8 +4,10 @@
 import sys
 
 from almondspindle.adapters.peer.claims import CLAIM_METHOD
+from almondspindle.adapters.peer.client import Channels
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.config_methods import ConfigMethods
+from almondspindle.adapters.peer.handover import HandoverMethods, PeerHandoverLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
@@ -18,6 +20,7 @@
 from almondspindle.chain.send import SendToTarget
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
+from almondspindle.controllers.admission.handover import HandoverTask
 from almondspindle.controllers.admission.messages import (
     OwnedTargets,
     PolicyChanged,
@@ -91,6 +94,9 @@
         self._loads = LoadsController(
             clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
         )
+        self._channels = Channels()
+        link_to_previous = PeerHandoverLink(self._channels)
+        self._handover = HandoverTask(host, self._admission, link_to_previous)
         self._telemetry = TelemetryController(clock)
         self._server = PeerServer(
             Chain(filters, terminal, clock), self._publisher, clock, cfg.heartbeat_interval_s
@@ -101,6 +107,7 @@
         self._janitor = ClaimsJanitor(self._platform, self._directory, HostName(cfg.host), clock)
         self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
         ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        HandoverMethods(self._admission).register(self._server)
         TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
@@ -113,6 +120,7 @@
         await self._drain()
         await self._server.stop()
         await self._tasks.cancel_all()
+        await self._channels.close()
         emit(PROCESS_STOPPED)
         return status
 
@@ -136,6 +144,7 @@
         self._tasks.start("config-courier", self._courier.run())
         self._tasks.start("config-start", self._follow_config())
         self._tasks.start("loads", self._loads.run())
+        self._tasks.start("handover", self._handover.run())
         self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
@@ -152,15 +161,16 @@
         self._spread.tell(HostsRead(tuple(roster.hosts.values())))
         self._publisher.publish(roster)
 
+    def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
+        self._admission.tell(OwnedTargets(owned))
+        self._loads.tell(PollTargets(owned))
+        self._handover.owned_changed()
+
     async def _follow_config(self) -> None:
         await self._starter.run()
         self._tasks.start("config-watcher", self._watcher.run())
         self._tasks.start("config-pulls", self._courier.run_pulls())
 
-    def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
-        self._admission.tell(OwnedTargets(owned))
-        self._loads.tell(PollTargets(owned))
-
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -101,12 +101,16 @@
     directory.handle(ConfigChanged(config(1, frozenset())), 0.0)
     directory.handle(RosterRead(roster("h0", "h1")), 0.0)
     assert told[-1]
-    assert all(o.previous == "h1" and o.reports and not o.joined for o in told[-1])
+    assert all(o.previous.name == "h1" and o.reports and not o.joined for o in told[-1])
     directory.handle(RosterRead(roster("h0", "h1", state=HostState.LEAVING)), 0.0)
     assert len(told[-1]) == 4
     assert all(o.previous is None for o in told[-1])
     directory.handle(RosterRead(roster("h0", targets=5)), 0.0)
     assert [o.target.name for o in told[-1] if o.joined] == ["t4"]
+    directory.handle(ConfigChanged(config(2, frozenset({"t1"}))), 0.0)
+    assert "t1" not in [o.target.name for o in told[-1]]
+    directory.handle(ConfigChanged(config(3, frozenset())), 0.0)
+    assert [o.target.name for o in told[-1] if o.joined] == ["t1"]
 
 
 def test_a_service_without_targets_in_reach_is_refused_with_a_time():
--- a/tests/programs/test_owner_load.py
+++ b/tests/programs/test_owner_load.py
@@ -84,3 +84,41 @@
 
 def test_an_engine_that_restarts_unannounced_is_not_overloaded():
     asyncio.run(check_restart())
+
+
+async def check_deadline() -> None:
+    async with Fleet() as fleet:
+        caller = await start(fleet, LIMITED)
+        faults = fleet.engines["forecast-0"].state.faults
+        faults.silent_after_tokens = 0
+        late = [caller.chat(f"c-{n}", "x", X_Deadline_Ms="300") for n in range(4)]
+        answers = await asyncio.gather(*late)
+        assert {(a.status, a.error["code"]) for a in answers} == {(504, "deadline_exceeded")}
+        assert {a.error["run_state"] for a in answers} == {"outcome unknown"}
+        faults.silent_after_tokens = None
+        again = await asyncio.gather(*(caller.chat(f"c-{n}", "x") for n in range(4)))
+        assert all(answer.is_whole_stream("x", 8) for answer in again)
+
+
+def test_a_deadline_ends_the_work_at_the_owner_and_frees_its_place():
+    asyncio.run(check_deadline())
+
+
+async def check_handover() -> None:
+    async with Fleet(router_args=("--takeover-s", "3600")) as fleet:
+        fleet.configure(BUREAU_CONFIG)
+        for zone in ("walvis-a", "swakop-a"):
+            fleet.add_engine(f"forecast-{zone}", zone)
+        await fleet.add_hosts({"entry-1": "walvis-a", "entry-2": "swakop-a"})
+        caller = Caller(fleet.hosts["entry-1"].entry.address)
+        await wait_ready(caller)
+
+        async def all_engines_serve() -> bool:
+            answers = [await caller.chat(f"c-{n}", "x") for n in range(12)]
+            return {a.target for a in answers if a.status == 200} == set(fleet.engines)
+
+        await wait_until(all_engines_serve, "a target was not handed over")
+
+
+def test_new_owners_get_their_targets_handed_over_by_the_previous_ones():
+    asyncio.run(check_handover())
