--- a/tests/controllers/test_claim_batches.py
+++ b/tests/controllers/test_claim_batches.py
@@ -4,14 +4,25 @@
 
 from almondspindle.controllers.claims import writer
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
+from almondspindle.controllers.claims.messages import BatchApplied, Submit, TakeBatch
+from almondspindle.controllers.claims.task import SETTLE_WAIT_S, WRITE_INTERVAL_S, ClaimsController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import RosterRead
-from almondspindle.core.claims import Claim, Decision, Look
+from almondspindle.core.claims import (
+    Attempt,
+    Claim,
+    ClaimReply,
+    Decision,
+    Ending,
+    KeyScope,
+    Look,
+    Settle,
+)
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.roster import Host, Roster
 from almondspindle.decisions import claims as claim_decisions
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S, MAX_SKEW_S, segment_of
-from tests.decisions.test_claims import NOW, attempt, claim, uuid7
+from tests.decisions.test_claims import NOW, uuid7
 from tests.standins.claims_world import Router
 from tests.standins.fake_platform import FakePlatform, MemoryStore
 
@@ -19,15 +30,11 @@
 
 
 def same_shard_claims(count: int) -> list[Claim]:
-    """Return claims of different keys in one segment."""
+    """Return claims of different keys in one segment of shard 0."""
     at = SystemClock().wall()
-    claims = []
-    for number in range(count * 50):
-        made = claim("n" * 24, number)
-        scope = type(made.scope)(made.scope.team, made.scope.service, uuid7(number, at))
-        if segment_of(scope).shard == 0:
-            claims.append(Claim(type(made.attempt)(scope, b"f" * 16, "n" * 24, "h"), 1000.0))
-    return claims[:count]
+    scopes = (KeyScope("t", "s", uuid7(number, at)) for number in range(count * 50))
+    chosen = [scope for scope in scopes if segment_of(scope).shard == 0][:count]
+    return [Claim(Attempt(scope, b"f" * 16, "n" * 24, "h"), 1000.0) for scope in chosen]
 
 
 def test_claims_gather_while_a_write_is_in_flight():
@@ -127,7 +134,7 @@
         running = asyncio.ensure_future(directory.run())
         bound_s = MAX_RETENTION_S + 2 * MAX_SKEW_S + 3600
         old, young = (
-            segment_of(type(attempt("n").scope)("t", "s", uuid7(at=NOW - age_s))).object_name(0)
+            segment_of(KeyScope("t", "s", uuid7(at=NOW - age_s))).object_name(0)
             for age_s in (bound_s + 10.0, bound_s - 3700.0)
         )
         store.objects = {old: (b"x", 1), young: (b"x", 1)}
@@ -137,3 +144,45 @@
         running.cancel()
 
     asyncio.run(check())
+
+
+def test_a_segment_has_one_batch_in_flight_whatever_rounds_come_due():
+    controller = ClaimsController(SystemClock())
+    loop = asyncio.new_event_loop()
+    changes = same_shard_claims(3)
+    segments = [segment_of(change.scope) for change in changes]
+    assert len(set(segments)) == 1
+    futs = [loop.create_future() for _ in changes]
+    ending = Settle(changes[0].attempt, Ending.NO_ANSWER)
+    controller.handle(Submit(ending, futs[0]), 0.0)
+    controller.handle(Submit(changes[1], futs[1]), 0.0)
+    rounds = [controller.rounds.get_nowait() for _ in range(controller.rounds.qsize())]
+    assert [due.start_at for due in rounds] == [SETTLE_WAIT_S, 0.0]
+    first = controller.handle(TakeBatch(segments[0]), 0.0)
+    assert list(first.changes) == [ending, changes[1]]
+    controller.handle(Submit(changes[2], futs[2]), 0.1)
+    assert controller.handle(TakeBatch(segments[0]), SETTLE_WAIT_S) is None
+    replies = [ClaimReply(Decision.SETTLED), ClaimReply(Decision.GRANTED)]
+    controller.handle(BatchApplied(segments[0], replies, {}), SETTLE_WAIT_S)
+    assert [fut.done() for fut in futs] == [True, True, False]
+    assert list(controller.handle(TakeBatch(segments[0]), SETTLE_WAIT_S).changes) == [changes[2]]
+    loop.close()
+
+
+def test_a_shard_writes_no_faster_than_its_pace():
+    controller = ClaimsController(SystemClock())
+    loop = asyncio.new_event_loop()
+    one, other = (Claim(attempt_at(NOW + s), 1000.0) for s in (0.0, 100.0))
+    for change in (one, other):
+        controller.handle(Submit(change, loop.create_future()), 0.0)
+    assert controller.handle(TakeBatch(segment_of(one.scope)), 0.0) is not None
+    assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S / 2) is None
+    assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S) is not None
+    loop.close()
+
+
+def attempt_at(at: float) -> Attempt:
+    """Return an attempt whose key has the time `at` and lies in shard 0."""
+    scopes = (KeyScope("t", "s", uuid7(number, at)) for number in range(1000))
+    scope = next(scope for scope in scopes if segment_of(scope).shard == 0)
+    return Attempt(scope, b"f" * 16, "n" * 24, "h")
--- a/tests/standins/claim_faults.py
+++ b/tests/standins/claim_faults.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import uuid_utils
@@ -107,6 +108,14 @@
     return case
 
 
+async def relay_raises(world: World, key: str) -> None:
+    """Have the relay end with an exception after the request was sent."""
+    world.entries[0].owner.raise_after = 1
+    with suppress(ConnectionResetError):
+        await world.entries[0].send(key)
+    await world.entries[0].settled()
+
+
 def store_fault(at: str, **faults: int) -> Case:
     """Have the store fail for all routers before the claim, or while the request runs."""
 
@@ -162,6 +171,20 @@
     await entry.settled()
 
 
+async def claim_written_after_withdrawal(world: World, key: str) -> None:
+    """Withdraw a claim through another router while its write is on its way, then let it go."""
+    entry, late = world.entries[0], world.routers[0]
+    gate = late.platform.hold("write")
+    entry.link.routers = [late]
+    entry.link.try_s = PAUSED_TRY_S
+    task = await _held(world, gate, key)
+    entry.link.routers = [world.routers[1]]
+    await task
+    await entry.settled()
+    gate.open.set()
+    world.entries[1].link.routers = [late]
+
+
 async def same_key_at_two_entries(world: World, key: str) -> None:
     """Send the key through both entries at once, each with another router first."""
     world.entries[1].link.routers = world.routers[::-1]
@@ -258,6 +281,7 @@
     Row("first target owner refuses", owner_fault(refuse=1), REPLAYED, 1),
     Row("target owner killed before it sends", owner_fault(break_before=1), UNKNOWN, 0),
     Row("target owner killed after it sent", owner_fault(break_after=1), UNKNOWN, 1),
+    Row("relay raises after it sent", relay_raises, UNKNOWN, 1),
     Row("store's answer to the claim lost", store_fault("claim", lose_answers=1), REPLAYED, 1),
     Row("store drops the claim's write", store_fault("claim", drop_writes=1), REPLAYED, 1),
     Row("store's answer to the outcome lost", store_fault("running", lose_answers=1), REPLAYED, 1),
@@ -267,6 +291,7 @@
     Row("store down while the request runs", store_fault("running", down=True), REPLAYED, 1),
     Row("store down, fleet killed before the outcome", down_and_kill, PROGRESS, 1),
     Row("claim given up, its write lands later", claim_written_late, OK, 1),
+    Row("claim withdrawn, its write goes later", claim_written_after_withdrawal, OK, 1),
     Row("same key at two entries", same_key_at_two_entries, REPLAYED, 1),
     Row("same key in two routers' writes", both_routers_in_flight, REPLAYED, 1),
     Row("fleet replaced after the answer", restart_all, REPLAYED, 1),
--- a/tests/standins/claims_world.py
+++ b/tests/standins/claims_world.py
@@ -131,6 +131,7 @@
     refuse: int = 0
     break_before: int = 0
     break_after: int = 0
+    raise_after: int = 0
     body: bytes = b"done"
     gates: dict[str, Gate] = field(default_factory=dict)
 
@@ -150,6 +151,9 @@
             return _refused(RefusalCode.PEER_UNREACHABLE, RunState.UNKNOWN)
         self.runs[call.idempotency_key or ""] += 1
         await self._step("ran")
+        if self.raise_after:
+            self.raise_after -= 1
+            raise ConnectionResetError("fault")
         if self.break_after:
             self.break_after -= 1
             return _refused(RefusalCode.PEER_UNREACHABLE, RunState.UNKNOWN)
