Compare the merge of a batch with an independent naive version

The comparison first failed: a nonce that claimed its own answered key got ANSWERED where the body was not kept, which would have replayed an empty answer. decide_claim now checks the body for it too.

--- a/almondspindle/decisions/claims.py
+++ b/almondspindle/decisions/claims.py
@@ -174,8 +174,8 @@
         return Decision.KEY_REUSED
     decision = ON_CLAIM[record.state]
     if record.nonce == attempt.nonce:
-        return ON_OWN_NONCE.get(record.state, decision)
-    if is_overdue(record, wall_now):
+        decision = ON_OWN_NONCE.get(record.state, decision)
+    elif is_overdue(record, wall_now):
         return Decision.OUTCOME_UNKNOWN
     if decision is Decision.ANSWERED and (record.answer is None or record.answer.body is None):
         return Decision.ANSWER_NOT_KEPT
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -177,6 +177,56 @@
     assert merge(first.part, batch[cut:], NOW).part == whole.part
 
 
+class NaiveClaims:
+    """The rules in plain steps, one key and one change at a time."""
+
+    def __init__(self) -> None:
+        self.rows: dict[bytes, list] = {}  # fingerprint, state, nonce, attempt, body
+
+    def decide(self, change) -> str:
+        digest = key_digest(change.scope)
+        if isinstance(change, Look):
+            return "settled" if digest in self.rows else "absent"
+        asked = change.attempt
+        if isinstance(change, Settle):
+            row = self.rows.setdefault(digest, [asked.fingerprint, "claimed", asked.nonce, 1, None])
+            if row[2] == asked.nonce and row[1] != "answered":
+                if change.ending is Ending.ANSWERED:
+                    row[1], row[4] = "answered", change.answer.body
+                elif change.ending is Ending.NO_ANSWER:
+                    row[1] = "unknown"
+                elif row[1] == "claimed":
+                    row[1] = "released"
+            return "settled"
+        row = self.rows.get(digest)
+        if row is None:
+            self.rows[digest] = [asked.fingerprint, "claimed", asked.nonce, 1, None]
+            return "granted"
+        if row[0] != asked.fingerprint:
+            return "key reused"
+        if row[1] == "answered":
+            return "answered" if row[4] is not None else "answer not kept"
+        if row[1] == "unknown":
+            return "outcome unknown"
+        if row[1] == "claimed":
+            return "granted" if row[2] == asked.nonce else "in progress"
+        if row[2] == asked.nonce:
+            return "released"
+        self.rows[digest] = [row[0], "claimed", asked.nonce, row[3] + 1, None]
+        return "granted"
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(changes)
+def test_a_batch_decides_as_the_naive_version(batch):
+    naive = NaiveClaims()
+    merged = merge(PartRecords(), batch, NOW)
+    assert [reply.decision.value for reply in merged.replies] == [naive.decide(c) for c in batch]
+    for digest, (_, state, nonce, number, _) in naive.rows.items():
+        record = merged.part.records[digest]
+        assert (record.state.value, record.nonce, record.attempt) == (state, nonce, number)
+
+
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(changes)
 def test_never_two_nonces_are_granted_without_a_release_between(batch):
