--- a/bench/bench_claims.py
+++ b/bench/bench_claims.py
@@ -29,7 +29,7 @@
 from bench.output import figure, percentile
 from tests.standins.claim_faults import ROWS, run_case
 from tests.standins.claims_world import Router
-from tests.standins.fake_platform import FakePlatform, MemoryStore
+from tests.standins.gated_platform import GatedPlatform
 
 RATES = (50, 200, 500)  # claims/s
 DURATION_S = 6.0
@@ -44,7 +44,7 @@
 
 
 @dataclass
-class PacedPlatform(FakePlatform):
+class PacedPlatform(GatedPlatform):
     """A store with a bound on its writes a second. Counts the bytes written."""
 
     delay_s: float = STORE_LATENCY_S
@@ -99,7 +99,7 @@
 async def load(make: Callable[[PacedPlatform], Decide], rate: int, name: str) -> None:
     """Offer `rate` commits a second and print what came of it."""
     rng = random.Random(SEED)
-    platform = PacedPlatform(MemoryStore())
+    platform = PacedPlatform()
     decide, waits, tasks = make(platform), [], []
     start = perf_counter()
     at = 0.0
@@ -109,9 +109,9 @@
         tasks.append(asyncio.ensure_future(commit(decide, waits)))
     await asyncio.gather(*tasks)
     took_s = perf_counter() - start
-    figure(f"{name}claims_per_store_write_{rate}", len(waits) / platform.store.writes, "claims")
-    figure(f"{name}claim_store_writes_{rate}", platform.store.writes / took_s, "writes/s")
-    figure(f"{name}claim_store_reads_{rate}", platform.store.reads / took_s, "reads/s")
+    figure(f"{name}claims_per_store_write_{rate}", len(waits) / platform.calls["write"], "claims")
+    figure(f"{name}claim_store_writes_{rate}", platform.calls["write"] / took_s, "writes/s")
+    figure(f"{name}claim_store_reads_{rate}", platform.calls["read"] / took_s, "reads/s")
     figure(f"{name}claim_store_kb_{rate}", platform.bytes_written / took_s / 1024, "KB/s")
     figure(f"{name}claim_added_ms_p50_{rate}", percentile(waits, 0.5) * MS_PER_S, "ms")
     figure(f"{name}claim_added_ms_p95_{rate}", percentile(waits, 0.95) * MS_PER_S, "ms")
--- a/tests/controllers/test_claim_batches.py
+++ b/tests/controllers/test_claim_batches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from almondspindle.adapters.platform.base import StoredObject
 from almondspindle.controllers.claims import writer
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
 from almondspindle.controllers.claims.messages import BatchApplied, Submit, TakeBatch
@@ -24,7 +25,7 @@
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S, MAX_SKEW_S, segment_of
 from tests.decisions.test_claims import NOW, uuid7
 from tests.standins.claims_world import Router
-from tests.standins.fake_platform import FakePlatform, MemoryStore
+from tests.standins.gated_platform import GatedPlatform
 
 BATCH = 40
 
@@ -39,10 +40,10 @@
 
 def test_claims_gather_while_a_write_is_in_flight():
     async def check() -> None:
-        store = MemoryStore()
-        router = Router(FakePlatform(store))
+        store = GatedPlatform()
+        router = Router(store)
         router.start()
-        gate = router.platform.hold("write")
+        gate = router.platform.gates.hold("write")
         first, *others = same_shard_claims(BATCH)
         decided = [asyncio.ensure_future(router.desk.decide(first))]
         await gate.reached.wait()
@@ -50,7 +51,7 @@
         gate.open.set()
         replies = await asyncio.gather(*decided)
         assert {reply.decision for reply in replies} == {Decision.GRANTED}
-        assert store.writes == 2
+        assert store.calls["write"] == 2
         router.kill()
 
     asyncio.run(check())
@@ -58,9 +59,9 @@
 
 def test_a_claim_whose_asker_left_before_its_batch_is_not_written():
     async def check() -> None:
-        router = Router(FakePlatform(MemoryStore()))
+        router = Router(GatedPlatform())
         router.start()
-        gate = router.platform.hold("write")
+        gate = router.platform.gates.hold("write")
         first, left, last = same_shard_claims(3)
         decided = asyncio.ensure_future(router.desk.decide(first))
         await gate.reached.wait()
@@ -79,8 +80,8 @@
 
 def test_a_full_part_rolls_over_and_both_parts_are_found(monkeypatch):
     async def check() -> None:
-        store = MemoryStore()
-        routers = [Router(FakePlatform(store)) for _ in range(2)]
+        store = GatedPlatform()
+        routers = [Router(GatedPlatform(store.objects)) for _ in range(2)]
         for router in routers:
             router.start()
         claims = same_shard_claims(BATCH)
@@ -98,9 +99,9 @@
 
 def test_a_store_that_never_answers_does_not_hold_claims_back(monkeypatch):
     async def check() -> None:
-        router = Router(FakePlatform(MemoryStore()))
+        router = Router(GatedPlatform())
         router.start()
-        router.platform.hold("write")
+        router.platform.gates.hold("write")
         (only,) = same_shard_claims(1)
         assert (await router.desk.decide(only)).decision is Decision.UNAVAILABLE
         assert (await router.desk.decide(only)).decision is Decision.GRANTED
@@ -112,14 +113,14 @@
 
 def test_a_malformed_object_is_left_as_it_is_and_nothing_is_granted():
     async def check() -> None:
-        store = MemoryStore()
-        router = Router(FakePlatform(store))
+        store = GatedPlatform()
+        router = Router(store)
         router.start()
         (only,) = same_shard_claims(1)
         name = segment_of(only.scope).object_name(0)
-        store.objects[name] = (b"junk", 7)
+        store.objects[name] = StoredObject(b"junk", 7)
         assert (await router.desk.decide(only)).decision is Decision.UNAVAILABLE
-        assert store.objects[name] == (b"junk", 7)
+        assert store.objects[name] == StoredObject(b"junk", 7)
         router.kill()
 
     asyncio.run(check())
@@ -127,7 +128,7 @@
 
 def test_only_objects_past_every_window_are_deleted():
     async def check() -> None:
-        store = MemoryStore()
+        store = GatedPlatform()
         directory = DirectoryController(SystemClock(), "host-1")
         host = Host("host-1", "walvis-a", "127.0.0.1:1")
         directory.tell(RosterRead(Roster({"host-1": host})))
@@ -137,8 +138,8 @@
             segment_of(KeyScope("t", "s", uuid7(at=NOW - age_s))).object_name(0)
             for age_s in (bound_s + 10.0, bound_s - 3700.0)
         )
-        store.objects = {old: (b"x", 1), young: (b"x", 1)}
-        janitor = ClaimsJanitor(FakePlatform(store), directory, "host-1", SystemClock())
+        store.objects = {old: StoredObject(b"x", 1), young: StoredObject(b"x", 1)}
+        janitor = ClaimsJanitor(store, directory, "host-1", SystemClock())
         await janitor.sweep(NOW)
         assert list(store.objects) == [young]
         running.cancel()
--- a/tests/standins/claim_faults.py
+++ b/tests/standins/claim_faults.py
@@ -43,7 +43,7 @@
 
     async def case(world: World, key: str) -> None:
         entry = world.entries[0]
-        gate = getattr(entry, part).hold(step)
+        gate = getattr(entry, part).gates.hold(step)
         task = await _held(world, gate, key)
         entry.kill()
         task.cancel()
@@ -57,7 +57,7 @@
     """Kill the first router when its write reaches `step`; the entry goes to the second."""
 
     async def case(world: World, key: str) -> None:
-        gate = world.routers[0].platform.hold(step)
+        gate = world.routers[0].platform.gates.hold(step)
         task = await _held(world, gate, key)
         world.routers[0].kill()
         await task
@@ -70,9 +70,9 @@
     """Kill the first router when it records the outcome."""
 
     async def case(world: World, key: str) -> None:
-        gate_ran = world.entries[0].owner.hold("ran")
+        gate_ran = world.entries[0].owner.gates.hold("ran")
         task = await _held(world, gate_ran, key)
-        gate = world.routers[0].platform.hold(step)
+        gate = world.routers[0].platform.gates.hold(step)
         gate_ran.open.set()
         await task
         await gate.reached.wait()
@@ -86,7 +86,7 @@
     """Pause the first router at `step` until the second has done all the work, then wake it."""
 
     async def case(world: World, key: str) -> None:
-        gate = world.routers[0].platform.hold(step)
+        gate = world.routers[0].platform.gates.hold(step)
         world.entries[0].link.try_s = PAUSED_TRY_S
         task = await _held(world, gate, key)
         await task
@@ -121,16 +121,16 @@
 
     async def case(world: World, key: str) -> None:
         entry = world.entries[0]
-        gate = entry.owner.hold("ran") if at == "running" else None
+        gate = entry.owner.gates.hold("ran") if at == "running" else None
         task = await _held(world, gate, key) if gate else None
         for router in world.routers:
             for name, value in faults.items():
-                setattr(router.platform, name, value)
+                setattr(router.platform.faults, name, value)
         if gate and task:
             gate.open.set()
         await (task or entry.send(key))
         for router in world.routers:
-            router.platform.down = False
+            router.platform.faults.down = False
         await entry.settled()
 
     return case
@@ -138,9 +138,9 @@
 
 async def dropped_and_asked_elsewhere(world: World, key: str) -> None:
     """Drop the write of a claim, and send the key through another router while it runs."""
-    world.routers[0].platform.drop_writes = 1
+    world.routers[0].platform.faults.drop_writes = 1
     world.entries[1].link.routers = world.routers[::-1]
-    gate = world.entries[0].owner.hold("ran")
+    gate = world.entries[0].owner.gates.hold("ran")
     task = await _held(world, gate, key)
     await world.entries[1].send(key)
     gate.open.set()
@@ -151,10 +151,10 @@
 async def down_and_kill(world: World, key: str) -> None:
     """Lose the store while the request runs, and the whole fleet before the store is back."""
     entry = world.entries[0]
-    gate = entry.owner.hold("ran")
+    gate = entry.owner.gates.hold("ran")
     task = await _held(world, gate, key)
     for router in world.routers:
-        router.platform.down = True
+        router.platform.faults.down = True
     gate.open.set()
     await task
     world.new_fleet()
@@ -163,7 +163,7 @@
 async def claim_written_late(world: World, key: str) -> None:
     """Give up a claim whose write is on its way, and let the write go after the withdrawal."""
     entry = world.entries[0]
-    gates = [router.platform.hold("write") for router in world.routers]
+    gates = [router.platform.gates.hold("write") for router in world.routers]
     entry.link.try_s = PAUSED_TRY_S
     await entry.send(key)
     for gate in gates:
@@ -174,7 +174,7 @@
 async def claim_written_after_withdrawal(world: World, key: str) -> None:
     """Withdraw a claim through another router while its write is on its way, then let it go."""
     entry, late = world.entries[0], world.routers[0]
-    gate = late.platform.hold("write")
+    gate = late.platform.gates.hold("write")
     entry.link.routers = [late]
     entry.link.try_s = PAUSED_TRY_S
     task = await _held(world, gate, key)
@@ -195,7 +195,7 @@
 async def both_routers_in_flight(world: World, key: str) -> None:
     """Let two routers merge the same key into the same version before either writes."""
     world.entries[1].link.routers = world.routers[::-1]
-    gates = [router.platform.hold("write") for router in world.routers]
+    gates = [router.platform.gates.hold("write") for router in world.routers]
     tasks = [entry.start(key) for entry in world.entries]
     for gate in gates:
         await gate.reached.wait()
@@ -214,7 +214,7 @@
 
 async def restart_all_in_flight(world: World, key: str) -> None:
     """Replace every entry and router while the request runs."""
-    task = await _held(world, world.entries[0].owner.hold("ran"), key)
+    task = await _held(world, world.entries[0].owner.gates.hold("ran"), key)
     world.new_fleet()
     task.cancel()
     await asyncio.wait({task})
@@ -222,7 +222,7 @@
 
 async def caller_leaves_running(world: World, key: str) -> None:
     """Have the caller leave while the request runs; its outcome is still recorded."""
-    gate = world.entries[0].owner.hold("ran")
+    gate = world.entries[0].owner.gates.hold("ran")
     task = await _held(world, gate, key)
     task.cancel()
     await asyncio.wait({task})
@@ -232,7 +232,7 @@
 
 async def caller_leaves_claiming(world: World, key: str) -> None:
     """Have the caller leave while its claim is being written; the claim is withdrawn."""
-    gate = world.routers[0].platform.hold("written")
+    gate = world.routers[0].platform.gates.hold("written")
     task = await _held(world, gate, key)
     task.cancel()
     await asyncio.wait({task})
@@ -245,7 +245,7 @@
 
     async def case(world: World, key: str) -> None:
         entry: Entry = world.entries[0]
-        gate = getattr(entry, part).hold(step)
+        gate = getattr(entry, part).gates.hold(step)
         deadline_at = asyncio.get_running_loop().time() + 0.3
         task = entry.start(key, deadline_at=deadline_at)
         await gate.reached.wait()
--- a/tests/standins/claims_world.py
+++ b/tests/standins/claims_world.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from almondspindle.adapters.platform.base import StoredObject
 from almondspindle.chain.base import Chain
 from almondspindle.chain.claim import ClaimKey
 from almondspindle.chain.relay import RelayToOwner
@@ -33,7 +34,7 @@
 from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
 from almondspindle.core.metrics import NullMetrics
 from almondspindle.core.outcomes import Ok, Refusal, RefusalCode, RunState
-from tests.standins.fake_platform import FakePlatform, Gate, MemoryStore
+from tests.standins.gated_platform import GatedPlatform, Gates
 
 DEADLINE_S = 10.0
 CANDIDATES = tuple(Candidate(f"dispatch-{n}", f"host-{n}", "owner") for n in range(2))
@@ -48,7 +49,7 @@
 class Router:
     """The claims part of a router."""
 
-    platform: FakePlatform
+    platform: GatedPlatform
     is_dead: bool = False
     tasks: list[asyncio.Task] = field(default_factory=list)
 
@@ -68,35 +69,28 @@
 
 
 class FakeLink:
-    """Ask the routers in order, as an entry does; a call to a dead router fails."""
+    """Ask the routers in order, as an entry does; a call to a dead router fails.
+
+    The steps are "claim", "claimed" and "settle".
+    """
 
     def __init__(self, routers: list[Router]) -> None:
         self.routers = routers
-        self.gates: dict[str, Gate] = {}
+        self.gates = Gates()
         self.try_s = 1.0
 
-    def hold(self, step: str) -> Gate:
-        """Hold the next call that reaches "claim", "claimed" or "settle"; return its gate."""
-        self.gates[step] = Gate()
-        return self.gates[step]
-
     async def claim(self, claim: Claim, deadline_at: float) -> ClaimReply:
         """Return the decision on `claim`."""
-        await self._step("claim")
+        await self.gates.step("claim")
         reply = await self._ask(claim)
-        await self._step("claimed")
+        await self.gates.step("claimed")
         return reply
 
     async def settle(self, settle: Settle) -> ClaimReply:
         """Have `settle` recorded."""
-        await self._step("settle")
+        await self.gates.step("settle")
         return await self._ask(settle)
 
-    async def _step(self, step: str) -> None:
-        gate = self.gates.pop(step, None)
-        if gate is not None:
-            await gate.pass_through()
-
     async def _ask(self, change: Claim | Settle | Look) -> ClaimReply:
         last = ClaimReply(Decision.UNAVAILABLE, reason="no router")
         for router in self.routers:
@@ -125,7 +119,7 @@
 
 @dataclass
 class FakeOwner:
-    """The way to the plain service: counts runs per key; gates hold "send" and "ran"."""
+    """The way to the plain service: counts runs per key; the steps are "send" and "ran"."""
 
     runs: Counter[str]
     refuse: int = 0
@@ -133,16 +127,11 @@
     break_after: int = 0
     raise_after: int = 0
     body: bytes = b"done"
-    gates: dict[str, Gate] = field(default_factory=dict)
-
-    def hold(self, step: str) -> Gate:
-        """Hold the next call that reaches `step`; return its gate."""
-        self.gates[step] = Gate()
-        return self.gates[step]
+    gates: Gates = field(default_factory=Gates)
 
     async def relay(self, call: Call, candidate: Candidate, sink) -> Finished:
         """Run the work of `call`, as the faults say."""
-        await self._step("send")
+        await self.gates.step("send")
         if self.refuse:
             self.refuse -= 1
             return _refused(RefusalCode.FULL, RunState.NOT_RUN)
@@ -150,7 +139,7 @@
             self.break_before -= 1
             return _refused(RefusalCode.PEER_UNREACHABLE, RunState.UNKNOWN)
         self.runs[call.idempotency_key or ""] += 1
-        await self._step("ran")
+        await self.gates.step("ran")
         if self.raise_after:
             self.raise_after -= 1
             raise ConnectionResetError("fault")
@@ -162,11 +151,6 @@
         await sink.write(AnswerEnd())
         return Finished(True)
 
-    async def _step(self, step: str) -> None:
-        gate = self.gates.pop(step, None)
-        if gate is not None:
-            await gate.pass_through()
-
 
 def _refused(code: RefusalCode, run_state: RunState) -> Finished:
     return Finished(False, Refusal(code, "fault", run_state))
@@ -272,15 +256,12 @@
     """Two entries and two routers. Use as an async context manager."""
 
     def __init__(self) -> None:
-        self.store = MemoryStore()
+        self.objects: dict[str, StoredObject] = {}
         self.runs: Counter[str] = Counter()
         self.answers: list[Answer] = []
 
     async def __aenter__(self) -> "World":
-        self.routers = [Router(FakePlatform(self.store)) for _ in range(2)]
-        self.entries = [Entry(f"entry-{n}", self, self.routers) for n in range(2)]
-        for router in self.routers:
-            router.start()
+        self._start()
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -293,7 +274,10 @@
         """Kill every entry and router, and start new ones before the same store."""
         for owner in (*self.entries, *self.routers):
             owner.kill()
-        self.routers = [Router(FakePlatform(self.store)) for _ in range(2)]
+        self._start()
+
+    def _start(self) -> None:
+        self.routers = [Router(GatedPlatform(self.objects)) for _ in range(2)]
         self.entries = [Entry(f"entry-{n}", self, self.routers) for n in range(2)]
         for router in self.routers:
             router.start()
