--- a/almondspindle/adapters/platform/models.py
+++ b/almondspindle/adapters/platform/models.py
@@ -19,12 +19,14 @@
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, TeamName, ZoneName
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.core.roster import Host, HostState, Roster, Target, TargetState
+from almondspindle.decisions.claim_keys import MAX_RETENTION_S
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
 Share = Annotated[float, Field(ge=0.0, le=1.0)]
 Seconds = Annotated[float, Field(ge=0.0)]
+Retention = Annotated[float, Field(ge=0.0, le=MAX_RETENTION_S)]
 
 
 class StrictModel(BaseModel):
@@ -52,7 +54,7 @@
     cold_limit: Annotated[int, Field(ge=1)] = 2
     slow_start_s: Seconds = 30.0
     retry_budget: Share = 0.1
-    key_retention_s: Seconds = 86_400.0
+    key_retention_s: Retention = 86_400.0
 
 
 class ObjectivesModel(StrictModel):
