Pace batches of endings alone by themselves

Cause: endings of keys whose times lie far apart had no bound on their writes after the last change. Change: each shard has two paces, one for batches with claims, one for endings alone.

--- a/almondspindle/controllers/claims/task.py
+++ b/almondspindle/controllers/claims/task.py
@@ -20,7 +20,7 @@
 from almondspindle.core.clock import Clock
 from almondspindle.decisions.claim_keys import Segment, segment_of
 
-WRITE_INTERVAL_S = 0.04  # shortest time between two batches of a shard
+WRITE_INTERVAL_S = 0.04  # shortest time between two batches of a shard, of either lane
 SETTLE_WAIT_S = 0.2  # time that endings wait for claims to share a write with
 CACHED_SEGMENTS = 16  # segments whose records stay in memory between batches
 MAX_PENDING = 5_000  # changes that wait at once; more are refused as unavailable
@@ -37,6 +37,14 @@
     views: Mapping[int, PartView] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class _Lane:
+    """Batches that share a pace. Those of endings alone don't hold claims back."""
+
+    shard: int
+    has_claim: bool
+
+
 class ClaimsController(Controller):
     """Own the changes that wait, and the parts of segments as last seen in the store.
 
@@ -47,7 +55,7 @@
         super().__init__(clock)
         self.rounds: asyncio.Queue[Round] = asyncio.Queue()
         self._segments: OrderedDict[Segment, _SegmentState] = OrderedDict()
-        self._next_write_at: dict[int, float] = {}
+        self._next_write_at: dict[_Lane, float] = {}
         self._pending = 0
 
     @singledispatchmethod
@@ -73,15 +81,12 @@
         if state is None or state.is_writing or not state.waiting:
             return None
         state.due_at = None
-        if now < self._next_write_at.get(msg.segment.shard, 0.0):
+        lane = _lane(msg.segment, state)
+        if now < self._next_write_at.get(lane, 0.0):
             self._plan(msg.segment, state, now)
             return None
-        batch = self._take(state)
-        # A batch of endings alone doesn't hold the next claim back. Such batches are few, since
-        # endings gather for longer.
-        if any(gather_s(change) == 0.0 for change in batch.changes):
-            self._next_write_at[msg.segment.shard] = now + WRITE_INTERVAL_S
-        return batch
+        self._next_write_at[lane] = now + WRITE_INTERVAL_S
+        return self._take(state)
 
     @handle.register
     def _(self, msg: BatchApplied, now: float) -> None:
@@ -109,7 +114,7 @@
 
         A batch in flight plans the next one when it is over.
         """
-        start_at = max(at, self._next_write_at.get(segment.shard, 0.0))
+        start_at = max(at, self._next_write_at.get(_lane(segment, state), 0.0))
         if state.is_writing or (state.due_at is not None and state.due_at <= start_at):
             return
         state.due_at = start_at
@@ -121,6 +126,10 @@
             del self._segments[segment]
 
 
+def _lane(segment: Segment, state: _SegmentState) -> _Lane:
+    return _Lane(segment.shard, any(gather_s(s.change) == 0.0 for s in state.waiting))
+
+
 @singledispatch
 def gather_s(change: object) -> float:
     """Return how long `change` may wait for others to share its write, in seconds."""
--- a/tests/controllers/test_claim_batches.py
+++ b/tests/controllers/test_claim_batches.py
@@ -173,9 +173,14 @@
 def test_a_shard_writes_no_faster_than_its_pace():
     controller = ClaimsController(SystemClock())
     loop = asyncio.new_event_loop()
-    one, other = (Claim(attempt_at(NOW + s), 1000.0) for s in (0.0, 100.0))
-    for change in (one, other):
+    one, other, third, fourth = (attempt_at(NOW + 100.0 * n) for n in range(4))
+    endings = [Settle(attempt, Ending.NO_ANSWER) for attempt in (third, fourth)]
+    one, other = Claim(one, 1000.0), Claim(other, 1000.0)
+    for change in (one, other, *endings):
         controller.handle(Submit(change, loop.create_future()), 0.0)
+    ended = [segment_of(ending.scope) for ending in endings]
+    assert controller.handle(TakeBatch(ended[0]), 0.0) is not None
+    assert controller.handle(TakeBatch(ended[1]), WRITE_INTERVAL_S / 2) is None
     assert controller.handle(TakeBatch(segment_of(one.scope)), 0.0) is not None
     assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S / 2) is None
     assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S) is not None
