--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -30,6 +30,7 @@
 PROCESS_STOPPING = event(1001, "process_stopping", "A signal asked for a planned stop.")
 PROCESS_STOPPED = event(1002, "process_stopped", "The process ended with nothing in flight.")
 STOP_CUT_STREAMS = event(1003, "stop_cut_streams", "The bound on the stop cut requests in flight.")
+DRAIN_BEGUN = event(1005, "drain_begun", "The process takes no new work; requests in flight end.")
 TASK_FAILED = event(1004, "task_failed", "A task met a broken invariant; the process stops.")
 
 # 1100 to 1199: requests.
@@ -40,6 +41,10 @@
 ATTEMPT_FAILED = event(1102, "attempt_failed", "One attempt at a request failed at the entry.")
 RELAY_DONE = event(1103, "relay_done", "The owner passed a whole answer on.")
 CALLER_GONE = event(1104, "caller_gone", "The caller left before the answer was whole.")
+SUBSCRIPTION_LOST = event(
+    1110, "subscription_lost", "A router's updates broke off; the next router is asked."
+)
+STREAM_RESUMED = event(1111, "stream_resumed", "A stream that broke off goes on at its target.")
 
 # 1200 to 1299: configuration.
 CONFIG_APPLIED = event(1200, "config_applied", "A higher configuration version came into force.")
@@ -48,7 +53,9 @@
 STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
 CONFIG_WRITTEN = event(1204, "config_written", "A change of the configuration was accepted.")
 CONFIG_FEED_LATE = event(
-    1205, "config_feed_late", "A change was accepted; the note to watchers or history failed."
+    1205,
+    "config_feed_late",
+    "A change was accepted, but the feed of changes was not written.",
 )
 CONFIG_STORE_BEHIND = event(
     1206, "config_store_behind", "The store holds a lower version than the one in force."
@@ -92,3 +99,12 @@
 CLAIM_LEFT = event(
     1507, "claim_left", "The caller left while its commit was claimed; the claim is released."
 )
+# 1400 to 1499: admission, load reports and slow start.
+TARGET_COLD = event(1400, "target_cold", "A target turned cold; its slow start begins.")
+RAMP_ENDED = event(1401, "ramp_ended", "A target's slow start is over.")
+TARGET_UNREACHABLE = event(1402, "target_unreachable", "A target left several polls unanswered.")
+TARGET_BACK = event(1403, "target_back", "A target answers polls again.")
+TARGET_IN_DOUBT = event(
+    1404, "target_in_doubt", "An attempt or poll failed; a restart can't be ruled out."
+)
+TARGETS_OWNED = event(1405, "targets_owned", "The set of targets that this host owns changed.")
--- a/tests/standins/claims_world.py
+++ b/tests/standins/claims_world.py
@@ -20,6 +20,7 @@
 from almondspindle.controllers.claims.writer import SegmentWriter
 from almondspindle.controllers.configuration.messages import ConfigRead
 from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.retries.task import RetriesController
 from almondspindle.core.calls import (
     AnswerChunk,
     AnswerEnd,
@@ -209,11 +210,12 @@
         config = ConfigurationController(clock)
         config.tell(ConfigRead(CONFIG))
         claim = ClaimKey(self.link, self.settler, config, name, clock, NullMetrics())
-        relay = RelayToOwner(self.owner, clock, NullMetrics())
+        retries = RetriesController(clock)
+        relay = RelayToOwner(self.owner, retries, clock, NullMetrics())
         self.settle = SettleClaim(Chain((TwoCandidates(),), relay, clock), self.settler, name)
         self.chain = Chain((RequireKey(), claim), self.settle, clock)
         sender = SettleSender(self.link, self.settler)
-        loops = (config.run(), self.settler.run(), sender.run())
+        loops = (config.run(), self.settler.run(), sender.run(), retries.run())
         self.tasks = [asyncio.ensure_future(c) for c in loops]
 
     def start(self, key: str, body: bytes = b"{}", **changes) -> "asyncio.Task[Answer]":
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -12,6 +12,16 @@
 from tornado.web import Application, RequestHandler
 
 COLD_SECONDS = 3.0
+KEPT_STREAMS = 1000
+ID_PREFIX = "chatcmpl-"
+
+
+@dataclass(frozen=True)
+class KeptStream:
+    """A stream that the engine can resume: what it says, and how many events it has."""
+
+    text: str
+    count: int
 
 
 @dataclass
@@ -20,6 +30,9 @@
 
     truncate: bool = False
     cross: bool = False
+    cross_events: bool = False
+    break_after_tokens: int | None = None
+    forget_streams: bool = False
     silent_after_tokens: int | None = None
     refuse_connections: bool = False
 
@@ -39,6 +52,9 @@
     cold_overloads: int = 0
     requests: int = 0
     cancelled: int = 0
+    resumed: int = 0
+    tokens: int = 0
+    streams: OrderedDict[str, KeptStream] = field(default_factory=OrderedDict)
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     faults: EngineFaults = field(default_factory=EngineFaults)
 
@@ -60,6 +76,12 @@
         if self.is_cold(now) and self.in_flight > self.cold_limit:
             self.cold_overloads += 1
 
+    def keep(self, request_id: str, stream: KeptStream) -> None:
+        """Keep a stream for a resume; the oldest one gives way."""
+        self.streams[request_id] = stream
+        while len(self.streams) > KEPT_STREAMS:
+            self.streams.popitem(last=False)
+
     def remember(self, chat_id: str) -> bool:
         """Put a chat's prefix into the cache and return whether it was there."""
         hit = chat_id in self.cache
@@ -73,12 +95,18 @@
 class _Chat(RequestHandler):
     def initialize(self, state: EngineState) -> None:
         self.state = state
+        self._task: asyncio.Future[None] | None = None
+
+    def on_connection_close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
 
     async def post(self) -> None:
         now = asyncio.get_running_loop().time()
         self.state.begin(now)
         try:
-            await self._answer(json.loads(self.request.body))
+            self._task = asyncio.ensure_future(self._answer(json.loads(self.request.body)))
+            await self._task
         except (StreamClosedError, asyncio.CancelledError):
             self.state.cancelled += 1
         finally:
@@ -97,21 +125,42 @@
             await asyncio.sleep(self.state.token_pause_s * count)
             self.finish({"choices": [{"message": {"content": f"{text}:{count}"}}]})
             return
+        last = self.request.headers.get("Last-Event-ID")
+        if last is not None and not self._can_resume(answered_id):
+            self.set_status(410)
+            self.finish({"error": "the stream is not kept"})
+            return
+        self.state.keep(answered_id, KeptStream(text, count))
         self.set_header("Content-Type", "text/event-stream")
-        await self._stream(text, count)
+        await self._stream(answered_id, text, range(int(last or -1) + 1, count))
 
-    async def _stream(self, text: str, count: int) -> None:
+    def _can_resume(self, request_id: str) -> bool:
+        if self.state.faults.forget_streams or request_id not in self.state.streams:
+            return False
+        self.state.resumed += 1
+        return True
+
+    async def _stream(self, request_id: str, text: str, indexes: range) -> None:
         faults = self.state.faults
-        for index in range(count):
+        for index in indexes:
             if faults.silent_after_tokens == index:
                 await asyncio.sleep(3600)
-            delta = {"choices": [{"delta": {"content": f"{text}:{index} "}}]}
-            self.write(f"data: {json.dumps(delta)}\n\n")
+            if faults.break_after_tokens == index:
+                faults.break_after_tokens = None
+                self.request.connection.stream.close()
+                return
+            self._write_event(request_id, text, index)
             await self.flush()
             await asyncio.sleep(self.state.token_pause_s)
         if not faults.truncate:
             self.write("data: [DONE]\n\n")
 
+    def _write_event(self, request_id: str, text: str, index: int) -> None:
+        self.state.tokens += 1
+        named = "f" * 24 if self.state.faults.cross_events and index else request_id
+        delta = {"id": ID_PREFIX + named, "choices": [{"delta": {"content": f"{text}:{index} "}}]}
+        self.write(f"id: {index}\ndata: {json.dumps(delta)}\n\n")
+
 
 class _Load(RequestHandler):
     def initialize(self, state: EngineState) -> None:
@@ -132,7 +181,8 @@
 class Engine:
     """The running stand-in."""
 
-    def __init__(self, name: str, **settings: float) -> None:
+    def __init__(self, name: str, age_s: float = 0.0, **settings: float) -> None:
+        self._age_s = age_s
         self.state = EngineState(name, **settings)  # type: ignore[arg-type]
         self.address = ""
 
@@ -146,7 +196,7 @@
         sockets = bind_sockets(0, "127.0.0.1")
         self._server = HTTPServer(app)
         self._server.add_sockets(sockets)
-        self.state.booted_at = asyncio.get_running_loop().time()
+        self.state.booted_at = asyncio.get_running_loop().time() - self._age_s
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
