--- a/tests/controllers/test_claim_batches.py
+++ b/tests/controllers/test_claim_batches.py
@@ -2,40 +2,48 @@
 
 import asyncio
 
+from almondspindle.adapters.platform.base import StoredObject
 from almondspindle.controllers.claims import writer
 from almondspindle.controllers.claims.janitor import ClaimsJanitor
+from almondspindle.controllers.claims.messages import BatchApplied, Submit, TakeBatch
+from almondspindle.controllers.claims.task import SETTLE_WAIT_S, WRITE_INTERVAL_S, ClaimsController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import RosterRead
-from almondspindle.core.claims import Claim, Decision, Look
+from almondspindle.core.claims import (
+    Attempt,
+    Claim,
+    ClaimReply,
+    Decision,
+    Ending,
+    KeyScope,
+    Look,
+    Settle,
+)
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.roster import Host, Roster
 from almondspindle.decisions import claims as claim_decisions
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S, MAX_SKEW_S, segment_of
-from tests.decisions.test_claims import NOW, attempt, claim, uuid7
+from tests.decisions.test_claims import NOW, uuid7
 from tests.standins.claims_world import Router
-from tests.standins.fake_platform import FakePlatform, MemoryStore
+from tests.standins.gated_platform import GatedPlatform
 
 BATCH = 40
 
 
 def same_shard_claims(count: int) -> list[Claim]:
-    """Return claims of different keys in one segment."""
+    """Return claims of different keys in one segment of shard 0."""
     at = SystemClock().wall()
-    claims = []
-    for number in range(count * 50):
-        made = claim("n" * 24, number)
-        scope = type(made.scope)(made.scope.team, made.scope.service, uuid7(number, at))
-        if segment_of(scope).shard == 0:
-            claims.append(Claim(type(made.attempt)(scope, b"f" * 16, "n" * 24, "h"), 1000.0))
-    return claims[:count]
+    scopes = (KeyScope("t", "s", uuid7(number, at)) for number in range(count * 50))
+    chosen = [scope for scope in scopes if segment_of(scope).shard == 0][:count]
+    return [Claim(Attempt(scope, b"f" * 16, "n" * 24, "h"), 1000.0) for scope in chosen]
 
 
 def test_claims_gather_while_a_write_is_in_flight():
     async def check() -> None:
-        store = MemoryStore()
-        router = Router(FakePlatform(store))
+        store = GatedPlatform()
+        router = Router(store)
         router.start()
-        gate = router.platform.hold("write")
+        gate = router.platform.gates.hold("write")
         first, *others = same_shard_claims(BATCH)
         decided = [asyncio.ensure_future(router.desk.decide(first))]
         await gate.reached.wait()
@@ -43,7 +51,7 @@
         gate.open.set()
         replies = await asyncio.gather(*decided)
         assert {reply.decision for reply in replies} == {Decision.GRANTED}
-        assert store.writes == 2
+        assert store.calls["write"] == 2
         router.kill()
 
     asyncio.run(check())
@@ -51,9 +59,9 @@
 
 def test_a_claim_whose_asker_left_before_its_batch_is_not_written():
     async def check() -> None:
-        router = Router(FakePlatform(MemoryStore()))
+        router = Router(GatedPlatform())
         router.start()
-        gate = router.platform.hold("write")
+        gate = router.platform.gates.hold("write")
         first, left, last = same_shard_claims(3)
         decided = asyncio.ensure_future(router.desk.decide(first))
         await gate.reached.wait()
@@ -72,8 +80,8 @@
 
 def test_a_full_part_rolls_over_and_both_parts_are_found(monkeypatch):
     async def check() -> None:
-        store = MemoryStore()
-        routers = [Router(FakePlatform(store)) for _ in range(2)]
+        store = GatedPlatform()
+        routers = [Router(GatedPlatform(store.objects)) for _ in range(2)]
         for router in routers:
             router.start()
         claims = same_shard_claims(BATCH)
@@ -91,9 +99,9 @@
 
 def test_a_store_that_never_answers_does_not_hold_claims_back(monkeypatch):
     async def check() -> None:
-        router = Router(FakePlatform(MemoryStore()))
+        router = Router(GatedPlatform())
         router.start()
-        router.platform.hold("write")
+        router.platform.gates.hold("write")
         (only,) = same_shard_claims(1)
         assert (await router.desk.decide(only)).decision is Decision.UNAVAILABLE
         assert (await router.desk.decide(only)).decision is Decision.GRANTED
@@ -105,14 +113,14 @@
 
 def test_a_malformed_object_is_left_as_it_is_and_nothing_is_granted():
     async def check() -> None:
-        store = MemoryStore()
-        router = Router(FakePlatform(store))
+        store = GatedPlatform()
+        router = Router(store)
         router.start()
         (only,) = same_shard_claims(1)
         name = segment_of(only.scope).object_name(0)
-        store.objects[name] = (b"junk", 7)
+        store.objects[name] = StoredObject(b"junk", 7)
         assert (await router.desk.decide(only)).decision is Decision.UNAVAILABLE
-        assert store.objects[name] == (b"junk", 7)
+        assert store.objects[name] == StoredObject(b"junk", 7)
         router.kill()
 
     asyncio.run(check())
@@ -120,20 +128,67 @@
 
 def test_only_objects_past_every_window_are_deleted():
     async def check() -> None:
-        store = MemoryStore()
+        store = GatedPlatform()
         directory = DirectoryController(SystemClock(), "host-1")
         host = Host("host-1", "walvis-a", "127.0.0.1:1")
         directory.tell(RosterRead(Roster({"host-1": host})))
         running = asyncio.ensure_future(directory.run())
         bound_s = MAX_RETENTION_S + 2 * MAX_SKEW_S + 3600
         old, young = (
-            segment_of(type(attempt("n").scope)("t", "s", uuid7(at=NOW - age_s))).object_name(0)
+            segment_of(KeyScope("t", "s", uuid7(at=NOW - age_s))).object_name(0)
             for age_s in (bound_s + 10.0, bound_s - 3700.0)
         )
-        store.objects = {old: (b"x", 1), young: (b"x", 1)}
-        janitor = ClaimsJanitor(FakePlatform(store), directory, "host-1", SystemClock())
+        store.objects = {old: StoredObject(b"x", 1), young: StoredObject(b"x", 1)}
+        janitor = ClaimsJanitor(store, directory, "host-1", SystemClock())
         await janitor.sweep(NOW)
         assert list(store.objects) == [young]
         running.cancel()
 
     asyncio.run(check())
+
+
+def test_a_segment_has_one_batch_in_flight_whatever_rounds_come_due():
+    controller = ClaimsController(SystemClock())
+    loop = asyncio.new_event_loop()
+    changes = same_shard_claims(3)
+    segments = [segment_of(change.scope) for change in changes]
+    assert len(set(segments)) == 1
+    futs = [loop.create_future() for _ in changes]
+    ending = Settle(changes[0].attempt, Ending.NO_ANSWER)
+    controller.handle(Submit(ending, futs[0]), 0.0)
+    controller.handle(Submit(changes[1], futs[1]), 0.0)
+    rounds = [controller.rounds.get_nowait() for _ in range(controller.rounds.qsize())]
+    assert [due.start_at for due in rounds] == [SETTLE_WAIT_S, 0.0]
+    first = controller.handle(TakeBatch(segments[0]), 0.0)
+    assert list(first.changes) == [ending, changes[1]]
+    controller.handle(Submit(changes[2], futs[2]), 0.1)
+    assert controller.handle(TakeBatch(segments[0]), SETTLE_WAIT_S) is None
+    replies = [ClaimReply(Decision.SETTLED), ClaimReply(Decision.GRANTED)]
+    controller.handle(BatchApplied(segments[0], replies, {}), SETTLE_WAIT_S)
+    assert [fut.done() for fut in futs] == [True, True, False]
+    assert list(controller.handle(TakeBatch(segments[0]), SETTLE_WAIT_S).changes) == [changes[2]]
+    loop.close()
+
+
+def test_a_shard_writes_no_faster_than_its_pace():
+    controller = ClaimsController(SystemClock())
+    loop = asyncio.new_event_loop()
+    one, other, third, fourth = (attempt_at(NOW + 100.0 * n) for n in range(4))
+    endings = [Settle(attempt, Ending.NO_ANSWER) for attempt in (third, fourth)]
+    one, other = Claim(one, 1000.0), Claim(other, 1000.0)
+    for change in (one, other, *endings):
+        controller.handle(Submit(change, loop.create_future()), 0.0)
+    ended = [segment_of(ending.scope) for ending in endings]
+    assert controller.handle(TakeBatch(ended[0]), 0.0) is not None
+    assert controller.handle(TakeBatch(ended[1]), WRITE_INTERVAL_S / 2) is None
+    assert controller.handle(TakeBatch(segment_of(one.scope)), 0.0) is not None
+    assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S / 2) is None
+    assert controller.handle(TakeBatch(segment_of(other.scope)), WRITE_INTERVAL_S) is not None
+    loop.close()
+
+
+def attempt_at(at: float) -> Attempt:
+    """Return an attempt whose key has the time `at` and lies in shard 0."""
+    scopes = (KeyScope("t", "s", uuid7(number, at)) for number in range(1000))
+    scope = next(scope for scope in scopes if segment_of(scope).shard == 0)
+    return Attempt(scope, b"f" * 16, "n" * 24, "h")
