--- a/bench/bench_configuration.py
+++ b/bench/bench_configuration.py
@@ -1,6 +1,7 @@
 """How fast a configuration is in force everywhere, and what its spread costs."""
 
 import asyncio
+from random import Random
 from time import monotonic
 
 from almondspindle.adapters.peer.codec import encode
@@ -47,6 +48,9 @@
 EVERYWHERE_BOUND_S = 17.0
 STREAMS = 16
 CALLS = 40
+REPAIR_SIZE = 256
+REPAIR_DEAD = 26
+REPAIR_RUNS = 5
 ROUNDS = 5
 MS_PER_S = 1000.0
 
@@ -220,12 +224,45 @@
         figure(f"config_hops_{size}", max(node.hop for node in nodes), "hops")
         figure(f"config_pushes_per_host_{size}", net.calls["push"] / size, "pushes")
         await stop_nodes(net)
+    await measure_repair()
     hops = tree_depth(FULL_SIZE)
     figure(f"config_tree_depth_{FULL_SIZE}", hops, "hops")
     figure(f"config_spread_s_extrapolated_{FULL_SIZE}", hops * (TREE_FANOUT + 1) * push_s, "s")
     measure_updates()
 
 
+async def measure_repair() -> None:
+    """Count the rounds of pulls until all live hosts have a change that the tree failed to carry.
+
+    A share of the hosts is dead and still listed, so whole branches of the tree are cut.
+    """
+    missed, rounds = [], []
+    for seed in range(REPAIR_RUNS):
+        net, platform = Network(), MemoryPlatform()
+        hosts = make_hosts(REPAIR_SIZE, FULL_ZONES)
+        nodes = await start_nodes(net, platform, hosts)
+        platform.put(CONFIG_OBJECT, dump_stored(full_config(1), ()))
+        for node in nodes:
+            await node.starter.start_once()
+        await net.settle()
+        net.down.update(Random(seed).sample([h.name for h in hosts], REPAIR_DEAD))
+        writer = ConfigWriter(platform, ManualClock(), WriterCfg(seed=1))
+        await writer.submit((SetFields(Kind.TEAM, "team-1", {"weight": 2.0}),), "bench")
+        watching = [n for n in net.running() if n.host.name in watching_hosts(hosts)]
+        await asyncio.gather(*(node.watcher.follow_once() for node in watching))
+        await net.settle()
+        late = [n for n in net.running() if n.applied[-1] < 2]
+        missed.append(len(late) / REPAIR_SIZE)
+        count = 0
+        while await net.versions() != {2}:
+            await net.pull_round()
+            count += 1
+        rounds.append(count)
+        await stop_nodes(net)
+    figure(f"config_missed_by_pushes_share_{REPAIR_SIZE}_dead_{REPAIR_DEAD}", max(missed), "share")
+    figure(f"config_pull_rounds_{REPAIR_SIZE}_dead_{REPAIR_DEAD}", max(rounds), "rounds")
+
+
 def tree_depth(size: int) -> int:
     """Return the hops from the watching hosts to the last host of the tree."""
     hosts = make_hosts(size, FULL_ZONES)
--- a/tests/programs/test_configuration.py
+++ b/tests/programs/test_configuration.py
@@ -6,7 +6,7 @@
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.controllers.configuration.operators import ConfigOperator
-from almondspindle.core.changes import BringBack, Kind, TakeOut
+from almondspindle.core.changes import BringBack, Kind, SetFields, TakeOut
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import Intent
 from tests.standins.caller import Caller, wait_ready, wait_until
@@ -82,6 +82,20 @@
     await change(fleet, BringBack(Kind.TARGET, "forecast-0"))
 
 
+async def check_race(fleet: Fleet) -> None:
+    """Two operators race while the answers to two writes are lost."""
+    before = (await operator_of(fleet).read()).ok.config.version
+    fleet.store.state.faults.lose_answers = 2
+    changes = [SetFields(Kind.TEAM, "grid-desk", {"weight": weight}) for weight in (3.0, 4.0)]
+    outcomes = await asyncio.gather(
+        *(operator_of(fleet).submit((change,), "racer") for change in changes)
+    )
+    assert sorted(outcome.ok.version for outcome in outcomes) == [before + 1, before + 2]
+    history = (await operator_of(fleet).history(2)).ok
+    assert {entry.operator for entry in history} == {"racer"}
+    assert (await operator_of(fleet).wait(before + 2, EVERYWHERE_S)).ok.everywhere
+
+
 async def check_outage(fleet: Fleet, callers: list[Caller]) -> None:
     version = await change(fleet, TakeOut(Kind.ZONE, "swakop-a"))
     operator = operator_of(fleet)
@@ -117,6 +131,7 @@
             await wait_ready(caller)
         await check_zone_out(fleet, callers)
         await check_target_out(fleet, callers)
+        await check_race(fleet)
         await check_outage(fleet, callers)
 
 
