--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -18,7 +18,7 @@
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet, Intent
 from almondspindle.core.events import ROSTER_CHANGED, TARGETS_RETURNED
-from almondspindle.core.identifiers import HostName, ServiceName, TargetName
+from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.roster import Host, Roster, Target, TargetState
@@ -41,6 +41,7 @@
         self._owners: dict[TargetName, Host] = {}
         self._rankings: dict[ServiceName, Ranking] = {}
         self._out: dict[TargetName, RefusalCode] = {}
+        self._out_zones: dict[ServiceName, set[ZoneName]] = {}
         self._on_returned: list[Callable[[TargetsReturned], None]] = []
 
     @singledispatchmethod
@@ -54,12 +55,15 @@
             return
         self._roster = msg.roster
         emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
-        self._derive()
+        self._derive_owners()
+        self._derive_rankings()
 
     @handle.register
     def _(self, msg: ConfigChanged, now: float) -> None:
+        old = self._config
         self._config = msg.config
-        self._derive()
+        if (old.zones, old.targets) != (msg.config.zones, msg.config.targets):
+            self._derive_rankings()
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -97,8 +101,7 @@
         return Candidate(name, owner.name, owner.address)
 
     def _refuse(self, service: ServiceName) -> Outcome[tuple[Candidate, ...]]:
-        targets = [t for t in self._roster.targets.values() if t.service == service]
-        zones = {t.zone for t in targets if self._out.get(t.name) is RefusalCode.ZONE_OUT}
+        zones = self._out_zones.get(service)
         if not zones:
             text = f"no target of service {service!r} is in service"
             return refused(RefusalCode.NO_TARGET, text, retry_after_s=RETRY_AFTER_S)
@@ -117,21 +120,24 @@
             return RefusalCode.LEAVING
         return None
 
-    def _derive(self) -> None:
+    def _derive_owners(self) -> None:
         hosts = list(self._roster.hosts.values())
-        self._owners = {}
+        found = {target: owner_of(target, hosts) for target in self._roster.targets.values()}
+        self._owners = {target.name: host for target, host in found.items() if host is not None}
+
+    def _derive_rankings(self) -> None:
         by_service: dict[ServiceName, list[TargetName]] = {}
         was_out = self._out
         self._out = {}
+        self._out_zones = {}
         for target in self._roster.targets.values():
-            owner = owner_of(target, hosts)
-            if owner is not None:
-                self._owners[target.name] = owner
             code = self._out_of_service(target)
             if code is None:
                 by_service.setdefault(target.service, []).append(target.name)
             else:
                 self._out[target.name] = code
+            if code is RefusalCode.ZONE_OUT:
+                self._out_zones.setdefault(target.service, set()).add(target.zone)
         self._tell_returned(was_out)
         self._rankings = {name: RendezvousScan(names) for name, names in by_service.items()}
 
--- a/almondspindle/decisions/configuration/delta.py
+++ b/almondspindle/decisions/configuration/delta.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from almondspindle.core.changes import ConfigDelta, Kind
+from almondspindle.core.changes import ConfigDelta, HistoryEntry, Kind
 from almondspindle.core.config import ConfigSet
 from almondspindle.decisions.configuration.apply import COLLECTIONS
 
@@ -66,3 +66,13 @@
 def size(delta: ConfigDelta) -> int:
     """Return the number of objects that `delta` creates, changes or deletes."""
     return sum(len(getattr(delta, name)) for name in COLLECTIONS.values())
+
+
+def describe_entry(entry: HistoryEntry) -> list[str]:
+    """Return a line for each object that an accepted change created, changed or deleted."""
+    lines = []
+    for kind, name in COLLECTIONS.items():
+        before = getattr(entry.backward, name)
+        for key, value in sorted(getattr(entry.forward, name).items()):
+            lines.append(_line(kind, key, before.get(key), value))
+    return lines
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of almondspindle.commands."""
--- /dev/null
+++ b/tests/commands/test_restore.py
@@ -0,0 +1,48 @@
+"""The commands for the history and for a store that has lost the configuration."""
+
+import asyncio
+import json
+import sys
+
+from almondspindle.adapters.platform.stored_config import CONFIG_OBJECT
+from tests.standins.caller import Caller, wait_ready
+from tests.standins.fleet import BUREAU_CONFIG, Fleet
+
+
+async def command(*args: str) -> tuple[int, str]:
+    """Run the operators' program; return its exit status and output."""
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "almondspindle.programs.cli",
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await proc.communicate()
+    return proc.returncode or 0, out.decode()
+
+
+async def check() -> None:
+    async with Fleet() as fleet:
+        fleet.configure(BUREAU_CONFIG)
+        await fleet.add_hosts({"entry-1": "walvis-a"})
+        await wait_ready(Caller(fleet.hosts["entry-1"].entry.address))
+        fleet.store.state.objects.clear()
+        fleet.store.state.versions.clear()
+        platform = ("--platform", fleet.store.url)
+        status, out = await command("restore", *platform)
+        assert (status, "version 2" in out) == (0, True), out
+        stored = json.loads(fleet.store.state.objects[CONFIG_OBJECT][0])
+        assert {team["name"] for team in stored["teams"]} == {"grid-desk", "plant-crews"}
+        status, out = await command("history", *platform)
+        assert (status, "create team grid-desk" in out) == (0, True), out
+        assert (await command("history", *platform, "--count", "x"))[0] == 2
+        fleet.store.state.faults.down = True
+        for name, expected in (("restore", 1), ("history", 3)):
+            status, out = await command(name, *platform)
+            assert (status, "store does not answer" in out) == (expected, True), out
+
+
+def test_restore_and_history():
+    asyncio.run(check())
--- a/tests/programs/test_configuration.py
+++ b/tests/programs/test_configuration.py
@@ -16,6 +16,7 @@
 # The floor keeps the load bound out of the way: these are tests of configuration.
 ROOMY = {"name": "forecast-llm", "kind": "chat", "policy": {"load_floor": 64}}
 CONFIG = {**BUREAU_CONFIG, "services": [ROOMY, BUREAU_CONFIG["services"][1]]}
+LEFT = ("entry-1", "entry-3")  # hosts whose routers stay
 EVERYWHERE_S = 17.0
 TOKENS = 60
 CHATS = 24
@@ -96,6 +97,22 @@
     assert (await operator_of(fleet).wait(before + 2, EVERYWHERE_S)).ok.everywhere
 
 
+async def check_lost_router(fleet: Fleet) -> None:
+    """An entry whose router is gone follows another one, and is waited for there."""
+    await fleet.hosts["entry-2"].router.kill()
+    fleet.unlist("entry-2")
+
+    async def all_follow() -> bool:
+        statuses = await asyncio.gather(
+            *(PeerConfigLink().status(fleet.hosts[n].router.address) for n in LEFT)
+        )
+        return sum(len(status.entries) for status in statuses if status) == len(ZONES)
+
+    await wait_until(all_follow, "the entry does not follow another router")
+    await change(fleet, TakeOut(Kind.ZONE, "walvis-a"))
+    await change(fleet, BringBack(Kind.ZONE, "walvis-a"))
+
+
 async def check_outage(fleet: Fleet, callers: list[Caller]) -> None:
     version = await change(fleet, TakeOut(Kind.ZONE, "swakop-a"))
     operator = operator_of(fleet)
@@ -132,6 +149,7 @@
         await check_zone_out(fleet, callers)
         await check_target_out(fleet, callers)
         await check_race(fleet)
+        await check_lost_router(fleet)
         await check_outage(fleet, callers)
 
 
