--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -57,6 +57,7 @@
         self._listener: OwnedListener = lambda owned: None
         self._out: dict[TargetName, RefusalCode] = {}
         self._returned: frozenset[TargetName] = frozenset()
+        self._out_zones: dict[ServiceName, set[ZoneName]] = {}
         self._on_returned: list[Callable[[TargetsReturned], None]] = []
 
     @singledispatchmethod
@@ -71,7 +72,8 @@
         before, owners = self._roster, self._owners
         self._roster = msg.roster
         emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
-        self._derive()
+        self._derive_owners()
+        self._derive_out()
         own = self._own_zone()
         everywhere = self._zone != own
         self._zone = own
@@ -80,11 +82,11 @@
 
     @handle.register
     def _(self, msg: ConfigChanged, now: float) -> None:
-        if msg.config == self._config:
-            return
+        old = self._config
         self._config = msg.config
-        self._derive()
-        self._rank(self._all_names())
+        if (old.zones, old.targets) != (msg.config.zones, msg.config.targets):
+            self._derive_out()
+            self._rank(self._all_names())
         if self._roster.hosts:
             self._tell_owned(self._roster, self._owners)
 
@@ -133,8 +135,7 @@
         return Candidate(name, owner.name, owner.address)
 
     def _refuse(self, service: ServiceName) -> Outcome[tuple[Candidate, ...]]:
-        targets = [t for t in self._roster.targets.values() if t.service == service]
-        zones = {t.zone for t in targets if self._out.get(t.name) is RefusalCode.ZONE_OUT}
+        zones = self._out_zones.get(service)
         if not zones:
             text = f"no target of service {service!r} is in service"
             return refused(RefusalCode.NO_TARGET, text, retry_after_s=RETRY_AFTER_S)
@@ -153,18 +154,21 @@
             return RefusalCode.LEAVING
         return None
 
-    def _derive(self) -> None:
+    def _derive_owners(self) -> None:
         hosts = list(self._roster.hosts.values())
-        self._owners = {}
+        found = {target: owner_of(target, hosts) for target in self._roster.targets.values()}
+        self._owners = {target.name: host for target, host in found.items() if host is not None}
+
+    def _derive_out(self) -> None:
         was_out = self._out
         self._out = {}
+        self._out_zones = {}
         for target in self._roster.targets.values():
-            owner = owner_of(target, hosts)
-            if owner is not None:
-                self._owners[target.name] = owner
             code = self._out_of_service(target)
             if code is not None:
                 self._out[target.name] = code
+            if code is RefusalCode.ZONE_OUT:
+                self._out_zones.setdefault(target.service, set()).add(target.zone)
         self._tell_returned(was_out)
 
     def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
@@ -214,6 +218,7 @@
             owned.append(
                 OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
             )
+        self._returned = frozenset()  # told once; a later change must not repeat it
         self._listener(tuple(owned))
 
     def _owner_without_us(self, target: Target) -> Host | None:
