--- /dev/null
+++ b/bench/bench_path.py
@@ -0,0 +1,161 @@
+"""What the data path through entry and owner costs, with real processes.
+
+The load is that of one node at the size to design for: 530 streams of a token each 74 ms, which
+makes about 7,100 tokens/s. CPU time and memory are read from /proc for the processes started here.
+"""
+
+import asyncio
+import os
+import time
+from dataclasses import dataclass, field
+
+from bench.output import figure, percentile
+from tests.standins.caller import Caller, wait_ready
+from tests.standins.fleet import BUREAU_CONFIG, Fleet, Process, token_hash
+from tests.standins.raw_caller import chat_request
+from tests.standins.token_source import TokenSource
+
+HOST = {"entry-1": "walvis-a"}
+HOP_REQUESTS = 80
+HOP_TOKENS = 2
+STREAMS = 530
+PAUSE_S = 0.074
+STREAM_TOKENS = 100
+TARGETS = 11_000
+TEAMS = 600
+MS_PER_S = 1000.0
+KB_PER_MB = 1024.0
+NO_LIMITS = {"load_floor": 2000, "target_limit": 2000, "cold_limit": 2000}
+ENDINGS = (b"0\r\n\r\n", b"}}")  # of a stream, and of a refusal
+HOP_PAUSE_S = 0.001
+
+
+@dataclass
+class Reading:
+    """What one caller saw of one stream. Times are in seconds."""
+
+    first_s: float = 0.0
+    tokens: int = 0
+    gaps_s: list[float] = field(default_factory=list)
+    whole: bool = False
+
+
+def cpu_s(process: Process) -> float:
+    """Return the CPU time that `process` has used, in seconds."""
+    with open(f"/proc/{process.proc.pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss_mb(process: Process) -> float:
+    """Return the resident memory of `process`, in MB."""
+    with open(f"/proc/{process.proc.pid}/status") as status:
+        line = next(line for line in status if line.startswith("VmRSS"))
+    return int(line.split()[1]) / KB_PER_MB
+
+
+async def read_stream(address: str, tokens: int) -> Reading:
+    """Send one chat and follow its answer."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    reading = Reading()
+    started = last = time.perf_counter()
+    writer.write(chat_request("text", tokens))
+    tail = b""
+    while not tail.endswith(ENDINGS):
+        data = await reader.read(65536)
+        if not data:
+            break
+        now = time.perf_counter()
+        found = data.count(b"id: ")
+        if found and not reading.tokens:
+            reading.first_s = now - started
+        elif found:
+            reading.gaps_s.append(now - last)
+        last = now if found else last
+        reading.tokens += found
+        tail = (tail + data)[-64:]
+    writer.close()
+    reading.whole = reading.tokens == tokens and b"[DONE]" in tail
+    return reading
+
+
+def config() -> dict:
+    """Return a configuration without limits on load."""
+    services = [dict(service, policy=NO_LIMITS) for service in BUREAU_CONFIG["services"]]
+    return {**BUREAU_CONFIG, "services": services}
+
+
+async def measure_hop(direct: str, through: str) -> None:
+    """Compare first-token times with and without the system, one request at a time."""
+    times: dict[str, list[float]] = {direct: [], through: []}
+    for _ in range(HOP_REQUESTS):
+        for address, seen in times.items():
+            seen.append((await read_stream(address, HOP_TOKENS)).first_s)
+    added = percentile(times[through], 0.5) - percentile(times[direct], 0.5)
+    figure("hop_added_ms_p50", added * MS_PER_S, "ms")
+
+
+async def measure_load(fleet: Fleet, through: str) -> None:
+    """Run the streams of one node and divide the tokens by the CPU time of each process."""
+    host = fleet.hosts["entry-1"]
+    before = {name: cpu_s(p) for name, p in (("entry", host.entry), ("router", host.router))}
+    started = time.perf_counter()
+    pending = []
+    for _ in range(STREAMS):
+        pending.append(asyncio.ensure_future(read_stream(through, STREAM_TOKENS)))
+        await asyncio.sleep(PAUSE_S / STREAMS)
+    readings = await asyncio.gather(*pending)
+    took_s = time.perf_counter() - started
+    tokens = sum(reading.tokens for reading in readings)
+    figure("path_tokens_per_s", tokens / took_s, "tokens/s")
+    figure("path_broken_streams", sum(not reading.whole for reading in readings), "streams")
+    gaps = [gap for reading in readings for gap in reading.gaps_s]
+    figure("path_gap_ms_p95", percentile(gaps, 0.95) * MS_PER_S, "ms")
+    for name, process in (("entry", host.entry), ("router", host.router)):
+        used_s = cpu_s(process) - before[name]
+        figure(f"tokens_per_s_core_{name}", tokens / used_s, "tokens/s")
+        figure(f"cpu_share_{name}", used_s / took_s, "cores")
+        figure(f"{name}_rss_mb_under_load", rss_mb(process), "MB")
+
+
+async def measure_path() -> None:
+    """Measure the added time and the cost under load."""
+    source = TokenSource(HOP_PAUSE_S)
+    await source.start()
+    async with Fleet() as fleet:
+        fleet.configure(config())
+        fleet._list_target("forecast-0", "forecast-llm", "walvis-a", source.address)
+        await fleet.add_hosts(HOST)
+        address = fleet.hosts["entry-1"].entry.address
+        await wait_ready(Caller(address))
+        await measure_hop(source.address, address)
+        source.pause_s = PAUSE_S
+        await measure_load(fleet, address)
+    await source.stop()
+
+
+async def measure_memory() -> None:
+    """Read the memory of a router and an entry that know all targets and teams."""
+    teams = [{"name": f"team-{n}", "token_sha256": token_hash(f"token-{n}")} for n in range(TEAMS)]
+    async with Fleet() as fleet:
+        fleet.configure({**config(), "teams": [*BUREAU_CONFIG["teams"], *teams]})
+        for number in range(TARGETS):
+            address = f"127.0.{number // 250}.{number % 250 + 1}:9"
+            fleet._list_target(f"forecast-{number}", "forecast-llm", "walvis-a", address)
+        await fleet.add_hosts(HOST)
+        host = fleet.hosts["entry-1"]
+        await wait_ready(Caller(host.entry.address))
+        figure("router_rss_mb", rss_mb(host.router), "MB")
+        figure("entry_rss_mb", rss_mb(host.entry), "MB")
+
+
+async def measure() -> None:
+    """Run all measurements."""
+    await measure_path()
+    await measure_memory()
+
+
+def run() -> None:
+    """Print the figures of the data path."""
+    asyncio.run(measure())
