--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -35,6 +35,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ANSWERS, FIRST_BYTE, REFUSALS, REQUESTS, MetricSender
 from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
+from almondspindle.decisions.answers import EVENT_STREAM
 from almondspindle.utils.in_flight import InFlight
 
 BEARER = "bearer "
@@ -74,6 +75,8 @@
         """Count the request; refuse a body whose announced length is over the bound."""
         self._counted = True
         self._front.in_flight.enter()
+        # Tokens are small; Nagle's algorithm would hold each back for the last one's receipt.
+        self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         announced = self.request.headers.get("Content-Length", "0")
         if announced.isdigit() and int(announced) > self._front.cfg.max_body_bytes:
             self._early = self._too_large()
@@ -184,6 +187,10 @@
         self.set_header(REQUEST_ID_HEADER, self._request_id)
         self._announce_close()
 
+    def is_event_stream(self) -> bool:
+        """Return whether the answer is a stream, whose head goes out with its first piece."""
+        return self._headers.get("Content-Type", "").startswith(EVENT_STREAM)
+
     def _announce_close(self) -> None:
         """Tell the caller that the connection takes no further request during a planned stop."""
         if self._front.stopping:
@@ -212,7 +219,7 @@
     async def _break_off(self, refusal: Refusal) -> None:
         """End a started answer so that the caller cannot take it for a whole one."""
         self._log_refusal(refusal)
-        if self._headers.get("Content-Type", "").startswith("text/event-stream"):
+        if self.is_event_stream():
             self.write(b"event: error\ndata: " + refusal_body(refusal) + b"\n\n")
         await self.flush()
         # The last chunk is never written, so HTTP marks the answer as cut short.
@@ -254,7 +261,8 @@
     @_write.register
     async def _(self, part: AnswerHead) -> None:
         self._handler.start_answer(part)
-        await self._handler.flush()
+        if not self._handler.is_event_stream():
+            await self._handler.flush()
 
     @_write.register
     async def _(self, part: AnswerChunk) -> None:
