--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -24,7 +24,7 @@
 TARGETS = 11_000
 TEAMS = 600
 MS_PER_S = 1000.0
-KB_PER_MB = 1024.0
+BYTES_PER_MB = 1024.0 * 1024.0
 NO_LIMITS = {"load_floor": 2000, "target_limit": 2000, "cold_limit": 2000}
 ENDINGS = (b"0\r\n\r\n", b"}}")  # of a stream, and of a refusal
 HOP_PAUSE_S = 0.001
@@ -47,13 +47,6 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def rss_mb(process: Process) -> float:
-    """Return the resident memory of `process`, in MB."""
-    with open(f"/proc/{process.proc.pid}/status") as status:
-        line = next(line for line in status if line.startswith("VmRSS"))
-    return int(line.split()[1]) / KB_PER_MB
-
-
 async def read_stream(address: str, tokens: int) -> Reading:
     """Send one chat and follow its answer."""
     host, _, port = address.rpartition(":")
@@ -116,7 +109,7 @@
         used_s = cpu_s(process) - before[name]
         figure(f"tokens_per_s_core_{name}", tokens / used_s, "tokens/s")
         figure(f"cpu_share_{name}", used_s / took_s, "cores")
-        figure(f"{name}_rss_mb_under_load", rss_mb(process), "MB")
+        figure(f"{name}_rss_mb_under_load", process.rss_bytes() / BYTES_PER_MB, "MB")
 
 
 async def measure_path() -> None:
@@ -146,8 +139,8 @@
         await fleet.add_hosts(HOST)
         host = fleet.hosts["entry-1"]
         await wait_ready(Caller(host.entry.address))
-        figure("router_rss_mb", rss_mb(host.router), "MB")
-        figure("entry_rss_mb", rss_mb(host.entry), "MB")
+        figure("router_rss_mb", host.router.rss_bytes() / BYTES_PER_MB, "MB")
+        figure("entry_rss_mb", host.entry.rss_bytes() / BYTES_PER_MB, "MB")
 
 
 async def measure() -> None:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -63,6 +63,12 @@
     proc: asyncio.subprocess.Process
     address: str
 
+    def rss_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        with open(f"/proc/{self.proc.pid}/status") as status:
+            line = next(line for line in status if line.startswith("VmRSS"))
+        return int(line.split()[1]) * 1024
+
     async def stop(self) -> int:
         """Ask for a planned stop and return the exit status."""
         with suppress(ProcessLookupError):
