--- a/tests/programs/test_planned_stop.py
+++ b/tests/programs/test_planned_stop.py
@@ -13,6 +13,7 @@
 TWO = {"entry-1": "walvis-a", "entry-2": "swakop-a"}
 STREAMS = 4
 LAG = ("--balancer-lag-s", "1.5")
+LONGER = 3 * TOKENS
 CUT = "stop_cut_streams"
 
 
@@ -27,7 +28,7 @@
             await idle.read_to(b"ok\n")
             kept = await RawCaller.connect(entry.address)
             await kept.send(chat_request("kept", TOKENS))
-            tasks = start_chats(caller, STREAMS - 1)
+            tasks = start_chats(caller, STREAMS - 1, LONGER)
             await wait_streaming([engine], STREAMS)
             entry.proc.send_signal(signal.SIGTERM)
 
@@ -38,10 +39,11 @@
             late = await caller.read()
             assert (late.status, late.headers["Connection"]) == (200, "close")
             entry.proc.send_signal(signal.SIGTERM)
-            assert await all_whole(tasks)
             _, body = await kept.read_message()
             assert body.endswith(b"data: [DONE]\n\n")
             assert await kept.read_rest() == b""
+            assert engine.state.in_flight == STREAMS - 1
+            assert await all_whole(tasks, LONGER)
             assert await idle.read_rest() == b""
             assert await entry.stop() == 0
 
--- a/tests/programs/test_slow_reader.py
+++ b/tests/programs/test_slow_reader.py
@@ -10,7 +10,7 @@
 TEXT = "x" * 10_000
 TOKENS = 5_000  # about 50 MB
 OTHER_CHATS = 20
-GROWTH_BOUND_BYTES = 16 * 1024 * 1024
+GROWTH_BOUND_BYTES = 8 * 1024 * 1024
 
 
 def test_a_slow_reader_is_held_back_with_bounded_buffers(tmp_path):
@@ -30,9 +30,11 @@
                 return seen > 0 and engine.state.tokens == seen + 200
 
             await wait_until(is_held, "the engine is not held back")
+            held = engine.state.tokens
             for number in range(OTHER_CHATS):
                 other = await callers[0].chat(f"chat-{number}", "other")
                 assert other.is_whole_stream("other", 8)
+            assert engine.state.tokens == held + OTHER_CHATS * 8
             assert engine.state.in_flight == 1
             after = [process.rss_bytes() for process in processes]
             growth = [now - then for now, then in zip(after, before, strict=True)]
