--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -18,7 +18,7 @@
     refusal_body,
 )
 from almondspindle.adapters.http_front.models import parse_chat
-from almondspindle.chain.base import Chain
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.conf.entry import EntryCfg
 from almondspindle.core.calls import (
     AnswerChunk,
@@ -34,8 +34,17 @@
 from almondspindle.core.identifiers import ChatId, RequestId, ServiceName, new_request_id
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ANSWERS, FIRST_BYTE, REFUSALS, REQUESTS, MetricSender
-from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
+from almondspindle.core.outcomes import (
+    Error,
+    InvariantError,
+    Ok,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    refused,
+)
 from almondspindle.decisions.answers import EVENT_STREAM
+from almondspindle.decisions.keys import without_claim
 from almondspindle.utils.in_flight import InFlight
 
 BEARER = "bearer "
@@ -49,7 +58,7 @@
     """What the handlers of one entry share."""
 
     cfg: EntryCfg
-    chain: Chain
+    chain: MeasuredChain
     clock: Clock
     metrics: MetricSender
     in_flight: InFlight = field(default_factory=InFlight)
@@ -116,12 +125,10 @@
                 self._close_connection()
 
     async def _answer(self, parts: dict[str, str]) -> None:
-        if self._early is not None:
-            await self._refuse(self._early)
-            return
-        made = self.make_call(parts)
+        made = self.make_call(parts) if self._early is None else Error(self._early)
         if made.is_error():
-            await self._refuse(made.error)
+            bare = self._bare_call(self._received_at)
+            await self._refuse(without_claim(bare, made.error))
             return
         self._task = asyncio.ensure_future(self._front.chain.run(made.ok, HandlerSink(self)))
         finished = await self._task
@@ -144,16 +151,17 @@
                 RefusalCode.MALFORMED_REQUEST,
                 f"{DEADLINE_HEADER} must be a whole number of milliseconds above 0",
             )
-        return Ok(
-            Call(
-                request_id=self._request_id,
-                deadline_at=self._received_at + deadline_s,
-                method=self.request.method or "",
-                path=self.request.path,
-                headers=tuple(self.request.headers.get_all()),
-                body=bytes(self._body),
-                bearer_token=self._token(),
-            )
+        return Ok(self._bare_call(self._received_at + deadline_s))
+
+    def _bare_call(self, deadline_at: float) -> Call:
+        return Call(
+            request_id=self._request_id,
+            deadline_at=deadline_at,
+            method=self.request.method or "",
+            path=self.request.path,
+            headers=tuple(self.request.headers.get_all()),
+            body=bytes(self._body),
+            bearer_token=self._token(),
         )
 
     def _deadline_s(self) -> float | None:
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -10,10 +10,27 @@
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
 from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
+from almondspindle.adapters.peer.telemetry_messages import (
+    Accepted,
+    GetTelemetry,
+    HostTelemetry,
+    PushTelemetry,
+)
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.changes import ConfigDelta
+from almondspindle.core.claims import Claim, ClaimReply, Look, Settle
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigPush,
+    ConfigUpToDate,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
 
 WIRE_TYPES: dict[int, type] = {
     1: RelayRequest,
@@ -24,6 +41,22 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    20: Claim,
+    21: Settle,
+    22: Look,
+    23: ClaimReply,
+    30: GetConfigRequest,
+    31: ConfigDelta,
+    32: ConfigUpToDate,
+    33: ConfigPush,
+    34: ConfigVersionNote,
+    35: StatusRequest,
+    36: HostStatus,
+    37: ConfigAck,
+    60: PushTelemetry,
+    61: Accepted,
+    62: GetTelemetry,
+    63: HostTelemetry,
     50: RelayedHead,
     51: RelayedChunk,
     52: RelayedEnd,
--- /dev/null
+++ b/almondspindle/adapters/peer/config_methods.py
@@ -0,0 +1,63 @@
+"""The peer methods of a router that concern the configuration."""
+
+from almondspindle.adapters.peer.base import ACK_CONFIG, GET_CONFIG, GET_STATUS, PUSH_CONFIG
+from almondspindle.adapters.peer.server import PeerServer
+from almondspindle.controllers.configuration.courier import ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    EntryAcked,
+    EntryJoined,
+    EntryLeft,
+    FindNewer,
+    GetHostStatus,
+)
+from almondspindle.controllers.configuration.spreader import SpreadController
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import GetRoster
+from almondspindle.core.identifiers import HostName
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigAnswer,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
+
+
+class ConfigMethods:
+    """Answer peers, entries and operators' commands."""
+
+    def __init__(
+        self, spread: SpreadController, directory: DirectoryController, receiver: ConfigReceiver
+    ) -> None:
+        self._spread = spread
+        self._directory = directory
+        self._receiver = receiver
+
+    def register(self, server: PeerServer) -> None:
+        """Add the methods to `server`."""
+        server.add_method(GET_CONFIG, self.get_config)
+        server.add_method(PUSH_CONFIG, self._receiver.take_push)
+        server.add_method(GET_STATUS, self.get_status)
+        server.add_method(ACK_CONFIG, self.ack_config)
+        server.on_subscriber(self.note_subscriber)
+
+    async def get_config(self, req: GetConfigRequest) -> ConfigAnswer:
+        """Return what leads to the version in force."""
+        return await self._spread.ask(FindNewer(req.have, req.nonce))
+
+    async def get_status(self, req: StatusRequest) -> HostStatus:
+        """Return the versions in force on this host and its entries."""
+        status = await self._spread.ask(GetHostStatus())
+        await self._directory.ask(GetRoster())  # the owner's gate has the version by now
+        return status
+
+    async def ack_config(self, ack: ConfigAck) -> ConfigVersionNote:
+        """Note the version that an entry has in force."""
+        self._spread.tell(EntryAcked(ack.subscriber, ack.version))
+        status = await self._spread.ask(GetHostStatus())
+        return ConfigVersionNote(status.host, status.version)
+
+    def note_subscriber(self, subscriber: HostName, present: bool) -> None:
+        """Note that an entry came or went."""
+        self._spread.tell(EntryJoined(subscriber) if present else EntryLeft(subscriber))
--- a/almondspindle/adapters/peer/server.py
+++ b/almondspindle/adapters/peer/server.py
@@ -14,6 +14,7 @@
 from almondspindle.chain.base import Chain
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import DRAIN_BEGUN, RELAY_DONE, REQUEST_REFUSED
+from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Refusal, RefusalCode
 from almondspindle.utils.in_flight import InFlight
@@ -32,11 +33,14 @@
         self._queues: set[asyncio.Queue[object]] = set()
         self._closed = False
 
-    def publish(self, update: object) -> None:
-        """Send `update` to all subscribers, and to later ones until a newer one comes."""
+    def publish(self, update: object, change: object | None = None) -> None:
+        """Send `update` to all subscribers, and to later ones until a newer one comes.
+
+        Present subscribers, who have the update before it, get `change` instead if it is given.
+        """
         self._latest[type(update)] = update
         for queue in self._queues:
-            queue.put_nowait(update)
+            queue.put_nowait(update if change is None else change)
 
     def close(self) -> None:
         """End all subscriptions, so that subscribers go to another router."""
@@ -78,6 +82,11 @@
         self._draining = False
         self._beating: asyncio.Task[None] | None = None
         self._unary: dict[str, Callable[[Any], Awaitable[object]]] = {}
+        self._on_subscriber: Callable[[HostName, bool], None] = lambda subscriber, present: None
+
+    def on_subscriber(self, listener: Callable[[HostName, bool], None]) -> None:
+        """Call `listener` with True when a subscriber comes and with False when it goes."""
+        self._on_subscriber = listener
 
     def add_method(self, name: str, handler: Callable[[Any], Awaitable[object]]) -> None:
         """Serve the unary method `name` with `handler`. Call before `start`."""
@@ -140,12 +149,14 @@
         await stream.write(finished.refusal)
 
     async def _subscribe(self, req: SubscribeRequest, context: Any) -> None:
+        self._on_subscriber(req.subscriber, True)
         stream = self._heartbeats.open(context)
         try:
             async for update in self._publisher.updates():
                 await stream.write(update)
         finally:
             self._heartbeats.close(stream)
+            self._on_subscriber(req.subscriber, False)
 
 
 def _unary(handler: Callable[[Any], Awaitable[object]]) -> Callable[[Any, Any], Awaitable[object]]:
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -1,14 +1,18 @@
 """Messages of the controllers that know targets."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import Question
 from almondspindle.core.calls import Candidate
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import ServiceName, TargetName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.outcomes import Outcome
 from almondspindle.core.roster import Roster, Target
 
+OwnedListener = Callable[[tuple[OwnedTarget, ...]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class RosterRead:
@@ -49,3 +53,27 @@
 @dataclass(frozen=True, slots=True)
 class GetRoster(Question[Roster]):
     """Ask for the hosts and targets in view."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsReturned:
+    """Targets that were out of service and may now receive new work again, as cold ones.
+
+    The directory tells its listeners before it ranks these targets again.
+    """
+
+    targets: frozenset[TargetName]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeReturned:
+    """Call `listener` with each set of targets that returns to service."""
+
+    listener: Callable[[TargetsReturned], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeOwned:
+    """Call `listener` with the targets in service that this host owns, after each change."""
+
+    listener: OwnedListener
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -51,7 +51,60 @@
 CONFIG_IGNORED = event(1201, "config_ignored", "A version not above the one in force was ignored.")
 CONFIG_INVALID = event(1202, "config_invalid", "A stored configuration failed validation.")
 STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
+CONFIG_WRITTEN = event(1204, "config_written", "A change of the configuration was accepted.")
+CONFIG_FEED_LATE = event(
+    1205,
+    "config_feed_late",
+    "A change was accepted, but the feed of changes was not written.",
+)
+CONFIG_STORE_BEHIND = event(
+    1206, "config_store_behind", "The store holds a lower version than the one in force."
+)
+CONFIG_PULLED = event(1207, "config_pulled", "A higher version was pulled from a peer.")
+CONFIG_PULL_FAILED = event(1208, "config_pull_failed", "A peer did not give its configuration.")
+CONFIG_ROLE_CHANGED = event(
+    1209, "config_role_changed", "This host began or ceased to watch the store."
+)
+TARGETS_RETURNED = event(1210, "targets_returned", "Targets receive new work again, as cold ones.")
 
 # 1300 to 1399: membership, ownership and targets.
 HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
 ROSTER_CHANGED = event(1301, "roster_changed", "The set of hosts or targets changed.")
+
+# 1500 to 1599: claims.
+CLAIM_WRITE_FAILED = event(
+    1500,
+    "claim_write_failed",
+    "A batch of claims was not written; it is read back and tried again.",
+)
+CLAIM_BATCH_GIVEN_UP = event(
+    1501, "claim_batch_given_up", "The store gave no result for a batch of claims in time."
+)
+CLAIM_OBJECT_INVALID = event(
+    1502,
+    "claim_object_invalid",
+    "A stored object of claims failed validation; it is left as it is.",
+)
+CLAIM_HOST_FAILED = event(
+    1503, "claim_host_failed", "A host gave no decision on a claim; the next one is asked."
+)
+CLAIM_REFUSED = event(1504, "claim_refused", "A commit was not granted; the decision says why.")
+CLAIM_UNSETTLED = event(
+    1505, "claim_unsettled", "How an attempt ended could not be recorded; its key stays unknown."
+)
+CLAIMS_DELETED = event(1506, "claims_deleted", "Claims past every retention window were deleted.")
+CLAIMS_CUT = event(
+    1508, "claims_cut", "A stop left endings of commits unrecorded; their keys stay unknown."
+)
+CLAIM_LEFT = event(
+    1507, "claim_left", "The caller left while its commit was claimed; the claim is released."
+)
+# 1400 to 1499: admission, load reports and slow start.
+TARGET_COLD = event(1400, "target_cold", "A target turned cold; its slow start begins.")
+RAMP_ENDED = event(1401, "ramp_ended", "A target's slow start is over.")
+TARGET_UNREACHABLE = event(1402, "target_unreachable", "A target left several polls unanswered.")
+TARGET_BACK = event(1403, "target_back", "A target answers polls again.")
+TARGET_IN_DOUBT = event(
+    1404, "target_in_doubt", "An attempt or poll failed; a restart can't be ruled out."
+)
+TARGETS_OWNED = event(1405, "targets_owned", "The set of targets that this host owns changed.")
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -28,10 +28,15 @@
 REQUESTS = metric("requests", "counter", "requests", "Requests that reached the chain.")
 REFUSALS = metric("refusals", "counter", "requests", "Requests that were refused.")
 ANSWERS = metric("answers", "counter", "requests", "Requests that were answered whole.")
-RETRIES = metric("retries", "counter", "attempts", "Attempts after the first one.")
+RETRIES = metric("retries", "counter", "attempts", "Repeats out of the budget of retries.")
+REDIRECTS = metric("redirects", "counter", "attempts", "Refusals that led to the next candidate.")
 RESUMES = metric("resumes", "counter", "attempts", "Attempts to resume a stream.")
 FIRST_BYTE = metric("first_byte", "timer", "ms", "Time from request to first byte of the answer.")
 
+CLAIM_WRITES = metric("claim_writes", "counter", "writes", "Writes of claims to the store.")
+CLAIM_CHANGES = metric("claim_changes", "counter", "changes", "Changes of claims in batches.")
+CLAIM_TIME = metric("claim_time", "timer", "ms", "Time that a commit waited for its claim.")
+
 
 class MetricSender(Protocol):
     """Where metrics go."""
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -3,9 +3,14 @@
 import asyncio
 import sys
 
+from almondspindle.adapters.peer.claims import CLAIM_METHOD
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.server import PeerServer, Publisher
+from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
+from almondspindle.adapters.target.load import HttpLoadLink
 from almondspindle.chain.admit import AdmitToTarget
 from almondspindle.chain.base import Chain
 from almondspindle.chain.deadline import CheckDeadline
@@ -13,20 +18,41 @@
 from almondspindle.chain.send import SendToTarget
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
-from almondspindle.controllers.admission.messages import PolicyChanged
+from almondspindle.controllers.admission.messages import (
+    OwnedTargets,
+    PolicyChanged,
+    SubscribePolls,
+)
 from almondspindle.controllers.admission.task import AdmissionController
-from almondspindle.controllers.configuration.messages import SubscribeConfig
+from almondspindle.controllers.claims.desk import ClaimsDesk
+from almondspindle.controllers.claims.janitor import ClaimsJanitor
+from almondspindle.controllers.claims.task import ClaimsController
+from almondspindle.controllers.claims.writer import SegmentWriter
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    HostsRead,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
+from almondspindle.controllers.loads.messages import PollSoon, PollTargets
+from almondspindle.controllers.loads.task import LoadsController
 from almondspindle.controllers.membership.reader import RosterReader
 from almondspindle.controllers.targets.directory import DirectoryController
-from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead, SubscribeOwned
+from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
-from almondspindle.core.identifiers import HostName
+from almondspindle.core.identifiers import HostName, ZoneName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
+from almondspindle.core.metrics import make_metrics
 from almondspindle.core.roster import Roster
+from almondspindle.decisions.configuration.delta import diff
 from almondspindle.decisions.silence import SilenceBounds
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
@@ -45,17 +71,37 @@
         self._platform = HttpPlatform(cfg.platform)
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
-        self._admission = AdmissionController(clock)
+        self._admission = AdmissionController(clock, cfg.takeover_s)
+        host = HostName(cfg.host)
+        self._published = ConfigSet()
+        self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
+        spread_cfg = SpreadCfg(host, ZoneName(cfg.zone), tuple(cfg.seeds))
+        self._spread = SpreadController(clock, spread_cfg, self._watcher.set_watching)
+        link = PeerConfigLink()
+        self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
+        self._courier = ConfigCourier(self._spread, self._configuration, link)
+        receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
         bounds = SilenceBounds(cfg.first_byte_bound_s, cfg.between_bytes_bound_s)
-        terminal = SendToTarget(HttpTargetLink(clock, bounds), self._admission)
+        terminal = SendToTarget(HttpTargetLink(clock, bounds), self._admission, clock)
+        self._loads = LoadsController(
+            clock, self._tasks, HttpLoadLink(), cfg.load_poll_s, self._admission.tell
+        )
+        self._telemetry = TelemetryController(clock)
         self._server = PeerServer(
             Chain(filters, terminal, clock), self._publisher, clock, cfg.heartbeat_interval_s
         )
+        self._claims = ClaimsController(clock)
+        metrics = make_metrics(cfg.statsd)
+        self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
+        self._janitor = ClaimsJanitor(self._platform, self._directory, HostName(cfg.host), clock)
+        self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
+        ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -77,23 +123,44 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
-        watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
+        self._directory.tell(SubscribeOwned(self._spread_owned))
+        self._admission.tell(SubscribePolls(lambda target: self._loads.tell(PollSoon(target))))
         reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
-        self._tasks.start("config-watcher", watcher.run())
+        self._tasks.start("claims", self._claims.run())
+        self._tasks.start("claim-writer", self._claim_writer.run())
+        self._tasks.start("claims-janitor", self._janitor.run())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("config-courier", self._courier.run())
+        self._tasks.start("config-start", self._follow_config())
+        self._tasks.start("loads", self._loads.run())
+        self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
-        self._publisher.publish(config)
+        self._spread.tell(ConfigInForce(config))
+        old = self._published
+        self._published = config
+        self._publisher.publish(config, diff(old, config) if old.version else None)
 
     def _spread_roster(self, roster: Roster) -> None:
         self._directory.tell(RosterRead(roster))
+        self._spread.tell(HostsRead(tuple(roster.hosts.values())))
         self._publisher.publish(roster)
 
+    async def _follow_config(self) -> None:
+        await self._starter.run()
+        self._tasks.start("config-watcher", self._watcher.run())
+        self._tasks.start("config-pulls", self._courier.run_pulls())
+
+    def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
+        self._admission.tell(OwnedTargets(owned))
+        self._loads.tell(PollTargets(owned))
+
 
 async def serve(cfg: RouterCfg) -> int:
     """Run a router with the settings `cfg` and return the exit status."""
