Check random sequences of faults; write the feed anew after lost changes

Cause, found by random sequences of writes, watches, cuts, outages, restarts and a store put back to an earlier state: the feed still held the lost changes under the versions that were given out again, and the writer took it for newer. Hosts then had another configuration under the same version as the store. Change: a feed counts as newer only if it holds this write, or only later ones.

--- a/almondspindle/controllers/configuration/writer.py
+++ b/almondspindle/controllers/configuration/writer.py
@@ -202,7 +202,7 @@
             found = await self._platform.read(FEED_OBJECT)
             if found.is_error():
                 return Error(found.error)
-            if _feed_version(found.ok) >= feed.version:
+            if _includes(found.ok, feed):
                 return Ok(None)
             value = dump_feed(feed)
             written = await self._platform.write(FEED_OBJECT, value, found.ok.version)
@@ -240,11 +240,18 @@
     return ChangeFeed(stored.config.version, stored.store_version, recent)
 
 
-def _feed_version(found: StoredObject) -> int:
-    if found.version == ABSENT:
-        return 0
+def _includes(found: StoredObject, feed: ChangeFeed) -> bool:
+    """Return whether a stored feed is as new as `feed`, and of the same lineage.
+
+    A store that has lost changes may still hold a feed of the lost ones, under the same versions.
+    """
     parsed = parse_feed(found.value)
-    return parsed.ok.version if parsed.is_ok() else 0
+    if parsed.is_error() or parsed.ok.version < feed.version or not parsed.ok.entries:
+        return False
+    same = {(entry.version, entry.nonce) for entry in parsed.ok.entries}
+    newest = feed.entries[-1]
+    passed = parsed.ok.entries[0].version > newest.version
+    return passed or (newest.version, newest.nonce) in same
 
 
 def store_unavailable(error: StoreError) -> ChangeError:
--- /dev/null
+++ b/tests/controllers/configuration/test_spread_sequences.py
@@ -0,0 +1,176 @@
+"""Random sequences of writes, watches, pulls, cuts, outages and restarts, against the store."""
+
+import asyncio
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspindle.adapters.platform.stored_config import (
+    CONFIG_OBJECT,
+    FEED_OBJECT,
+    parse_config,
+)
+from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, PullDue
+from almondspindle.controllers.configuration.writer import ConfigWriter, WriterCfg
+from almondspindle.core.changes import BringBack, ChangeErrorCode, Kind, TakeOut
+from almondspindle.core.clock import ManualClock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.spread import ConfigPush
+from almondspindle.decisions.configuration.delta import diff
+from tests.standins.config_nodes import Network, Node, make_hosts, start_nodes, stop_nodes
+from tests.standins.memory_platform import MemoryPlatform
+
+COUNT = 8
+HEALING_ROUNDS = 12
+NODES = st.integers(0, COUNT - 1)
+WRITE = st.tuples(st.just("write"), st.sampled_from([TakeOut, BringBack]), st.sampled_from("abc"))
+WATCH = st.tuples(st.just("watch"), NODES)
+STEPS = st.one_of(
+    *[WRITE] * 4,  # writes and watches more often than faults, or few versions come about
+    *[WATCH] * 3,
+    st.tuples(st.just("pull"), NODES),
+    st.tuples(st.just("cut"), NODES, NODES),
+    st.tuples(st.just("restart"), NODES),
+    st.tuples(st.just("store"), st.booleans()),
+    st.tuples(st.just("lose"), st.integers(1, 2)),
+    st.tuples(st.just("drop_pushes"), st.booleans()),
+    st.tuples(st.just("fail_feed"), st.booleans()),
+    st.tuples(st.just("late_config"), NODES, st.integers(0, 99)),
+    st.tuples(st.just("late_push"), NODES, st.integers(0, 99), st.integers(0, 99)),
+    st.tuples(st.just("lose_changes"), st.integers(0, 99)),
+    st.tuples(st.just("heal")),
+)
+
+
+class Run:
+    """The nodes and the store of one sequence; `versions` maps each version to its content."""
+
+    def __init__(self) -> None:
+        self.net = Network()
+        self.platform = MemoryPlatform()
+        self.hosts = make_hosts(COUNT, 2)
+        self.versions = {}
+        self.stored = {}
+
+    def node(self, number: int) -> Node:
+        return self.net.nodes[f"h{number}"]
+
+    async def write(self, cls, name: str) -> None:
+        cfg = WriterCfg(attempts=3, pause_s=0.0, seed=1)
+        writer = ConfigWriter(self.platform, ManualClock(), cfg)
+        newest = await self.newest()
+        change = cls(Kind.TARGET, name)
+        outcome = await writer.submit((change,), "op", in_force=newest.version)
+        if outcome.is_error() and outcome.error.code is ChangeErrorCode.STORE_BEHIND:
+            await writer.restore(newest, "op")
+        self.note()
+
+    async def newest(self) -> ConfigSet:
+        """Return the highest configuration in force on a node."""
+        found = [await node.configuration.ask(GetConfig()) for node in self.net.nodes.values()]
+        return max(found, key=lambda config: config.version)
+
+    def note(self) -> None:
+        stored = self.platform.objects.get(CONFIG_OBJECT)
+        if stored is not None:
+            config = parse_config(stored.value, stored.version).ok
+            self.stored[config.version] = (stored.value, stored.version)
+            self.versions[config.version] = config
+
+    async def fail_feed(self, fail: bool) -> None:
+        self.platform.faults.failing = {FEED_OBJECT} if fail else set()
+
+    async def late_config(self, number: int, pick: int) -> None:
+        """Let a node hear of a version in force somewhere that is not above its own."""
+        newest = await self.newest()
+        old = [config for version, config in self.versions.items() if version <= newest.version]
+        if old:
+            self.node(number).configuration.tell(ConfigRead(old[pick % len(old)]))
+
+    async def late_push(self, number: int, base: int, pick: int) -> None:
+        """Let a node get a push between any two versions that were in force somewhere."""
+        newest = await self.newest()
+        known = [config for version, config in self.versions.items() if version <= newest.version]
+        if known:
+            old, new = known[base % len(known)], known[pick % len(known)]
+            push = ConfigPush(f"h{base % COUNT}", new.version, diff(old, new))
+            await self.node(number).receiver.take_push(push)
+
+    async def lose_changes(self, pick: int) -> None:
+        """Put the store back to an earlier state, as from a backup."""
+        known = sorted(self.stored)
+        value, version = self.stored[known[pick % len(known)]]
+        self.platform.put(CONFIG_OBJECT, value, version)
+
+    async def watch(self, number: int) -> None:
+        if self.node(number).watcher._watching.is_set():
+            await self.node(number).watcher.follow_once()
+
+    async def pull(self, number: int) -> None:
+        await self.node(number).spread.ask(PullDue())
+
+    async def cut(self, one: int, other: int) -> None:
+        self.net.cut.add(frozenset({f"h{one}", f"h{other}"}))
+
+    async def restart(self, number: int) -> None:
+        old = self.node(number)
+        await old.tasks.cancel_all()
+        node = Node(self.net, replace(old.host), self.platform)
+        node.start()
+        node.see(self.hosts)
+        await node.starter.start_once()
+
+    async def store(self, down: bool) -> None:
+        self.platform.faults.down = down
+
+    async def lose(self, count: int) -> None:
+        self.platform.faults.lose_answers = count
+
+    async def drop_pushes(self, drop: bool) -> None:
+        self.net.drop_pushes = drop
+
+    async def heal(self) -> None:
+        self.net.cut.clear()
+        self.net.drop_pushes = False
+        self.platform.faults.down = False
+        self.platform.faults.failing = set()
+
+    def current(self) -> tuple[bytes, int]:
+        """Return the value and the store's version of the stored configuration."""
+        stored = self.platform.objects[CONFIG_OBJECT]
+        return stored.value, stored.version
+
+    async def check(self) -> None:
+        """Every node holds what was stored under its version, and has only gone up."""
+        await self.net.settle()
+        for node in self.net.nodes.values():
+            in_force = await node.configuration.ask(GetConfig())
+            assert node.applied == sorted(set(node.applied))
+            assert in_force.version == 0 or in_force == self.versions[in_force.version]
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(st.lists(STEPS, min_size=8, max_size=30))
+def test_nodes_hold_only_stored_versions_and_catch_up(steps):
+    async def body():
+        run = Run()
+        await start_nodes(run.net, run.platform, run.hosts)
+        await run.write(TakeOut, "first")
+        for node in run.net.nodes.values():
+            await node.starter.start_once()
+        for name, *args in steps:
+            await getattr(run, name)(*args)
+            await run.check()
+        await run.heal()
+        for number in range(COUNT):
+            await run.watch(number)
+        for _ in range(HEALING_ROUNDS):
+            await run.net.pull_round()
+        await run.check()
+        newest = await run.newest()
+        assert await run.net.versions() == {newest.version}
+        assert newest.version >= parse_config(*run.current()).ok.version
+        await stop_nodes(run.net)
+
+    asyncio.run(body())
--- a/tests/standins/memory_platform.py
+++ b/tests/standins/memory_platform.py
@@ -12,12 +12,16 @@
 
 @dataclass
 class MemoryFaults:
-    """Faults that a test switches on; the counts are of calls that fail next."""
+    """Faults that a test switches on; the counts are of calls that fail next.
+
+    Writes of the objects in `failing` fail until they are taken out of it.
+    """
 
     down: bool = False
     lose_answers: int = 0
     drop_writes: int = 0
     stale_reads: int = 0
+    failing: set[str] = field(default_factory=set)
     before_write: list[Callable[[], None]] = field(default_factory=list)
 
 
@@ -57,7 +61,7 @@
         await asyncio.sleep(0)
         if self.faults.before_write:
             self.faults.before_write.pop(0)()
-        if self.faults.down:
+        if self.faults.down or name in self.faults.failing:
             return _down()
         if self.faults.drop_writes:
             self.faults.drop_writes -= 1
