--- /dev/null
+++ b/almondspindle/controllers/admission/record.py
@@ -0,0 +1,121 @@
+"""What the admission controller keeps per target."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from almondspindle.core.calls import WorkKind
+from almondspindle.core.identifiers import TeamName
+from almondspindle.core.load import OwnedTarget
+from almondspindle.decisions.admission import Trust, foreign_load
+from almondspindle.decisions.health import Health
+from almondspindle.decisions.sharing import DEMAND_S, URGENT, Demand
+
+
+@dataclass(slots=True)
+class OwnLoad:
+    """The owner's own requests in flight, with their range over the last two reports."""
+
+    in_flight: int = 0
+    low: int = 0
+    peak: int = 0
+    earlier_low: int = 0
+    earlier_peak: int = 0
+
+    def change(self, step: int) -> None:
+        """Add `step` to the requests in flight."""
+        self.in_flight += step
+        self.low = min(self.low, self.in_flight)
+        self.peak = max(self.peak, self.in_flight)
+
+    def range(self) -> tuple[int, int]:
+        """Return the low and the peak since the report before the last."""
+        return min(self.low, self.earlier_low), max(self.peak, self.earlier_peak)
+
+    def turn(self) -> None:
+        """Begin the next range, at a report."""
+        self.earlier_low, self.earlier_peak = self.low, self.peak
+        self.low = self.peak = self.in_flight
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """One target: its health, its load, and who asks for it.
+
+    `answered` holds when the first byte came for each open ticket. `anchored` are those of them
+    that are known to be served by the boot that the last report told of. A target that is no
+    longer owned keeps its record until its last ticket is back.
+    """
+
+    owned: OwnedTarget
+    health: Health
+    is_owned: bool = True
+    load: OwnLoad = field(default_factory=OwnLoad)
+    foreign: int = 0
+    trust_at_report: Trust = Trust.UNHEARD
+    teams: Counter[TeamName] = field(default_factory=Counter)
+    asked_at: dict[TeamName, float] = field(default_factory=dict)
+    urgent_at: float | None = None
+    answered: dict[int, float] = field(default_factory=dict)
+    anchored: set[int] = field(default_factory=set)
+
+    def note_demand(self, team: TeamName, work: WorkKind, now: float) -> None:
+        """Remember that `team` asked for the target, and forget those that ceased to."""
+        if work in URGENT:
+            self.urgent_at = now
+        self.asked_at[team] = now
+        for name in [name for name, at in self.asked_at.items() if now - at >= DEMAND_S]:
+            del self.asked_at[name]
+
+    def note_report(self, reported: int, trust: Trust) -> None:
+        """Bound what others have in flight, by a report that came under `trust`."""
+        settled = self.trust_at_report is Trust.SETTLED
+        low, peak = self.load.range()
+        self.foreign = foreign_load(reported, low, peak, self.foreign if settled else None)
+        self.trust_at_report = trust
+        self.load.turn()
+
+    def gain(self, owned: OwnedTarget, health: Health) -> None:
+        """Begin ownership anew; open tickets stay counted."""
+        self.owned = owned
+        self.health = health
+        self.is_owned = True
+        self.trust_at_report = Trust.UNHEARD
+        self.answered.clear()
+        self.anchored.clear()
+
+    def demand(self) -> Demand:
+        """Return the teams' demand, for the decision on shares."""
+        return Demand(self.teams, self.asked_at, self.urgent_at)
+
+    def note_answer(self, ticket: int, now: float) -> None:
+        """Keep the first byte of `ticket`.
+
+        A restart breaks all open requests, so that a request answered beside an anchored one is
+        served by the same boot.
+        """
+        self.answered[ticket] = now
+        if self.anchored:
+            self.anchored.add(ticket)
+
+    def forget(self, ticket: int) -> None:
+        """Drop a ticket that is given back."""
+        self.answered.pop(ticket, None)
+        self.anchored.discard(ticket)
+
+    def anchor(self, before: Health) -> None:
+        """Anchor the open tickets that were answered before a report that has just been heard.
+
+        `before` is the health before the report. Requests still open after a change of boot are
+        silent connections to the old one.
+        """
+        if before.boot_id != self.health.boot_id:
+            self.answered.clear()
+            self.anchored.clear()
+        if self.health.in_doubt or self.health.proven_at is None:
+            return
+        proven_at = self.health.proven_at
+        self.anchored |= {ticket for ticket, at in self.answered.items() if at < proven_at}
+
+    def is_proven(self) -> bool:
+        """Return whether a request served by the reported boot is still open."""
+        return bool(self.anchored)
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -7,29 +7,41 @@
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.targets.messages import (
     ConfigChanged,
+    FindCandidate,
     FindOwned,
     GetRoster,
+    OwnedListener,
     RankTargets,
     RosterRead,
+    SubscribeOwned,
     SubscribeReturned,
     TargetsReturned,
 )
+from almondspindle.controllers.targets.rankings import ServiceRankings
 from almondspindle.core.calls import Candidate
 from almondspindle.core.clock import Clock
-from almondspindle.core.config import ConfigSet, Intent
+from almondspindle.core.config import ConfigSet, Intent, ServiceKind
 from almondspindle.core.events import ROSTER_CHANGED, TARGETS_RETURNED
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.roster import Host, Roster, Target, TargetState
-from almondspindle.decisions.ownership import owner_of
-from almondspindle.decisions.ranking import Ranking, RendezvousScan
+from almondspindle.decisions.ownership import OWNING_STATES, owner_of
+from almondspindle.decisions.region import is_in_region
 
 CANDIDATES = 6  # targets tried for one request at the most
 RETRY_AFTER_S = 1.0
 ZONE_RETRY_AFTER_S = 5.0  # operators act in minutes rather than seconds
 
 
+def changed_targets(before: Roster, after: Roster) -> list[TargetName]:
+    """Return the targets that joined, left or changed between two rosters."""
+    old, new = before.targets, after.targets
+    gone = [name for name in old if name not in new]
+    return gone + [name for name, target in new.items() if old.get(name) != target]
+
+
 class DirectoryController(Controller):
     """Own the roster and what is derived from it: owners and a ranking per service."""
 
@@ -39,10 +51,13 @@
         self._roster = Roster()
         self._config = ConfigSet()
         self._owners: dict[TargetName, Host] = {}
-        self._rankings: dict[ServiceName, Ranking] = {}
         self._out: dict[TargetName, RefusalCode] = {}
         self._out_zones: dict[ServiceName, set[ZoneName]] = {}
         self._on_returned: list[Callable[[TargetsReturned], None]] = []
+        self._rankings = ServiceRankings()
+        self._zone: ZoneName | None = None
+        self._previous: dict[TargetName, HostName] = {}
+        self._listener: OwnedListener = lambda owned: None
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -53,17 +68,33 @@
     def _(self, msg: RosterRead, now: float) -> None:
         if msg.roster == self._roster:
             return
+        before, owners = self._roster, self._owners
         self._roster = msg.roster
         emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
         self._derive_owners()
-        self._derive_rankings()
+        self._derive_out()
+        own = self._own_zone()
+        everywhere = self._zone != own
+        self._zone = own
+        self._rank(self._all_names() if everywhere else changed_targets(before, msg.roster))
+        self._tell_owned(before, owners)
 
     @handle.register
     def _(self, msg: ConfigChanged, now: float) -> None:
         old = self._config
         self._config = msg.config
+        # Most changes concern teams, which no target depends on.
         if (old.zones, old.targets) != (msg.config.zones, msg.config.targets):
-            self._derive_rankings()
+            self._derive_out()
+            self._rank(self._all_names())
+            self._tell_owned(self._roster, self._owners)
+        elif old.services != msg.config.services:
+            self._tell_owned(self._roster, self._owners)
+
+    @handle.register
+    def _(self, msg: SubscribeOwned, now: float) -> None:
+        self._listener = msg.listener
+        self._tell_owned(self._roster, self._owners)
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -71,8 +102,7 @@
 
     @handle.register
     def _(self, msg: RankTargets, now: float) -> Outcome[tuple[Candidate, ...]]:
-        ranking = self._rankings.get(msg.service)
-        names = ranking.rank(msg.key, CANDIDATES) if ranking else []
+        names = self._rankings.rank(msg.service, msg.key, CANDIDATES)
         candidates = tuple(self._candidate(name) for name in names if name in self._owners)
         if not candidates:
             return self._refuse(msg.service)
@@ -82,6 +112,10 @@
     def _(self, msg: SubscribeReturned, now: float) -> None:
         self._on_returned.append(msg.listener)
 
+    @handle.register
+    def _(self, msg: FindCandidate, now: float) -> Candidate | None:
+        return self._candidate(msg.target) if msg.target in self._owners else None
+
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
         if self._config.version == 0:
@@ -125,21 +159,17 @@
         found = {target: owner_of(target, hosts) for target in self._roster.targets.values()}
         self._owners = {target.name: host for target, host in found.items() if host is not None}
 
-    def _derive_rankings(self) -> None:
-        by_service: dict[ServiceName, list[TargetName]] = {}
+    def _derive_out(self) -> None:
         was_out = self._out
         self._out = {}
         self._out_zones = {}
         for target in self._roster.targets.values():
             code = self._out_of_service(target)
-            if code is None:
-                by_service.setdefault(target.service, []).append(target.name)
-            else:
+            if code is not None:
                 self._out[target.name] = code
             if code is RefusalCode.ZONE_OUT:
                 self._out_zones.setdefault(target.service, set()).add(target.zone)
         self._tell_returned(was_out)
-        self._rankings = {name: RendezvousScan(names) for name, names in by_service.items()}
 
     def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
         known = self._roster.targets
@@ -149,3 +179,55 @@
         emit(TARGETS_RETURNED, targets=sorted(returned))
         for listener in self._on_returned:
             listener(TargetsReturned(returned))
+
+    def _own_zone(self) -> ZoneName | None:
+        host = self._roster.hosts.get(self._own_host)
+        return host.zone if host else None
+
+    def _all_names(self) -> list[TargetName]:
+        left = [name for name in self._rankings.names() if name not in self._roster.targets]
+        return left + list(self._roster.targets)
+
+    def _rank(self, names: list[TargetName]) -> None:
+        for name in names:
+            self._rankings.place(name, self._service_to_rank(name))
+
+    def _service_to_rank(self, name: TargetName) -> ServiceName | None:
+        target = self._roster.targets.get(name)
+        if target is None or self._out_of_service(target) is not None:
+            return None
+        if not is_in_region(self._config, self._zone, target.zone):
+            return None
+        return target.service
+
+    def _tell_owned(self, before: Roster, owners: dict[TargetName, Host]) -> None:
+        """Tell the listener of the owned targets, with what the view before says of them."""
+        owned = []
+        for name, owner in self._owners.items():
+            target = self._roster.targets[name]
+            if owner.name != self._own_host or self._out_of_service(target) is not None:
+                self._previous.pop(name, None)
+                continue
+            earlier = owners.get(name) if before.hosts else self._owner_without_us(target)
+            if earlier is not None and earlier.name != self._own_host:
+                self._previous[name] = earlier.name
+            joined = bool(before.targets) and name not in before.targets
+            owned.append(
+                OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
+            )
+        self._listener(tuple(owned))
+
+    def _owner_without_us(self, target: Target) -> Host | None:
+        """Return who owned `target` before this host came, as its first roster shows it."""
+        hosts = self._roster.hosts.values()
+        return owner_of(target, (host for host in hosts if host.name != self._own_host))
+
+    def _live_previous(self, name: TargetName) -> HostName | None:
+        host = self._roster.hosts.get(self._previous.get(name, HostName("")))
+        if host is None or host.state not in OWNING_STATES:
+            return None
+        return host.name
+
+    def _reports(self, target: Target) -> bool:
+        service = self._config.services.get(target.service)
+        return service is not None and service.kind is ServiceKind.CHAT
--- a/almondspindle/controllers/targets/messages.py
+++ b/almondspindle/controllers/targets/messages.py
@@ -7,9 +7,12 @@
 from almondspindle.core.calls import Candidate
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.identifiers import ServiceName, TargetName
+from almondspindle.core.load import OwnedTarget
 from almondspindle.core.outcomes import Outcome
 from almondspindle.core.roster import Roster, Target
 
+OwnedListener = Callable[[tuple[OwnedTarget, ...]], None]
+
 
 @dataclass(frozen=True, slots=True)
 class RosterRead:
@@ -40,6 +43,13 @@
     target: TargetName
 
 
+@dataclass(frozen=True, slots=True)
+class FindCandidate(Question[Candidate | None]):
+    """Ask for a target with its present owner, also when it takes no new work."""
+
+    target: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class GetRoster(Question[Roster]):
     """Ask for the hosts and targets in view."""
@@ -60,3 +70,10 @@
     """Call `listener` with each set of targets that returns to service."""
 
     listener: Callable[[TargetsReturned], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SubscribeOwned:
+    """Call `listener` with the targets in service that this host owns, after each change."""
+
+    listener: OwnedListener
