--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -84,10 +84,12 @@
     def _(self, msg: ConfigChanged, now: float) -> None:
         old = self._config
         self._config = msg.config
-        if (old.zones, old.targets) != (msg.config.zones, msg.config.targets):
+        # Most changes concern teams, which no target depends on.
+        moved = (old.zones, old.targets) != (msg.config.zones, msg.config.targets)
+        if moved:
             self._derive_out()
             self._rank(self._all_names())
-        if self._roster.hosts:
+        if self._roster.hosts and (moved or old.services != msg.config.services):
             self._tell_owned(self._roster, self._owners)
 
     @handle.register
