--- a/bench/bench_churn.py
+++ b/bench/bench_churn.py
@@ -33,6 +33,7 @@
     for order in (churn.round_robin, churn.plain_hash):
         figure(f"cache_reuse_churn_{order.__name__}", reuse(measure(order)) / reuse(best), "ratio")
     figure("churn_load_max_over_mean", ring.worst_over_mean, "ratio")
+    figure("churn_over_bound_events", ring.over_bound, "requests")
     figure("cold_overload_events", ring.cold_overloads, "requests")
     figure("churn_refused", ring.refused / ring.returning, "share")
     for multiple in (1.5, 2.0):
--- a/bench/churn.py
+++ b/bench/churn.py
@@ -14,6 +14,7 @@
 from almondspindle.controllers.admission.messages import (
     Admit,
     Answered,
+    GetDigests,
     LoadHeard,
     OwnedTargets,
     PolicyChanged,
@@ -26,6 +27,7 @@
 from almondspindle.core.config import ConfigSet, Policy, Service, ServiceKind
 from almondspindle.core.load import LoadReport, OwnedTarget
 from almondspindle.core.roster import Target
+from almondspindle.decisions.admission import load_bound, sum_digests
 from almondspindle.decisions.ranking import MultiProbeRing
 
 TARGETS = 24
@@ -91,6 +93,7 @@
     refused: int = 0
     cold_overloads: int = 0
     worst_over_mean: float = 0.0
+    over_bound: int = 0
 
 
 Order = Callable[["Churn", int], list[str]]
@@ -182,6 +185,10 @@
         self.tally.hits += hit and turn.number > 0
         if engine.is_cold(self.now) and len(engine.open) > BEARS_COLD:
             self.tally.cold_overloads += 1
+        [digest] = self._tell(GetDigests())
+        load = sum_digests([digest])
+        if len(engine.open) > load_bound(self.policy, load.in_flight / load.warm):
+            self.tally.over_bound += 1
         warm = [e for e in self.engines.values() if e.listed and not e.is_cold(self.now)]
         mean = sum(len(e.open) for e in warm) / len(warm)
         self.tally.worst_over_mean = max(self.tally.worst_over_mean, len(engine.open) / mean)
