--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -7,6 +7,7 @@
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.targets.messages import (
     ConfigChanged,
+    FindCandidate,
     FindOwned,
     GetRoster,
     OwnedListener,
@@ -109,6 +110,10 @@
     def _(self, msg: SubscribeReturned, now: float) -> None:
         self._on_returned.append(msg.listener)
 
+    @handle.register
+    def _(self, msg: FindCandidate, now: float) -> Candidate | None:
+        return self._candidate(msg.target) if msg.target in self._owners else None
+
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
         if self._config.version == 0:
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -30,6 +30,7 @@
 PROCESS_STOPPING = event(1001, "process_stopping", "A signal asked for a planned stop.")
 PROCESS_STOPPED = event(1002, "process_stopped", "The process ended with nothing in flight.")
 STOP_CUT_STREAMS = event(1003, "stop_cut_streams", "The bound on the stop cut requests in flight.")
+DRAIN_BEGUN = event(1005, "drain_begun", "The process takes no new work; requests in flight end.")
 TASK_FAILED = event(1004, "task_failed", "A task met a broken invariant; the process stops.")
 
 # 1100 to 1199: requests.
@@ -40,6 +41,10 @@
 ATTEMPT_FAILED = event(1102, "attempt_failed", "One attempt at a request failed at the entry.")
 RELAY_DONE = event(1103, "relay_done", "The owner passed a whole answer on.")
 CALLER_GONE = event(1104, "caller_gone", "The caller left before the answer was whole.")
+SUBSCRIPTION_LOST = event(
+    1110, "subscription_lost", "A router's updates broke off; the next router is asked."
+)
+STREAM_RESUMED = event(1111, "stream_resumed", "A stream that broke off goes on at its target.")
 
 # 1200 to 1299: configuration.
 CONFIG_APPLIED = event(1200, "config_applied", "A higher configuration version came into force.")
@@ -48,7 +53,9 @@
 STORE_FAILED = event(1203, "store_failed", "A call to the platform failed; it is tried again.")
 CONFIG_WRITTEN = event(1204, "config_written", "A change of the configuration was accepted.")
 CONFIG_FEED_LATE = event(
-    1205, "config_feed_late", "A change was accepted; the note to watchers or history failed."
+    1205,
+    "config_feed_late",
+    "A change was accepted, but the feed of changes was not written.",
 )
 CONFIG_STORE_BEHIND = event(
     1206, "config_store_behind", "The store holds a lower version than the one in force."
@@ -64,6 +71,34 @@
 HOST_STATE_CHANGED = event(1300, "host_state_changed", "Membership changed its view of a host.")
 ROSTER_CHANGED = event(1301, "roster_changed", "The set of hosts or targets changed.")
 
+# 1500 to 1599: claims.
+CLAIM_WRITE_FAILED = event(
+    1500,
+    "claim_write_failed",
+    "A batch of claims was not written; it is read back and tried again.",
+)
+CLAIM_BATCH_GIVEN_UP = event(
+    1501, "claim_batch_given_up", "The store gave no result for a batch of claims in time."
+)
+CLAIM_OBJECT_INVALID = event(
+    1502,
+    "claim_object_invalid",
+    "A stored object of claims failed validation; it is left as it is.",
+)
+CLAIM_HOST_FAILED = event(
+    1503, "claim_host_failed", "A host gave no decision on a claim; the next one is asked."
+)
+CLAIM_REFUSED = event(1504, "claim_refused", "A commit was not granted; the decision says why.")
+CLAIM_UNSETTLED = event(
+    1505, "claim_unsettled", "How an attempt ended could not be recorded; its key stays unknown."
+)
+CLAIMS_DELETED = event(1506, "claims_deleted", "Claims past every retention window were deleted.")
+CLAIMS_CUT = event(
+    1508, "claims_cut", "A stop left endings of commits unrecorded; their keys stay unknown."
+)
+CLAIM_LEFT = event(
+    1507, "claim_left", "The caller left while its commit was claimed; the claim is released."
+)
 # 1400 to 1499: admission, load reports and slow start.
 TARGET_COLD = event(1400, "target_cold", "A target turned cold; its slow start begins.")
 RAMP_ENDED = event(1401, "ramp_ended", "A target's slow start is over.")
