--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -143,8 +143,8 @@
         self._tasks.start("spread", self._spread.run())
         self._tasks.start("config-courier", self._courier.run())
         self._tasks.start("config-start", self._follow_config())
-        self._tasks.start("loads", self._loads.run())
         self._tasks.start("handover", self._handover.run())
+        self._tasks.start("loads", self._loads.run())
         self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("roster-reader", reader.run())
 
