Don't cancel the chain of an answer that the caller has whole

A caller that closes its connection after the last byte cancelled the chain before it had told telemetry; with a Content-Length the last byte comes before the end mark. Ruled out: a push of tallies in flight at the stop (the chat of the same entry was counted). Change: the handler knows when the answer is whole and then leaves the chain alone.

--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -79,6 +79,8 @@
         self._received_at = front.clock.monotonic()
         self._counted = False
         self._serving = False
+        self._whole = False
+        self._body_bytes = 0
 
     def prepare(self) -> None:
         """Count the request; refuse a body whose announced length is over the bound."""
@@ -100,8 +102,8 @@
             self._early = self._too_large()
 
     def on_connection_close(self) -> None:
-        """Cancel the work for a caller that has gone."""
-        if self._task is not None:
+        """Cancel the work for a caller that has gone before its answer was whole."""
+        if self._task is not None and not self._whole:
             self._task.cancel()
         if not self._serving:
             self._leave()
@@ -224,6 +226,17 @@
         self._announce_close()
         await self.finish(refusal_body(refusal))
 
+    def write_body(self, data: bytes) -> None:
+        """Write a piece of the body; with a Content-Length its last byte makes it whole."""
+        self._body_bytes += len(data)
+        self._whole = self._headers.get("Content-Length") == str(self._body_bytes)
+        self.write(data)
+
+    async def end_answer(self) -> None:
+        """Write the end of a whole answer. A caller may close its connection from here on."""
+        self._whole = True
+        await self.finish()
+
     async def _break_off(self, refusal: Refusal) -> None:
         """End a started answer so that the caller cannot take it for a whole one."""
         self._log_refusal(refusal)
@@ -274,12 +287,12 @@
 
     @_write.register
     async def _(self, part: AnswerChunk) -> None:
-        self._handler.write(part.data)
+        self._handler.write_body(part.data)
         await self._handler.flush()
 
     @_write.register
     async def _(self, part: AnswerEnd) -> None:
-        await self._handler.finish()
+        await self._handler.end_answer()
 
 
 class ChatHandler(CallHandler):
--- /dev/null
+++ b/tests/adapters/test_http_front.py
@@ -0,0 +1,57 @@
+"""What the HTTP front does when a caller closes its connection right after a whole answer."""
+
+import asyncio
+
+import pytest
+
+from almondspindle.adapters.http_front.handlers import Front
+from almondspindle.adapters.http_front.server import listen, make_app
+from almondspindle.conf.entry import EntryCfg
+from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead, Finished
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.metrics import NullMetrics
+from tests.standins.caller import Caller
+
+
+class ClosingChain:
+    """Answer whole, and see the caller's connection close before the chain has ended.
+
+    With a Content-Length the caller has the whole answer before its end mark.
+    """
+
+    def __init__(self, headers, parts) -> None:
+        self.parts = (AnswerHead(200, headers, "t1"), *parts)
+        self.ended = False
+
+    async def run(self, call, sink) -> Finished:
+        for part in self.parts:
+            await sink.write(part)
+        sink._handler.on_connection_close()
+        await asyncio.sleep(0)
+        if AnswerEnd() not in self.parts:
+            await sink.write(AnswerEnd())
+        self.ended = True
+        return Finished(started=True)
+
+
+async def one_request(headers, parts) -> tuple[bytes, bool]:
+    cfg = EntryCfg(host="h", zone="z", routers=["127.0.0.1:1"])
+    chain = ClosingChain(headers, parts)
+    front = Front(cfg, chain, SystemClock(), NullMetrics())
+    server, port = listen(make_app(front, None), "127.0.0.1:0", cfg.max_header_bytes)
+    answer = await Caller(f"127.0.0.1:{port}").read()
+    await front.in_flight.wait_idle(10.0)
+    server.stop()
+    return answer.body, chain.ended
+
+
+WHOLE = AnswerChunk(b"whole")
+
+
+@pytest.mark.parametrize(
+    ("headers", "parts"),
+    [((), (WHOLE, AnswerEnd())), ((("Content-Length", "5"),), (WHOLE,))],
+    ids=["end-mark", "content-length"],
+)
+def test_a_connection_closed_after_the_whole_answer_does_not_cancel_the_chain(headers, parts):
+    assert asyncio.run(one_request(headers, parts)) == (b"whole", True)
