Ramp plain targets that return to service

Cause: a target that was out and came back was taken over as warm. Change: the owner takes it as one that joined. Seen to fail without that line.

--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -54,6 +54,7 @@
         self._out: dict[TargetName, RefusalCode] = {}
         self._out_zones: dict[ServiceName, set[ZoneName]] = {}
         self._on_returned: list[Callable[[TargetsReturned], None]] = []
+        self._returned: frozenset[TargetName] = frozenset()
         self._rankings = ServiceRankings()
         self._zone: ZoneName | None = None
         self._previous: dict[TargetName, HostName] = {}
@@ -174,6 +175,7 @@
     def _tell_returned(self, was_out: dict[TargetName, RefusalCode]) -> None:
         known = self._roster.targets
         returned = frozenset(name for name in was_out if name in known and name not in self._out)
+        self._returned = returned
         if not returned:
             return
         emit(TARGETS_RETURNED, targets=sorted(returned))
@@ -212,6 +214,7 @@
             if earlier is not None and earlier.name != self._own_host:
                 self._previous[name] = earlier.name
             joined = bool(before.targets) and name not in before.targets
+            joined = joined or name in self._returned
             owned.append(
                 OwnedTarget(target, self._reports(target), joined, self._live_previous(name))
             )
--- a/tests/controllers/targets/test_intent.py
+++ b/tests/controllers/targets/test_intent.py
@@ -10,6 +10,7 @@
     FindOwned,
     RankTargets,
     RosterRead,
+    SubscribeOwned,
     SubscribeReturned,
 )
 from almondspindle.core.clock import ManualClock
@@ -67,6 +68,17 @@
         assert error.retry_after_s and "availability zones" in error.message
 
 
+def test_targets_that_return_are_owned_as_ones_that_joined():
+    made = directory(config(1, ["swakop-a"]))
+    owned = []
+    made.handle(SubscribeOwned(owned.append), NOW)
+    made.handle(ConfigChanged(config(2)), NOW)
+    assert {item.target.name: item.joined for item in owned[-1]} == {
+        "t-walvis-a": False,
+        "t-swakop-a": True,
+    }
+
+
 def test_targets_that_return_are_told_once():
     made = directory(config(1, ["swakop-a"]))
     told = []
