Write nothing to a caller's connection once its handler has ended

Cause: since answers carry their Content-Length, a caller may close with the last byte, before the end mark is written. Its handler was cancelled and ended, the claimed commit went on and finished the handler a second time; the RuntimeError made a whole answer 'outcome unknown'. The row 'caller leaves with the request running' failed once its sink refused writes after the caller had left.

--- a/almondspindle/chain/settle.py
+++ b/almondspindle/chain/settle.py
@@ -99,10 +99,17 @@
         """
         if call.claim_nonce is None:
             return await self._inner.run(call, sink)
-        task = asyncio.ensure_future(self._run_claimed(call, RecordingSink(sink)))
+        recording = RecordingSink(sink)
+        task = asyncio.ensure_future(self._run_claimed(call, recording))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # The caller's connection may be taken down once this returns, so nothing more may be
+            # written to it.
+            recording.is_caller_gone = True
+            raise
 
     async def _run_claimed(self, call: Call, sink: RecordingSink) -> Finished:
         ending = Ending.NO_ANSWER
--- a/tests/standins/claims_world.py
+++ b/tests/standins/claims_world.py
@@ -188,13 +188,16 @@
 
 
 class ListSink:
-    """Keep the parts of an answer."""
+    """Keep the parts of an answer. Like an HTTP handler, it must not be written to once left."""
 
     def __init__(self) -> None:
         self.parts: list = []
+        self.is_left = False
 
     async def write(self, part) -> None:
         """Keep `part`."""
+        if self.is_left:
+            raise RuntimeError("written to after the caller left")
         self.parts.append(part)
 
 
@@ -237,7 +240,11 @@
             work=WorkKind.COMMIT,
         )
         sink = ListSink()
-        finished = await self.chain.run(call.with_(**changes), sink)
+        try:
+            finished = await self.chain.run(call.with_(**changes), sink)
+        except asyncio.CancelledError:
+            sink.is_left = True
+            raise
         answer = Answer(finished, sink.parts, self.world.runs[key])
         self.world.answers.append(answer)
         return answer
