--- a/almondspindle/controllers/membership/news.py
+++ b/almondspindle/controllers/membership/news.py
@@ -58,7 +58,7 @@
         return replace(
             self.bare(config_version),
             members=members,
-            targets=tuple(self._target_record(name) for name in targets),
+            targets=tuple(self._target_record(n) for n in targets if n in self.targets.stamps),
         )
 
     def whole(self, config_version: int) -> Gossip:
--- a/almondspindle/controllers/membership/task.py
+++ b/almondspindle/controllers/membership/task.py
@@ -165,7 +165,7 @@
 
     @handle.register
     def _(self, msg: ListWanted, now: float) -> bool:
-        if self._read_at is None or self._fresh.woke_at is not None or self._fresh.is_cut_off():
+        if self._read_at is None or self._fresh.woke_at is not None or self._fresh.is_in_doubt():
             return True
         if self._lists_differ.lasts(now, self._timings.disagreement_s):
             return True
--- a/almondspindle/decisions/freshness.py
+++ b/almondspindle/decisions/freshness.py
@@ -8,6 +8,7 @@
 
 PROBE_WINDOW = 6  # results of the last probes that count
 PROBES_NEEDED = 4  # with fewer results there is no verdict
+MISSES_OF_DOUBT = 2
 HOSTS_NEEDED = 3  # with fewer hosts probed, one that died looks like a cut
 SHARE_NEEDED = 0.5  # share of probes that must have been answered
 
@@ -61,6 +62,10 @@
         if self.woke_at is not None and asked_at >= self.woke_at:
             self.woke_at = None
 
+    def is_in_doubt(self) -> bool:
+        """Return whether enough probes were missed to ask the platform for its list."""
+        return sum(not result.answered for result in self.results) >= MISSES_OF_DOUBT
+
     def is_cut_off(self) -> bool:
         """Return whether most of the last probes went unanswered."""
         hosts = {result.host for result in self.results}
--- a/almondspindle/decisions/target_list.py
+++ b/almondspindle/decisions/target_list.py
@@ -9,6 +9,8 @@
 from almondspindle.core.members import TargetRecord
 from almondspindle.core.roster import Target
 
+REMOVED_KEPT = 1_000  # removed targets whose stamps are kept at the least
+
 Targets = dict[TargetName, Target]
 
 
@@ -38,6 +40,8 @@
             self.targets = dict(self.targets)
         for record in news:
             self._set(record)
+        if len(self.stamps) > REMOVED_KEPT + 2 * len(self.targets):
+            self._forget_removed()
         return news
 
     def list_read(self, reading: Targets, stamp: int) -> list[TargetRecord]:
@@ -48,7 +52,7 @@
         """
         before = self.targets if self._reading is None else self._reading
         self._reading = reading
-        return self.merge(_differences(before, reading, stamp))
+        return self.merge(self._differences(before, reading, stamp))
 
     def replace_all(self, reading: Targets, stamp: int) -> list[TargetRecord]:
         """Take in the platform's list whole, whatever others told, and return what changed."""
@@ -59,11 +63,29 @@
         """Drop the last reading, as this host no longer reads the list at each interval."""
         self._reading = None
 
+    def _differences(self, before: Targets, after: Targets, stamp: int) -> list[TargetRecord]:
+        if before is after:
+            return []
+        changed = [self._record(n, t, stamp) for n, t in after.items() if before.get(n) != t]
+        removed = [self._record(name, None, stamp) for name in before if name not in after]
+        return changed + removed
+
+    def _record(self, name: TargetName, target: Target | None, stamp: int) -> TargetRecord:
+        """Return a record above what is known, also when another reader's clock is ahead."""
+        return TargetRecord(name, target, max(stamp, self.stamps.get(name, 0) + 1))
+
     def _is_news(self, record: TargetRecord) -> bool:
         if self.targets.get(record.name) == record.target:
             return False
         return record.stamp > self.stamps.get(record.name, 0)
 
+    def _forget_removed(self) -> None:
+        """Drop the older stamps of removed targets; nobody tells of them any more."""
+        removed = [name for name in self.stamps if name not in self.targets]
+        removed.sort(key=self.stamps.__getitem__)
+        for name in removed[: len(removed) // 2]:
+            del self.stamps[name]
+
     def _set(self, record: TargetRecord) -> None:
         old = self.targets.pop(record.name, None)
         if old is not None:
@@ -74,14 +96,6 @@
         self.stamps[record.name] = record.stamp
 
 
-def _differences(before: Targets, after: Targets, stamp: int) -> list[TargetRecord]:
-    if before is after:
-        return []
-    changed = [TargetRecord(n, t, stamp) for n, t in after.items() if before.get(n) != t]
-    removed = [TargetRecord(name, None, stamp) for name in before if name not in after]
-    return changed + removed
-
-
 @dataclass(slots=True)
 class Disagreement:
     """How long the checksum of this host's list has matched no other host's."""
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -6,6 +6,7 @@
 from almondspindle.core.digest import ServiceDigest
 from almondspindle.core.members import MembershipTimings
 from almondspindle.core.roster import HostState, Target, TargetState, apply_delta
+from almondspindle.decisions.freshness import PROBE_WINDOW
 from almondspindle.decisions.membership import suspicion_timeout_s
 from tests.standins.gossip import GossipFleet, owner_name
 
@@ -83,6 +84,11 @@
     fleet.resume("h3")
     assert held and not any(paused.owns(target, fleet.now) for target in held)
     fleet.store_down = True
+    others = [name for name in fleet.peers if name != "h3"]
+    fleet.cut(["h3"], others)
+    fleet.run(2)
+    assert not paused.may_own(fleet.now)
+    fleet.cuts.clear()
     fleet.run_until(lambda: paused.may_own(fleet.now), SPREAD)
     fleet.run_until(lambda: views(fleet, "h3") == {HostState.LIVE}, 2 * SPREAD)
     assert fleet.is_agreed()
@@ -108,6 +114,8 @@
     fleet.run_until(lambda: not cut_off.may_own(fleet.now), BOUND)
     fleet.run_until(lambda: views(fleet, "h3") == {HostState.DEAD}, BOUND)
     assert all(fleet.peers[name].may_own(fleet.now) for name in others)
+    held_dead = [name for name in others if cut_off.state_of(name) is HostState.DEAD]
+    assert len(held_dead) < PROBE_WINDOW
     fleet.cuts.clear()
     fleet.run_until(lambda: cut_off.may_own(fleet.now) and fleet.is_agreed(), 2 * BOUND)
 
@@ -116,7 +124,11 @@
     fleet = fleet_of()
     for name in list(fleet.peers)[4:]:
         fleet.stop(name)
-    fleet.run_until(lambda: fleet.is_agreed() and not fleet.lost_targets(), 4 * BOUND)
+    survivors = [peer for peer in fleet.peers.values() if peer.is_running]
+    for _ in range(4 * BOUND):
+        fleet.step()
+        assert all(peer.may_own(fleet.now) for peer in survivors)
+    assert fleet.is_agreed() and not fleet.lost_targets()
 
 
 @pytest.mark.parametrize("store_down", [False, True], ids=["store up", "store down"])
@@ -211,7 +223,9 @@
     fleet = fleet_of()
     peers = fleet.peers.values()
     odd = next(p for p in peers if not p.controller._is_watcher())
-    odd.controller._news.targets_replaced({}, 10**15)
+    odd.controller._news.targets_replaced({}, 1)
+    fleet.run(1)
+    assert odd.roster.targets == {}
     fleet.run_until(
         lambda: odd.roster.targets == fleet.listed.targets, int(TIMINGS.disagreement_s) + 3
     )
--- /dev/null
+++ b/tests/decisions/test_membership.py
@@ -0,0 +1,101 @@
+"""The table of hosts, what is sent how often, and digests."""
+
+import pytest
+
+from almondspindle.core.digest import ServiceDigest
+from almondspindle.core.members import STATE_RANK, MemberRecord, MembershipTimings
+from almondspindle.core.roster import Host, HostState
+from almondspindle.decisions.digests import DigestTable, load_digest, short_id
+from almondspindle.decisions.gossip import NewsQueue, transmission_limit
+from almondspindle.decisions.membership import ON_MISSED_PROBE, MemberTable, suspicion_timeout_s
+
+OWN = MemberRecord("own", "z", "1:1", 10)
+LIVE, SUSPECT, LEAVING, DEAD = STATE_RANK
+
+
+def record(boot: int = 5, incarnation: int = 0, state: HostState = LIVE) -> MemberRecord:
+    return MemberRecord("a", "z", "1:2", boot, incarnation, state)
+
+
+REPLACES = [
+    (record(state=LIVE), record(state=SUSPECT), True),
+    (record(state=SUSPECT), record(state=LIVE), False),
+    (record(state=SUSPECT), record(incarnation=1, state=LIVE), True),
+    (record(state=DEAD), record(incarnation=1, state=LIVE), True),
+    (record(state=DEAD), record(state=LEAVING), False),
+    (record(incarnation=9, state=DEAD), record(boot=6), True),
+    (record(boot=6), record(boot=5, incarnation=9, state=DEAD), False),
+]
+
+
+@pytest.mark.parametrize(("known", "told", "replaces"), REPLACES)
+def test_which_statement_replaces_which(known, told, replaces):
+    table = MemberTable(OWN, MembershipTimings())
+    table.merge(record(), 0.0)
+    table.merge(known, 0.0)
+    before = table.sum()
+    table.merge(told, 1.0)
+    assert (table.members["a"].record == told) is replaces
+    assert (table.sum() != before) is replaces
+
+
+def test_a_missed_probe_has_a_step_for_every_state():
+    assert set(ON_MISSED_PROBE) == set(STATE_RANK)
+
+
+def test_a_forgotten_host_does_not_come_back_as_a_dead_one():
+    table = MemberTable(OWN, MembershipTimings())
+    assert table.merge(record(state=DEAD), 0.0) == []
+    assert table.members == {}
+
+
+def test_the_list_does_not_go_before_what_a_host_says_of_itself():
+    table = MemberTable(OWN, MembershipTimings())
+    table.merge(record(), 0.0)
+    table.list_read([Host("a", "z", "9:9", HostState.LEAVING)], 1.0)
+    assert table.members["a"].record == record()
+
+
+def test_the_list_may_move_a_host_that_has_not_spoken_yet():
+    table = MemberTable(OWN, MembershipTimings())
+    table.list_read([Host("a", "z", "1:2")], 0.0)
+    table.list_read([Host("a", "z", "9:9")], 1.0)
+    assert table.members["a"].record.address == "9:9"
+
+
+def test_the_time_to_refute_grows_with_the_log_of_the_fleet():
+    timings = MembershipTimings()
+    times = [suspicion_timeout_s(timings, hosts) for hosts in (2, 10, 100, 1000)]
+    assert times == [4.0, 4.0, 8.0, 12.0]
+
+
+def test_news_are_sent_a_bounded_number_of_times_and_those_sent_least_first():
+    queue = NewsQueue()
+    queue.put("a")
+    sends = [queue.take(1, 3) for _ in range(2)]
+    queue.put("b")
+    sends += [queue.take(1, 3) for _ in range(20)]
+    flat = [key for keys in sends for key in keys]
+    assert flat[:3] == ["a", "a", "b"]
+    assert flat.count("a") == flat.count("b") == transmission_limit(3)
+    assert len(queue) == 0
+
+
+def test_digests_that_were_sent_least_go_first_and_the_youngest_of_those():
+    table = DigestTable()
+    for age, name in enumerate(["a", "b", "c"]):
+        digest = load_digest(name, [ServiceDigest("s", 1, 1)])
+        table.merge([digest], 100.0 - age)
+    names = ["c", "b", "a"]
+    taken = [digest.subject_id for digest in table.take(names, 2, 100.0)]
+    assert taken == [short_id("a"), short_id("b")]
+    again = [digest.subject_id for digest in table.take(names, 2, 100.0)]
+    assert again == [short_id("c"), short_id("a")]
+
+
+def test_digests_of_a_subject_only_get_younger_and_old_ones_count_no_more():
+    table = DigestTable()
+    assert table.merge([load_digest("a", [ServiceDigest("s", 1, 1)])], 100.0)
+    assert not table.merge([load_digest("a", [ServiceDigest("s", 9, 9)])], 90.0)
+    assert table.named(["a"], ["s"], 100.0) == {"a": (ServiceDigest("s", 1, 1),)}
+    assert table.named(["a"], ["s"], 1000.0) == {}
--- /dev/null
+++ b/tests/decisions/test_target_list.py
@@ -0,0 +1,56 @@
+"""What replaces what in the list of targets."""
+
+from almondspindle.core.members import TargetRecord
+from almondspindle.core.roster import Target, TargetState
+from almondspindle.decisions.target_list import TargetList, target_sum
+
+A = Target("a", "s", "z", "1:1")
+B = Target("b", "s", "z", "1:2")
+A_LEAVING = Target("a", "s", "z", "1:1", TargetState.LEAVING)
+
+
+def test_an_older_reading_does_not_undo_what_others_told():
+    targets = TargetList()
+    targets.list_read({"a": A}, 1)
+    targets.merge([TargetRecord("a", A_LEAVING, 5), TargetRecord("b", B, 5)])
+    assert targets.list_read({"a": A}, 6) == []
+    assert targets.targets == {"a": A_LEAVING, "b": B}
+
+
+def test_the_higher_stamp_wins_and_the_same_content_is_no_news():
+    targets = TargetList()
+    targets.list_read({"a": A}, 3)
+    assert targets.merge([TargetRecord("a", None, 2), TargetRecord("a", A, 9)]) == []
+    news = targets.merge([TargetRecord("a", None, 4)])
+    assert [record.target for record in news] == [None]
+    assert targets.merge([TargetRecord("a", A, 3)]) == []
+    assert targets.targets == {}
+
+
+def test_a_reader_whose_clock_is_behind_is_heard():
+    targets, others = TargetList(), TargetList()
+    for each in (targets, others):
+        each.list_read({"a": A}, 1)
+        each.merge([TargetRecord("b", B, 10**9)])
+    news = targets.replace_all({"a": A}, 2)
+    assert targets.targets == {"a": A}
+    assert others.merge(news) == news
+
+
+def test_stamps_of_removed_targets_do_not_pile_up():
+    targets = TargetList()
+    for number in range(5_000):
+        targets.merge([TargetRecord("a", A if number % 2 else A_LEAVING, number + 1)])
+        targets.merge([TargetRecord(f"x{number}", B, number)])
+        targets.merge([TargetRecord(f"x{number}", None, number + 1)])
+    assert len(targets.stamps) < 2_000
+    assert targets.stamps["a"] == 5_000
+
+
+def test_the_sum_follows_the_targets():
+    targets = TargetList()
+    assert targets.sum == 0
+    targets.list_read({"a": A, "b": B}, 1)
+    assert targets.sum == target_sum(A) ^ target_sum(B)
+    targets.list_read({"a": A_LEAVING}, 2)
+    assert targets.sum == target_sum(A_LEAVING)
