--- a/almondspindle/adapters/peer/base.py
+++ b/almondspindle/adapters/peer/base.py
@@ -4,6 +4,10 @@
 RELAY = "Relay"
 SUBSCRIBE = "Subscribe"
 HOST_TABLE = "HostTable"
+GET_CONFIG = "GetConfig"
+PUSH_CONFIG = "PushConfig"
+GET_STATUS = "GetStatus"
+ACK_CONFIG = "AckConfig"
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 KEEPALIVE_INTERVAL_MS = 2_000
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -10,10 +10,26 @@
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
 from almondspindle.adapters.peer.probe_messages import Probe, ProbeAck, ProbeFor, ProbeForResult
+from almondspindle.adapters.peer.telemetry_messages import (
+    Accepted,
+    GetTelemetry,
+    HostTelemetry,
+    PushTelemetry,
+)
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster, RosterDelta
+from almondspindle.core.spread import (
+    ConfigAck,
+    ConfigPush,
+    ConfigUpToDate,
+    ConfigVersionNote,
+    GetConfigRequest,
+    HostStatus,
+    StatusRequest,
+)
 
 WIRE_TYPES: dict[int, type] = {
     1: RelayRequest,
@@ -29,6 +45,18 @@
     12: ProbeFor,
     13: ProbeForResult,
     14: RosterDelta,
+    30: GetConfigRequest,
+    31: ConfigDelta,
+    32: ConfigUpToDate,
+    33: ConfigPush,
+    34: ConfigVersionNote,
+    35: StatusRequest,
+    36: HostStatus,
+    37: ConfigAck,
+    60: PushTelemetry,
+    61: Accepted,
+    62: GetTelemetry,
+    63: HostTelemetry,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/adapters/peer/server.py
+++ b/almondspindle/adapters/peer/server.py
@@ -15,10 +15,12 @@
 from almondspindle.core.calls import AnswerPart
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import RELAY_DONE, REQUEST_REFUSED
+from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Refusal
 
 STOP_GRACE_S = 0.0
+_NO_MORE = object()
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,28 +40,34 @@
     def __init__(self) -> None:
         self._latest: dict[type, object] = {}
         self._queues: set[asyncio.Queue[object]] = set()
+        self._closed = False
 
-    def publish(self, update: object) -> None:
-        """Send `update` to all subscribers, and to later ones until a newer one comes."""
+    def publish(self, update: object, change: object | None = None) -> None:
+        """Send `update` to all subscribers, and to later ones until a newer one comes.
+
+        Present subscribers, who have the update before it, get `change` instead if it is given.
+        """
         self._latest[type(update)] = update
         for queue in self._queues:
-            queue.put_nowait(update)
+            queue.put_nowait(update if change is None else change)
 
-    def publish_change(self, whole: object, delta: object) -> None:
-        """Send `delta` to all subscribers, and `whole` to those that come later."""
-        self._latest[type(whole)] = whole
+    def close(self) -> None:
+        """End all subscriptions, so that subscribers go to another router."""
+        self._closed = True
         for queue in self._queues:
-            queue.put_nowait(delta)
+            queue.put_nowait(_NO_MORE)
 
     async def updates(self) -> AsyncIterator[object]:
         """Yield the newest update of each type, then every later one."""
         queue: asyncio.Queue[object] = asyncio.Queue()
+        if self._closed:
+            return
         for update in self._latest.values():
             queue.put_nowait(update)
         self._queues.add(queue)
         try:
-            while True:
-                yield await queue.get()
+            while (update := await queue.get()) is not _NO_MORE:
+                yield update
         finally:
             self._queues.discard(queue)
 
@@ -73,6 +81,11 @@
         self._clock = clock
         self._server = aio.server(options=OPTIONS)
         self._unary: dict[str, Callable[[Any], Awaitable[object]]] = {}
+        self._on_subscriber: Callable[[HostName, bool], None] = lambda subscriber, present: None
+
+    def on_subscriber(self, listener: Callable[[HostName, bool], None]) -> None:
+        """Call `listener` with True when a subscriber comes and with False when it goes."""
+        self._on_subscriber = listener
 
     def add_method(self, name: str, handler: Callable[[Any], Awaitable[object]]) -> None:
         """Serve the unary method `name` with `handler`. Call before `start`."""
@@ -109,8 +122,12 @@
         await context.write(finished.refusal)
 
     async def _subscribe(self, req: SubscribeRequest, context: Any) -> None:
-        async for update in self._publisher.updates():
-            await context.write(update)
+        self._on_subscriber(req.subscriber, True)
+        try:
+            async for update in self._publisher.updates():
+                await context.write(update)
+        finally:
+            self._on_subscriber(req.subscriber, False)
 
 
 def _unary(handler: Callable[[Any], Awaitable[object]]) -> Callable[[Any, Any], Awaitable[object]]:
--- a/almondspindle/controllers/membership/messages.py
+++ b/almondspindle/controllers/membership/messages.py
@@ -111,7 +111,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigInForce:
+class ConfigKnown:
     """A new configuration came into force."""
 
     config: ConfigSet
--- a/almondspindle/controllers/membership/task.py
+++ b/almondspindle/controllers/membership/task.py
@@ -11,7 +11,7 @@
     BeginLeaving,
     BeginPeriod,
     CheckStanding,
-    ConfigInForce,
+    ConfigKnown,
     GetTable,
     HearProbe,
     ListRead,
@@ -213,7 +213,7 @@
         return refused(code, text, retry_after_s=RETRY_AFTER_S)
 
     @handle.register
-    def _(self, msg: ConfigInForce, now: float) -> None:
+    def _(self, msg: ConfigKnown, now: float) -> None:
         self._config = msg.config
 
     def _take(self, gossip: Gossip, now: float) -> None:
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -1,26 +1,34 @@
 """almondspindle-entry: the HTTP front for callers."""
 
 import asyncio
+import secrets
 import sys
 from functools import partial, singledispatch
 
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
+from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
+from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
-from almondspindle.controllers.configuration.messages import ConfigRead, GetConfig, SubscribeConfig
+from almondspindle.controllers.configuration.follower import ConfigFollower
+from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
+from almondspindle.controllers.telemetry.collector import CollectorController
+from almondspindle.controllers.telemetry.pusher import TallyPusher
+from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
@@ -33,6 +41,7 @@
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-entry"
+INSTANCE_BYTES = 4  # of the identifier that tells the entries of one host apart
 
 
 class Entry:
@@ -55,7 +64,11 @@
             RequireKey(),
             RankCandidates(self._directory),
         )
-        chain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        plain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        self._collector = CollectorController(self._clock)
+        link = PeerTallyLink(self._channels, cfg.routers)
+        self._pusher = TallyPusher(self._collector, link)
+        chain = MeasuredChain(plain, self._collector, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
     async def run(self) -> int:
@@ -70,6 +83,7 @@
         await asyncio.sleep(self._cfg.balancer_lag_s)
         server.stop()
         await self._drain()
+        await self._pusher.push_once()
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -86,10 +100,20 @@
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
         listener = partial(pass_update, entry=self)
-        host = HostName(self._cfg.host)
-        subscription = Subscription(self._channels, self._cfg.routers, host, listener)
+        subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
+        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        self._follower = ConfigFollower(
+            subscriber,
+            self._configuration,
+            PeerConfigLink(),
+            lambda: subscription.address,
+            lambda: self._directory.ask(GetRoster()),
+        )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("config-follower", self._follower.run())
+        self._tasks.start("collector", self._collector.run())
+        self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
     async def _drain(self) -> None:
@@ -97,9 +121,9 @@
         if left:
             emit(STOP_CUT_STREAMS, streams=left)
 
-    def take_config(self, config: ConfigSet) -> None:
-        """Pass a configuration from a router to the controller."""
-        self._configuration.tell(ConfigRead(config))
+    def take_config(self, update: ConfigSet | ConfigDelta) -> None:
+        """Pass a configuration, or a change of it, from a router to the follower."""
+        self._follower.tell(update)
 
     def take_roster(self, roster: Roster) -> None:
         """Pass a roster from a router to the directory."""
@@ -122,6 +146,11 @@
     entry.take_config(update)
 
 
+@pass_update.register
+def _(update: ConfigDelta, *, entry: Entry) -> None:
+    entry.take_config(update)
+
+
 @pass_update.register
 def _(update: Roster, *, entry: Entry) -> None:
     entry.take_roster(update)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -4,9 +4,12 @@
 import sys
 from random import Random
 
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.probes import UdpProbeLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.peer.tables import GrpcTableLink, serve_table
+from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
 from almondspindle.chain.admit import AdmitToTarget
@@ -19,15 +22,24 @@
 from almondspindle.conf.router import RouterCfg
 from almondspindle.controllers.admission.messages import PolicyChanged
 from almondspindle.controllers.admission.task import AdmissionController
-from almondspindle.controllers.configuration.messages import SubscribeConfig
+from almondspindle.controllers.configuration.courier import ConfigCourier, ConfigReceiver
+from almondspindle.controllers.configuration.messages import (
+    ConfigInForce,
+    HostsRead,
+    PeerVersion,
+    SubscribeConfig,
+)
+from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
+from almondspindle.controllers.configuration.starter import ConfigStarter
 from almondspindle.controllers.configuration.task import ConfigurationController
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
-from almondspindle.controllers.membership.messages import ConfigInForce, MembershipListeners
+from almondspindle.controllers.membership.messages import ConfigKnown, MembershipListeners
 from almondspindle.controllers.membership.prober import Prober
 from almondspindle.controllers.membership.reader import ListReader
 from almondspindle.controllers.membership.task import MembershipController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead
+from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.digest import ServiceDigest
@@ -36,6 +48,7 @@
 from almondspindle.core.logs import emit, log_to_stderr
 from almondspindle.core.members import MemberRecord, MembershipTimings
 from almondspindle.core.roster import Roster, RosterDelta
+from almondspindle.decisions.configuration.delta import diff
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
@@ -63,6 +76,15 @@
         self._prober = Prober(
             self._membership, self._link, GrpcTableLink(), self._timings, clock, self._own_digests
         )
+        host = HostName(cfg.host)
+        self._published = ConfigSet()
+        self._watcher = ConfigWatcher(self._platform, self._configuration, cfg.watch_wait_s)
+        spread_cfg = SpreadCfg(host, ZoneName(cfg.zone), tuple(cfg.seeds))
+        self._spread = SpreadController(clock, spread_cfg, self._watcher.set_watching)
+        link = PeerConfigLink()
+        self._starter = ConfigStarter(self._platform, self._spread, self._configuration, link)
+        self._courier = ConfigCourier(self._spread, self._configuration, link)
+        receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
             CheckOwnStanding(self._membership),
@@ -70,8 +92,11 @@
             AdmitToTarget(self._admission),
         )
         terminal = SendToTarget(HttpTargetLink(clock), self._admission)
+        self._telemetry = TelemetryController(clock)
         self._server = PeerServer(Chain(filters, terminal, clock), self._publisher, clock)
         serve_table(self._server, self._prober.give_table)
+        ConfigMethods(self._spread, self._directory, receiver).register(self._server)
+        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
@@ -82,6 +107,7 @@
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
         await self._prober.announce_leaving()
+        self._publisher.close()
         await self._server.stop(self._cfg.stop_bound_s)
         self._link.close()
         await self._tasks.cancel_all()
@@ -90,14 +116,16 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
-        watcher = ConfigWatcher(self._platform, self._configuration, self._cfg.watch_wait_s)
         interval_s = self._timings.list_interval_s
         reader = ListReader(self._platform, self._membership, interval_s, self._clock)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
-        self._tasks.start("config-watcher", watcher.run())
         self._tasks.start("membership", self._membership.run())
+        self._tasks.start("spread", self._spread.run())
+        self._tasks.start("config-courier", self._courier.run())
+        self._tasks.start("config-start", self._follow_config())
+        self._tasks.start("telemetry", self._telemetry.run())
         self._tasks.start("list-reader", reader.run())
         self._tasks.start("prober", self._prober.run())
 
@@ -105,7 +133,10 @@
         cfg = self._cfg
         boot = int(self._clock.wall() * MS_PER_S)
         own = MemberRecord(HostName(cfg.host), ZoneName(cfg.zone), cfg.listen, boot)
-        listeners = MembershipListeners(on_roster=self._spread_roster)
+        listeners = MembershipListeners(
+            on_roster=self._spread_roster,
+            on_peer_version=lambda peer, version: self._spread.tell(PeerVersion(peer, version)),
+        )
         return MembershipController(self._clock, own, self._timings, listeners, Random())
 
     async def _own_digests(self) -> tuple[ServiceDigest, ...]:
@@ -115,12 +146,21 @@
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
-        self._membership.tell(ConfigInForce(config))
-        self._publisher.publish(config)
+        self._membership.tell(ConfigKnown(config))
+        self._spread.tell(ConfigInForce(config))
+        old = self._published
+        self._published = config
+        self._publisher.publish(config, diff(old, config) if old.version else None)
 
     def _spread_roster(self, roster: Roster, delta: RosterDelta) -> None:
         self._directory.tell(RosterRead(roster))
-        self._publisher.publish_change(roster, delta)
+        self._spread.tell(HostsRead(tuple(roster.hosts.values())))
+        self._publisher.publish(roster, delta)
+
+    async def _follow_config(self) -> None:
+        await self._starter.run()
+        self._tasks.start("config-watcher", self._watcher.run())
+        self._tasks.start("config-pulls", self._courier.run_pulls())
 
 
 async def serve(cfg: RouterCfg) -> int:
--- a/tests/standins/gossip.py
+++ b/tests/standins/gossip.py
@@ -22,7 +22,7 @@
     BeginLeaving,
     BeginPeriod,
     CheckStanding,
-    ConfigInForce,
+    ConfigKnown,
     GetTable,
     HearProbe,
     ListRead,
@@ -123,7 +123,7 @@
         own = MemberRecord(name, zone, host.address, boot)
         rng = Random(f"{self.seed}-{name}-{boot}")
         peer.controller = MembershipController(self.clock, own, self.timings, listeners, rng)
-        peer.controller.handle(ConfigInForce(self.config), self.now)
+        peer.controller.handle(ConfigKnown(self.config), self.now)
         self.peers[name] = self._by_address[host.address] = peer
         self.listed = Roster({**self.listed.hosts, name: host}, self.listed.targets)
         return peer
