--- a/almondspindle/controllers/membership/task.py
+++ b/almondspindle/controllers/membership/task.py
@@ -216,6 +216,10 @@
     def _(self, msg: ConfigKnown, now: float) -> None:
         self._config = msg.config
 
+    def digest_ages(self, now: float) -> list[float]:
+        """Return the ages in seconds of the digests in use; for measurements."""
+        return self._loads.ages(self._zone_mates(), self._region_zones(), now)
+
     def _take(self, gossip: Gossip, now: float) -> None:
         """Take in what a peer says."""
         changes = self._table.merge(gossip.sender, now)
--- a/almondspindle/decisions/digests.py
+++ b/almondspindle/decisions/digests.py
@@ -15,8 +15,8 @@
 from almondspindle.core.identifiers import ServiceName
 from almondspindle.core.members import LoadDigest, ServiceCount
 
-DIGESTS_PER_MESSAGE = 16
-ZONE_DIGESTS_PER_MESSAGE = 3
+DIGESTS_PER_MESSAGE = 12
+ZONE_DIGESTS_PER_MESSAGE = 2
 ID_BITS = 16  # service ids; a handful of services hardly ever share one
 SHORT_ID_SEED = 1
 YOUNGER_BY_S = 0.5  # a smaller difference of ages is rounding on the way
