--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -114,6 +114,7 @@
     fleet.run_until(lambda: not cut_off.may_own(fleet.now), BOUND)
     fleet.run_until(lambda: views(fleet, "h3") == {HostState.DEAD}, BOUND)
     assert all(fleet.peers[name].may_own(fleet.now) for name in others)
+    fleet.run(3 * BOUND)
     held_dead = [name for name in others if cut_off.state_of(name) is HostState.DEAD]
     assert len(held_dead) < PROBE_WINDOW
     fleet.cuts.clear()
--- a/tests/controllers/test_prober.py
+++ b/tests/controllers/test_prober.py
@@ -14,6 +14,7 @@
 from almondspindle.controllers.membership.task import MembershipController
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.members import Gossip, MemberRecord, MembershipTimings
+from almondspindle.core.outcomes import Outcome, RefusalCode
 from almondspindle.core.roster import Host, HostState, Roster
 
 HOSTS = {name: Host(name, "z", f"{name}:1") for name in ("own", "a", "b", "c")}
@@ -106,3 +107,22 @@
 def test_a_helper_does_not_take_another_hosts_answer_for_the_asked_ones():
     assert asyncio.run(help_for(FakeLink(a="c"), "a")) is None
     assert asyncio.run(help_for(FakeLink(a="a"), "a")).sender.name == "a"
+
+
+async def leave(link: FakeLink) -> Outcome[None]:
+    clock = ManualClock()
+    listeners = MembershipListeners(lambda roster, delta: None)
+    own = MemberRecord("own", "z", "own:1", 1)
+    controller = MembershipController(clock, own, TIMINGS, listeners, Random(1))
+    task = asyncio.create_task(controller.run())
+    controller.tell(ListRead(Roster(HOSTS), clock.monotonic()))
+    await Prober(controller, link, link, TIMINGS, clock, lambda: None).announce_leaving()
+    standing = await controller.ask(CheckStanding())
+    task.cancel()
+    return standing
+
+
+def test_a_leaving_host_tells_all_and_refuses_new_work_although_one_does_not_answer():
+    link = FakeLink(a="a", b="b")
+    assert asyncio.run(leave(link)).error.code is RefusalCode.LEAVING
+    assert sorted(link.probed) == ["a", "b", "c"]
