--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
 from almondspindle.adapters.peer.probe_messages import Probe, ProbeAck, ProbeFor, ProbeForResult
 from almondspindle.adapters.peer.telemetry_messages import (
     Accepted,
@@ -18,6 +19,7 @@
 )
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.changes import ConfigDelta
+from almondspindle.core.claims import Claim, ClaimReply, Look, Settle
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.roster import Roster, RosterDelta
@@ -45,6 +47,10 @@
     12: ProbeFor,
     13: ProbeForResult,
     14: RosterDelta,
+    20: Claim,
+    21: Settle,
+    22: Look,
+    23: ClaimReply,
     30: GetConfigRequest,
     31: ConfigDelta,
     32: ConfigUpToDate,
@@ -57,6 +63,10 @@
     61: Accepted,
     62: GetTelemetry,
     63: HostTelemetry,
+    50: RelayedHead,
+    51: RelayedChunk,
+    52: RelayedEnd,
+    53: Heartbeat,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -3,27 +3,39 @@
 import asyncio
 import secrets
 import sys
+from contextlib import suppress
 from functools import partial, singledispatch
 
+from tornado.httpserver import HTTPServer
+
 from almondspindle.adapters.http_front.handlers import Front
 from almondspindle.adapters.http_front.server import listen, make_app
+from almondspindle.adapters.peer.claims import PeerClaimsLink
 from almondspindle.adapters.peer.client import Channels, PeerOwnerLink
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.subscription import Subscription
 from almondspindle.adapters.peer.telemetry import PeerTallyLink
 from almondspindle.chain.base import Chain
+from almondspindle.chain.claim import ClaimKey
 from almondspindle.chain.classify import ClassifyWork
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.identify import IdentifyTeam
+from almondspindle.chain.limit import LimitTeam
 from almondspindle.chain.measure import MeasuredChain
 from almondspindle.chain.rank import RankCandidates
 from almondspindle.chain.relay import RelayToOwner
 from almondspindle.chain.require_key import RequireKey
+from almondspindle.chain.resume import ResumeStreams
+from almondspindle.chain.settle import SettleClaim
 from almondspindle.conf.base import load
 from almondspindle.conf.entry import EntryCfg
+from almondspindle.controllers.claims.settler import SettlerController, SettleSender
 from almondspindle.controllers.configuration.follower import ConfigFollower
 from almondspindle.controllers.configuration.messages import GetConfig, SubscribeConfig
 from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.limits.messages import HostsSeen
+from almondspindle.controllers.limits.task import LimitsController
+from almondspindle.controllers.retries.task import RetriesController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, GetRoster, RosterRead
 from almondspindle.controllers.telemetry.collector import CollectorController
@@ -31,16 +43,18 @@
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
+from almondspindle.core.events import CLAIMS_CUT, DRAIN_BEGUN, PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.logs import emit, log_to_stderr
-from almondspindle.core.metrics import make_metrics
+from almondspindle.core.metrics import MetricSender, make_metrics
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.roster import Roster, RosterDelta, apply_delta
+from almondspindle.decisions.ownership import OWNING_STATES
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-entry"
+SETTLE_DRAIN_S = 5.0  # longest wait at a stop for endings of commits to be recorded
 INSTANCE_BYTES = 4  # of the identifier that tells the entries of one host apart
 
 
@@ -55,22 +69,37 @@
         self._configuration = ConfigurationController(self._clock)
         self._directory = DirectoryController(self._clock, HostName(cfg.host))
         self._roster = Roster()
+        self._settler = SettlerController(self._clock)
+        self._claims = PeerClaimsLink(self._channels, self._directory, self._clock)
+        self._limits = LimitsController(self._clock)
+        self._retries = RetriesController(self._clock)
         metrics = make_metrics(cfg.statsd)
-        owners = PeerOwnerLink(self._channels, self._clock)
+        direct = PeerOwnerLink(self._channels, self._clock, cfg.peer_silence_bound_s)
+        owners = ResumeStreams(direct, self._directory, self._clock, metrics, cfg.resume_window_s)
         filters = (
             CheckDeadline(),
             IdentifyTeam(self._configuration),
+            LimitTeam(self._limits),
             ClassifyWork(self._configuration),
             RequireKey(),
-            RankCandidates(self._directory),
+            self._claim_filter(metrics),
         )
-        plain = Chain(filters, RelayToOwner(owners, self._clock, metrics), self._clock)
+        relay = RelayToOwner(owners, self._retries, self._clock, metrics)
+        inner = Chain((RankCandidates(self._directory),), relay, self._clock)
+        self._settle = SettleClaim(inner, self._settler, HostName(cfg.host))
+        plain = Chain(filters, self._settle, self._clock)
         self._collector = CollectorController(self._clock)
         link = PeerTallyLink(self._channels, cfg.routers)
         self._pusher = TallyPusher(self._collector, link)
         chain = MeasuredChain(plain, self._collector, self._clock)
         self._front = Front(cfg, chain, self._clock, metrics)
 
+    def _claim_filter(self, metrics: MetricSender) -> ClaimKey:
+        host = HostName(self._cfg.host)
+        return ClaimKey(
+            self._claims, self._settler, self._configuration, host, self._clock, metrics
+        )
+
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
         stop = StopSignal()
@@ -79,11 +108,7 @@
         server, port = listen(app, self._cfg.listen, self._cfg.max_header_bytes)
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
-        self._front.stopping = True
-        await asyncio.sleep(self._cfg.balancer_lag_s)
-        server.stop()
-        await self._drain()
-        await self._pusher.push_once()
+        await self._stop(server)
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -98,10 +123,17 @@
         return None if roster.hosts else "no host is known yet"
 
     def _start_tasks(self) -> None:
-        self._configuration.tell(SubscribeConfig(lambda c: self._directory.tell(ConfigChanged(c))))
+        self._configuration.tell(SubscribeConfig(self._spread_config))
         listener = partial(pass_update, entry=self)
         subscriber = HostName(f"{self._cfg.host}:{secrets.token_hex(INSTANCE_BYTES)}")
-        subscription = Subscription(self._channels, self._cfg.routers, subscriber, listener)
+        subscription = Subscription(
+            self._channels,
+            self._cfg.routers,
+            subscriber,
+            listener,
+            self._clock,
+            self._cfg.peer_silence_bound_s,
+        )
         self._follower = ConfigFollower(
             subscriber,
             self._configuration,
@@ -111,15 +143,39 @@
         )
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
+        self._tasks.start("settler", self._settler.run())
+        self._tasks.start("settle-sender", SettleSender(self._claims, self._settler).run())
         self._tasks.start("config-follower", self._follower.run())
+        self._tasks.start("limits", self._limits.run())
+        self._tasks.start("retries", self._retries.run())
         self._tasks.start("collector", self._collector.run())
         self._tasks.start("tally-pusher", self._pusher.run())
         self._tasks.start("subscription", subscription.run())
 
+    def _spread_config(self, config: ConfigSet) -> None:
+        for controller in (self._directory, self._limits, self._retries):
+            controller.tell(ConfigChanged(config))
+
     async def _drain(self) -> None:
         left = await self._front.in_flight.wait_idle(self._cfg.stop_bound_s)
         if left:
             emit(STOP_CUT_STREAMS, streams=left)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._settle.wait_idle(), self._cfg.stop_bound_s)
+        unsettled = await self._settler.wait_idle(SETTLE_DRAIN_S)
+        if unsettled:
+            emit(CLAIMS_CUT, endings=unsettled)
+
+    async def _stop(self, server: HTTPServer) -> None:
+        """Serve for the balancer's lag, stop listening, and let requests in flight end."""
+        self._front.stopping = True
+        server.conn_params.no_keep_alive = True
+        await asyncio.sleep(self._cfg.balancer_lag_s)
+        server.stop()
+        emit(DRAIN_BEGUN, in_flight=self._front.in_flight.count)
+        await self._drain()
+        await self._pusher.push_once()
+        await server.close_all_connections()
 
     def take_config(self, update: ConfigSet | ConfigDelta) -> None:
         """Pass a configuration, or a change of it, from a router to the follower."""
@@ -129,6 +185,8 @@
         """Pass a roster from a router to the directory."""
         self._roster = roster
         self._directory.tell(RosterRead(roster))
+        live = [host for host in roster.hosts.values() if host.state in OWNING_STATES]
+        self._limits.tell(HostsSeen(len(live)))
 
     def take_roster_delta(self, delta: RosterDelta) -> None:
         """Pass on the roster with a router's change; a connection begins with a whole roster."""
