--- a/almondspindle/controllers/membership/task.py
+++ b/almondspindle/controllers/membership/task.py
@@ -185,7 +185,9 @@
         else:
             self._news.targets_listed(msg.roster.targets, stamp)
         self._read_at = now
+        own = self._table.own
         self._note(self._table.list_read(msg.roster.hosts.values(), now), now)
+        self._hosts_changed |= self._table.own is not own
         self._update_standing(now)
         self._publish(now)
 
--- a/almondspindle/decisions/membership.py
+++ b/almondspindle/decisions/membership.py
@@ -118,6 +118,7 @@
         self.list_read_at = now
         for host in hosts:
             if host.name == self.own.name:
+                self._take_own_address(host)
                 continue
             known = self.members.get(host.name)
             record = _listed_record(host, known)
@@ -125,6 +126,13 @@
             self.members[host.name].listed_at = now
         return changes
 
+    def _take_own_address(self, host: Host) -> None:
+        """Tell others the address that the list gives, which `--listen` need not show."""
+        if host.address != self.own.address:
+            raised = self.own.incarnation + 1
+            self.own = replace(self.own, address=host.address, incarnation=raised)
+            self._sum = None
+
     def leave(self) -> None:
         """Announce that this host leaves."""
         self.own = replace(self.own, incarnation=self.own.incarnation + 1, state=HostState.LEAVING)
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -63,6 +63,14 @@
     assert table.members["a"].record.address == "9:9"
 
 
+def test_a_host_tells_the_address_that_the_list_gives_for_it():
+    table = MemberTable(OWN, MembershipTimings())
+    table.list_read([Host("own", "z", "10.0.0.9:1")], 0.0)
+    assert (table.own.address, table.own.incarnation) == ("10.0.0.9:1", 1)
+    table.list_read([Host("own", "z", "10.0.0.9:1")], 1.0)
+    assert table.own.incarnation == 1
+
+
 def test_the_time_to_refute_grows_with_the_log_of_the_fleet():
     timings = MembershipTimings()
     times = [suspicion_timeout_s(timings, hosts) for hosts in (2, 10, 100, 1000)]
