--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -10,6 +10,7 @@
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
 from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
+from almondspindle.adapters.peer.probe_messages import Probe, ProbeAck, ProbeFor, ProbeForResult
 from almondspindle.adapters.peer.telemetry_messages import (
     Accepted,
     GetTelemetry,
@@ -22,7 +23,7 @@
 from almondspindle.core.config import ConfigSet
 from almondspindle.core.handover import ReleaseAnswer, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal
-from almondspindle.core.roster import Roster
+from almondspindle.core.roster import Roster, RosterDelta
 from almondspindle.core.spread import (
     ConfigAck,
     ConfigPush,
@@ -42,6 +43,11 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    10: Probe,
+    11: ProbeAck,
+    12: ProbeFor,
+    13: ProbeForResult,
+    14: RosterDelta,
     20: Claim,
     21: Settle,
     22: Look,
--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -1,6 +1,7 @@
 """The controller that knows all targets, their owners, and their order for a key."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 from typing import Any
 
@@ -21,13 +22,13 @@
 from almondspindle.core.calls import Candidate
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet, Intent, ServiceKind
-from almondspindle.core.events import ROSTER_CHANGED, TARGETS_RETURNED
+from almondspindle.core.events import OWNER_MOVED, ROSTER_CHANGED, TARGETS_RETURNED
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.roster import Host, Roster, Target, TargetState
-from almondspindle.decisions.ownership import OWNING_STATES, owner_of
+from almondspindle.decisions.ownership import OWNING_STATES, OwnerMove, OwnerTable, owner_of
 from almondspindle.decisions.region import is_in_region
 
 CANDIDATES = 6  # targets tried for one request at the most
@@ -50,7 +51,7 @@
         self._own_host = own_host
         self._roster = Roster()
         self._config = ConfigSet()
-        self._owners: dict[TargetName, Host] = {}
+        self._owners = OwnerTable()
         self._rankings = ServiceRankings()
         self._zone: ZoneName | None = None
         self._previous: dict[TargetName, HostName] = {}
@@ -69,16 +70,16 @@
     def _(self, msg: RosterRead, now: float) -> None:
         if msg.roster == self._roster:
             return
-        before, owners = self._roster, self._owners
+        before = self._roster
         self._roster = msg.roster
         emit(ROSTER_CHANGED, hosts=len(msg.roster.hosts), targets=len(msg.roster.targets))
-        self._derive_owners()
+        moves = self._derive_owners()
         self._derive_out()
         own = self._own_zone()
         everywhere = self._zone != own
         self._zone = own
         self._rank(self._all_names() if everywhere else changed_targets(before, msg.roster))
-        self._tell_owned(before, owners)
+        self._tell_owned(before, {move.target: move.before for move in moves})
 
     @handle.register
     def _(self, msg: ConfigChanged, now: float) -> None:
@@ -90,13 +91,13 @@
             self._derive_out()
             self._rank(self._all_names())
         if self._roster.hosts and (moved or old.services != msg.config.services):
-            self._tell_owned(self._roster, self._owners)
+            self._tell_owned(self._roster, {})
 
     @handle.register
     def _(self, msg: SubscribeOwned, now: float) -> None:
         self._listener = msg.listener
         if self._roster.hosts:
-            self._tell_owned(self._roster, self._owners)
+            self._tell_owned(self._roster, {})
 
     @handle.register
     def _(self, msg: GetRoster, now: float) -> Roster:
@@ -105,7 +106,7 @@
     @handle.register
     def _(self, msg: RankTargets, now: float) -> Outcome[tuple[Candidate, ...]]:
         names = self._rankings.rank(msg.service, msg.key, CANDIDATES)
-        candidates = tuple(self._candidate(name) for name in names if name in self._owners)
+        candidates = tuple(self._candidate(name) for name in names if self._owners.owner(name))
         if not candidates:
             return self._refuse(msg.service)
         return Ok(candidates)
@@ -116,7 +117,7 @@
 
     @handle.register
     def _(self, msg: FindCandidate, now: float) -> Candidate | None:
-        return self._candidate(msg.target) if msg.target in self._owners else None
+        return self._candidate(msg.target) if self._owners.owner(msg.target) else None
 
     @handle.register
     def _(self, msg: FindOwned, now: float) -> Outcome[Target]:
@@ -124,7 +125,7 @@
             text = "this router has no configuration yet"
             return refused(RefusalCode.NOT_READY, text, retry_after_s=RETRY_AFTER_S)
         target = self._roster.targets.get(msg.target)
-        owner = self._owners.get(msg.target)
+        owner = self._owners.owner(msg.target)
         if target is None or owner is None or owner.name != self._own_host:
             return refused(RefusalCode.NOT_OWNER, f"this host does not own {msg.target!r}")
         code = self._out_of_service(target)
@@ -133,7 +134,8 @@
         return Ok(target)
 
     def _candidate(self, name: TargetName) -> Candidate:
-        owner = self._owners[name]
+        owner = self._owners.owner(name)
+        assert owner is not None
         return Candidate(name, owner.name, owner.address)
 
     def _refuse(self, service: ServiceName) -> Outcome[tuple[Candidate, ...]]:
@@ -156,10 +158,11 @@
             return RefusalCode.LEAVING
         return None
 
-    def _derive_owners(self) -> None:
-        hosts = list(self._roster.hosts.values())
-        found = {target: owner_of(target, hosts) for target in self._roster.targets.values()}
-        self._owners = {target.name: host for target, host in found.items() if host is not None}
+    def _derive_owners(self) -> list[OwnerMove]:
+        """Work out the owners anew and return their moves."""
+        moves = self._owners.apply(self._roster)
+        _log_moves(moves)
+        return moves
 
     def _derive_out(self) -> None:
         was_out = self._out
@@ -204,17 +207,22 @@
             return None
         return target.service
 
-    def _tell_owned(self, before: Roster, owners: dict[TargetName, Host]) -> None:
-        """Tell the listener of the owned targets, with what the view before says of them."""
+    def _tell_owned(
+        self, before: Roster, earlier_owners: Mapping[TargetName, HostName | None]
+    ) -> None:
+        """Tell the listener of the owned targets, with what the view before says of them.
+
+        `earlier_owners` has the targets whose owners changed.
+        """
+        mine = self._owners.owned_by(self._own_host)
+        targets = [t for name, t in self._roster.targets.items() if name in mine]
+        served = {t.name: t for t in targets if self._out_of_service(t) is None}
+        self._previous = {n: host for n, host in self._previous.items() if n in served}
         owned = []
-        for name, owner in self._owners.items():
-            target = self._roster.targets[name]
-            if owner.name != self._own_host or self._out_of_service(target) is not None:
-                self._previous.pop(name, None)
-                continue
-            earlier = owners.get(name) if before.hosts else self._owner_without_us(target)
-            if earlier is not None and earlier.name != self._own_host:
-                self._previous[name] = earlier.name
+        for name, target in served.items():
+            earlier = earlier_owners.get(name) if before.hosts else self._owner_without_us(target)
+            if earlier is not None and earlier != self._own_host:
+                self._previous[name] = earlier
             is_new = bool(before.targets) and name not in before.targets
             joined = is_new or name in self._returned
             owned.append(
@@ -223,10 +231,11 @@
         self._returned = frozenset()  # told once; a later change must not repeat it
         self._listener(tuple(owned))
 
-    def _owner_without_us(self, target: Target) -> Host | None:
+    def _owner_without_us(self, target: Target) -> HostName | None:
         """Return who owned `target` before this host came, as its first roster shows it."""
         hosts = self._roster.hosts.values()
-        return owner_of(target, (host for host in hosts if host.name != self._own_host))
+        owner = owner_of(target, (host for host in hosts if host.name != self._own_host))
+        return owner.name if owner else None
 
     def _live_previous(self, name: TargetName) -> Host | None:
         host = self._roster.hosts.get(self._previous.get(name, HostName("")))
@@ -237,3 +246,10 @@
     def _reports(self, target: Target) -> bool:
         service = self._config.services.get(target.service)
         return service is not None and service.kind is ServiceKind.CHAT
+
+
+def _log_moves(moves: Iterable[OwnerMove]) -> None:
+    """Log the moves, one event for each pair of owners and reason."""
+    counts = Counter((move.before, move.after, move.reason) for move in moves)
+    for (before, after, reason), count in counts.items():
+        emit(OWNER_MOVED, before=before, after=after, targets=count, reason=reason)
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import sys
+from random import Random
 
 from almondspindle.adapters.peer.claims import CLAIM_METHOD
 from almondspindle.adapters.peer.client import Channels
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.handover import HandoverMethods, PeerHandoverLink
+from almondspindle.adapters.peer.probes import UdpProbeLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
+from almondspindle.adapters.peer.tables import GrpcTableLink, serve_table
 from almondspindle.adapters.peer.telemetry_methods import TelemetryMethods
 from almondspindle.adapters.platform.http import HttpPlatform
 from almondspindle.adapters.target.http1 import HttpTargetLink
@@ -18,11 +21,14 @@
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.gate import GateTarget
 from almondspindle.chain.send import SendToTarget
+from almondspindle.chain.standing import CheckOwnStanding
 from almondspindle.conf.base import load
 from almondspindle.conf.router import RouterCfg
 from almondspindle.controllers.admission.handover import HandoverTask
 from almondspindle.controllers.admission.messages import (
+    GetDigests,
     OwnedTargets,
+    PeerDigests,
     PolicyChanged,
     SubscribePolls,
 )
@@ -35,6 +41,7 @@
 from almondspindle.controllers.configuration.messages import (
     ConfigInForce,
     HostsRead,
+    PeerVersion,
     SubscribeConfig,
 )
 from almondspindle.controllers.configuration.spreader import SpreadCfg, SpreadController
@@ -43,24 +50,30 @@
 from almondspindle.controllers.configuration.watcher import ConfigWatcher
 from almondspindle.controllers.loads.messages import PollSoon, PollTargets
 from almondspindle.controllers.loads.task import LoadsController
-from almondspindle.controllers.membership.reader import RosterReader
+from almondspindle.controllers.membership.messages import ConfigKnown, MembershipListeners
+from almondspindle.controllers.membership.prober import Prober
+from almondspindle.controllers.membership.reader import ListReader
+from almondspindle.controllers.membership.task import MembershipController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead, SubscribeOwned
 from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
+from almondspindle.core.digest import ServiceDigest
 from almondspindle.core.events import PROCESS_STOPPED, STOP_CUT_STREAMS
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit, log_to_stderr
+from almondspindle.core.members import MemberRecord, MembershipTimings
 from almondspindle.core.metrics import make_metrics
-from almondspindle.core.roster import Roster
+from almondspindle.core.roster import Roster, RosterDelta
 from almondspindle.decisions.configuration.delta import diff
 from almondspindle.decisions.silence import SilenceBounds
 from almondspindle.programs.base import StopSignal, announce
 from almondspindle.utils.tasks import TaskSet
 
 PROGRAM = "almondspindle-router"
+MS_PER_S = 1000.0
 
 
 class Router:
@@ -70,10 +83,18 @@
         self._cfg = cfg
         self._tasks = TaskSet()
         self._publisher = Publisher()
-        clock = SystemClock()
+        self._clock = clock = SystemClock()
         self._platform = HttpPlatform(cfg.platform)
         self._configuration = ConfigurationController(clock)
         self._directory = DirectoryController(clock, HostName(cfg.host))
+        self._timings = MembershipTimings(
+            period_s=cfg.probe_period_s, list_interval_s=cfg.roster_interval_s
+        )
+        self._membership = self._make_membership()
+        self._link = UdpProbeLink()
+        self._prober = Prober(
+            self._membership, self._link, GrpcTableLink(), self._timings, clock, self._own_digests
+        )
         self._admission = AdmissionController(clock, cfg.takeover_s)
         host = HostName(cfg.host)
         self._published = ConfigSet()
@@ -86,6 +107,7 @@
         receiver = ConfigReceiver(host, self._spread, self._configuration)
         filters = (
             CheckDeadline(),
+            CheckOwnStanding(self._membership),
             GateTarget(self._directory),
             AdmitToTarget(self._admission),
         )
@@ -101,6 +123,7 @@
         self._server = PeerServer(
             Chain(filters, terminal, clock), self._publisher, clock, cfg.heartbeat_interval_s
         )
+        serve_table(self._server, self._prober.give_table)
         self._claims = ClaimsController(clock)
         metrics = make_metrics(cfg.statsd)
         self._claim_writer = SegmentWriter(self._platform, self._claims, clock, metrics)
@@ -113,12 +136,15 @@
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
         stop = StopSignal()
-        self._start_tasks()
         port = await self._server.start(self._cfg.listen)
+        await self._link.open(self._cfg.listen, self._prober.hear, self._prober.help_probe)
+        self._start_tasks()
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
+        await self._prober.announce_leaving()
         await self._drain()
         await self._server.stop()
+        self._link.close()
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -131,12 +157,14 @@
 
     def _start_tasks(self) -> None:
         self._configuration.tell(SubscribeConfig(self._spread_config))
+        interval_s = self._timings.list_interval_s
+        reader = ListReader(self._platform, self._membership, interval_s, self._clock)
         self._directory.tell(SubscribeOwned(self._spread_owned))
         self._admission.tell(SubscribePolls(lambda target: self._loads.tell(PollSoon(target))))
-        reader = RosterReader(self._platform, self._cfg.roster_interval_s, self._spread_roster)
         self._tasks.start("configuration", self._configuration.run())
         self._tasks.start("directory", self._directory.run())
         self._tasks.start("admission", self._admission.run())
+        self._tasks.start("membership", self._membership.run())
         self._tasks.start("claims", self._claims.run())
         self._tasks.start("claim-writer", self._claim_writer.run())
         self._tasks.start("claims-janitor", self._janitor.run())
@@ -146,20 +174,37 @@
         self._tasks.start("handover", self._handover.run())
         self._tasks.start("loads", self._loads.run())
         self._tasks.start("telemetry", self._telemetry.run())
-        self._tasks.start("roster-reader", reader.run())
+        self._tasks.start("list-reader", reader.run())
+        self._tasks.start("prober", self._prober.run())
+
+    def _make_membership(self) -> MembershipController:
+        cfg = self._cfg
+        boot = int(self._clock.wall() * MS_PER_S)
+        own = MemberRecord(HostName(cfg.host), ZoneName(cfg.zone), cfg.listen, boot)
+        listeners = MembershipListeners(
+            on_roster=self._spread_roster,
+            on_digests=lambda by_host: self._admission.tell(PeerDigests(by_host)),
+            on_peer_version=lambda peer, version: self._spread.tell(PeerVersion(peer, version)),
+        )
+        return MembershipController(self._clock, own, self._timings, listeners, Random())
+
+    async def _own_digests(self) -> tuple[ServiceDigest, ...]:
+        """Return the sums over the targets that this host owns, which probes carry."""
+        return await self._admission.ask(GetDigests())
 
     def _spread_config(self, config: ConfigSet) -> None:
         self._directory.tell(ConfigChanged(config))
         self._admission.tell(PolicyChanged(config))
+        self._membership.tell(ConfigKnown(config))
         self._spread.tell(ConfigInForce(config))
         old = self._published
         self._published = config
         self._publisher.publish(config, diff(old, config) if old.version else None)
 
-    def _spread_roster(self, roster: Roster) -> None:
+    def _spread_roster(self, roster: Roster, delta: RosterDelta) -> None:
         self._directory.tell(RosterRead(roster))
         self._spread.tell(HostsRead(tuple(roster.hosts.values())))
-        self._publisher.publish(roster)
+        self._publisher.publish(roster, delta)
 
     def _spread_owned(self, owned: tuple[OwnedTarget, ...]) -> None:
         self._admission.tell(OwnedTargets(owned))
