--- a/tests/programs/common.py
+++ b/tests/programs/common.py
@@ -10,6 +10,8 @@
 from tests.standins.fleet import BUREAU_CONFIG, Fleet
 
 TOKENS = 40
+# Slow start and load bounds have tests of their own; here they would refuse streams at times.
+NO_LIMITS = {"cold_limit": 100, "slow_start_s": 0.0, "load_floor": 100, "target_limit": 100}
 PAUSE_S = 0.05
 
 # The engines here have just started; what these tests send at once is above the usual limit of a
