Give routers of tests ports that no connection can take

Suspected cause, by reading, not reproduced: a router's port was bound, closed and bound again by its process; an outgoing connection, or another run, may be given it between, and UDP was not looked at. Weighed by reasoning, not measured: binding port 0 and listing the address afterwards (a router then starts before it stands in the list); keeping a bound socket with SO_REUSEPORT (for UDP it would take datagrams meant for the router). Change: ports below the range for outgoing connections, a block a run, held by a bound socket.

--- a/bench/bench_membership.py
+++ b/bench/bench_membership.py
@@ -30,8 +30,8 @@
 from almondspindle.decisions.ownership import OwnerTable, owner_of
 from almondspindle.decisions.watchers import list_watchers
 from bench.output import figure, percentile, timed
-from tests.standins.fleet import free_port
 from tests.standins.gossip import GossipFleet
+from tests.standins.ports import free_port
 
 SIZE = 1_100  # hosts to design for
 ZONES_AT_SIZE = 10
--- a/tests/adapters/test_probes.py
+++ b/tests/adapters/test_probes.py
@@ -16,7 +16,7 @@
 from almondspindle.core.members import Gossip, LoadDigest, MemberRecord, ServiceCount, TargetRecord
 from almondspindle.core.roster import Host, HostState, Roster, RosterDelta, Target, TargetState
 from almondspindle.decisions.digests import load_digest
-from tests.standins.fleet import free_port
+from tests.standins.ports import free_port
 
 TIMEOUT_S = 5.0
 SHORT_S = 0.1
--- a/tests/controllers/test_loads.py
+++ b/tests/controllers/test_loads.py
@@ -12,7 +12,7 @@
 from almondspindle.utils.tasks import TaskSet
 from tests.standins.caller import wait_until
 from tests.standins.engine import Engine
-from tests.standins.fleet import free_port
+from tests.standins.ports import free_port
 
 
 async def check_polling() -> None:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -1,7 +1,7 @@
 """Start stand-ins and real entries and routers as processes, for the demo and for tests.
 
-Ports are reserved by binding port 0 and closing the socket, since a router's address must stand
-in the platform's list before the process starts.
+A router's address must stand in the platform's list before the process starts, so routers get
+ports that nothing else is given; entries let the system choose.
 """
 
 import asyncio
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import Sequence
 from contextlib import suppress
@@ -17,6 +16,7 @@
 
 from tests.standins.engine import Engine
 from tests.standins.plain import PlainService, PlainState
+from tests.standins.ports import free_port
 from tests.standins.store import Store
 
 CONFIG_OBJECT = "config/current"
@@ -24,13 +24,6 @@
 START_WAIT_S = 20.0
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def token_hash(token: str) -> str:
     """Return the digest under which a team's token is stored."""
     return hashlib.sha256(token.encode()).hexdigest()
