--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,62 @@
+"""The verdict of CI with tests that are known to fail."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+SAMPLE = """
+import pytest
+
+@pytest.mark.parametrize("n", [1, 2])
+def test_red(n):
+    assert n > 2
+
+@pytest.fixture
+def broken():
+    raise ValueError
+
+def test_setup(broken):
+    pass
+
+def test_green():
+    pass
+"""
+RED_1, RED_2 = "test_sample.py::test_red[1]", "test_sample.py::test_red[2]"
+SETUP, GREEN = "test_sample.py::test_setup", "test_sample.py::test_green"
+ALL = (RED_1, RED_2, SETUP)
+# Listed tests, further arguments, exit status, lines that must be printed.
+CASES = [
+    ("all listed", ALL, (), 0, [f"KNOWN-RED failed: {test}" for test in ALL]),
+    ("one not listed", (RED_1, SETUP), (), 1, [f"KNOWN-RED failed: {RED_1}"]),
+    ("no parameter", ("test_sample.py::test_red", SETUP), (), 1, ["KNOWN-RED did not run"]),
+    ("listed passes", (*ALL, GREEN), (), 0, [f"KNOWN-RED passed: {GREEN}"]),
+    ("not a test", ("some words",), (), 4, ["not the id of a test: 'some words'"]),
+    ("absent", None, (), 1, []),
+    ("cut short", ALL, ("-x",), 1, [f"KNOWN-RED did not run: {RED_2}"]),
+    ("without the flag", ALL, None, 1, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "listed", "extra", "status", "lines"), CASES, ids=[case[0] for case in CASES]
+)
+def test_only_listed_failures_are_passed_over(tmp_path, case, listed, extra, status, lines):
+    (tmp_path / "test_sample.py").write_text(SAMPLE)
+    if listed is not None:
+        entries = (f"{test}\n  seen: always\n" for test in listed)
+        (tmp_path / "KNOWN-RED.txt").write_text("\n".join(entries))
+    flags = () if extra is None else ("--known-red", "KNOWN-RED.txt", *extra)
+    args = [sys.executable, "-m", "pytest", "-p", "tests.known_red", "-p", "no:cacheprovider"]
+    ran = subprocess.run(
+        [*args, *flags, "--rootdir", ".", "test_sample.py"],
+        cwd=tmp_path,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+    )
+    assert ran.returncode == status, ran.stdout + ran.stderr
+    assert all(line in ran.stdout + ran.stderr for line in lines)
