--- /dev/null
+++ b/almondspindle/adapters/peer/operator_methods.py
@@ -0,0 +1,71 @@
+"""Serve what the operators' command line asks a router."""
+
+from almondspindle.adapters.peer.operator_messages import (
+    AdmissionRequest,
+    AdmissionTold,
+    CandidatesRequest,
+    CandidatesTold,
+    CandidateTold,
+    TargetReports,
+    TargetReportsRequest,
+)
+from almondspindle.adapters.peer.server import PeerServer
+from almondspindle.controllers.admission.messages import GetTargetReports, WouldAdmit
+from almondspindle.controllers.admission.task import AdmissionController
+from almondspindle.controllers.configuration.messages import GetConfig
+from almondspindle.controllers.configuration.task import ConfigurationController
+from almondspindle.controllers.targets.directory import DirectoryController
+from almondspindle.controllers.targets.messages import FindOwned, GetRoster, RankTargets
+from almondspindle.core.identifiers import HostName
+
+GET_TARGET_REPORTS = "GetTargetReports"
+GET_CANDIDATES = "GetCandidates"
+ASK_ADMISSION = "AskAdmission"
+
+
+class OperatorMethods:
+    """Answer from the controllers; nothing here changes their state."""
+
+    def __init__(
+        self,
+        host: HostName,
+        configuration: ConfigurationController,
+        directory: DirectoryController,
+        admission: AdmissionController,
+    ) -> None:
+        self._host = host
+        self._configuration = configuration
+        self._directory = directory
+        self._admission = admission
+
+    def register(self, server: PeerServer) -> None:
+        """Add the methods to `server`."""
+        server.add_method(GET_TARGET_REPORTS, self.reports)
+        server.add_method(GET_CANDIDATES, self.candidates)
+        server.add_method(ASK_ADMISSION, self.admission)
+
+    async def reports(self, req: TargetReportsRequest) -> TargetReports:
+        """Return what this router knows of the targets that it owns."""
+        return TargetReports(await self._admission.ask(GetTargetReports(self._host)))
+
+    async def candidates(self, req: CandidatesRequest) -> CandidatesTold:
+        """Return the candidates of a chat."""
+        config = await self._configuration.ask(GetConfig())
+        ranked = await self._directory.ask(RankTargets(req.service, req.chat_id))
+        if ranked.is_error():
+            return CandidatesTold(config.version, (), ranked.error.message)
+        roster = await self._directory.ask(GetRoster())
+        told = tuple(
+            CandidateTold(c.target, roster.targets[c.target].zone, c.owner, c.owner_address)
+            for c in ranked.ok
+            if c.target in roster.targets
+        )
+        return CandidatesTold(config.version, told)
+
+    async def admission(self, req: AdmissionRequest) -> AdmissionTold:
+        """Return why a chat would be refused by this router now, if it would."""
+        gate = await self._directory.ask(FindOwned(req.target))
+        if gate.is_error():
+            return AdmissionTold(gate.error.message)
+        refusal = await self._admission.ask(WouldAdmit(req.target, req.chat_id))
+        return AdmissionTold(refusal.message if refusal else "")
--- a/almondspindle/adapters/peer/telemetry.py
+++ b/almondspindle/adapters/peer/telemetry.py
@@ -2,18 +2,13 @@
 
 from collections.abc import Sequence
 
-from grpc import aio
-
-from almondspindle.adapters.peer.base import method_path
 from almondspindle.adapters.peer.client import Channels
-from almondspindle.adapters.peer.codec import decode, encode
 from almondspindle.adapters.peer.telemetry_messages import PushTelemetry, to_wire
-from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.adapters.peer.unary import call_unary
 from almondspindle.decisions.windows import Tallies
 
 PUSH_TELEMETRY = "PushTelemetry"
 GET_TELEMETRY = "GetTelemetry"
-CALL_TIMEOUT_S = 2.0
 
 
 class PeerTallyLink:
@@ -31,16 +26,3 @@
             if answer.is_ok():
                 return True
         return False
-
-
-async def call_unary(
-    channels: Channels, address: str, method: str, msg: object
-) -> Result[object, str]:
-    """Return the answer of the peer at `address` to a unary method, or why there is none."""
-    call = channels.get(address).unary_unary(
-        method_path(method), request_serializer=encode, response_deserializer=decode
-    )
-    try:
-        return Ok(await call(msg, timeout=CALL_TIMEOUT_S))
-    except aio.AioRpcError as exc:
-        return Error(f"{exc.code().name}: {exc.details()}")
--- a/almondspindle/adapters/platform/models.py
+++ b/almondspindle/adapters/platform/models.py
@@ -10,13 +10,14 @@
     ConfigSet,
     Intent,
     Objectives,
+    Operator,
     Policy,
     Service,
     ServiceKind,
     TargetOverride,
     Team,
 )
-from almondspindle.core.identifiers import HostName, ServiceName, TargetName, TeamName, ZoneName
+from almondspindle.core.identifiers import HostName, OperatorName, ServiceName, TargetName, TeamName, ZoneName
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.core.roster import Host, HostState, Roster, Target, TargetState
 
@@ -91,6 +92,13 @@
     limit: Annotated[int, Field(ge=1)] | None = None
 
 
+class OperatorModel(StrictModel):
+    """An operator as stored."""
+
+    name: Name
+    token_sha256: Digest
+
+
 class ConfigModel(StrictModel):
     """The whole configuration, as one stored object."""
 
@@ -98,10 +106,11 @@
     services: list[ServiceModel] = []
     zones: list[ZoneModel] = []
     targets: list[TargetModel] = []
+    operators: list[OperatorModel] = []
 
     @model_validator(mode="after")
     def _names_are_unique(self) -> "ConfigModel":
-        for kind in ("teams", "services", "zones", "targets"):
+        for kind in ("teams", "services", "zones", "targets", "operators"):
             names = [entry.name for entry in getattr(self, kind)]
             twice = sorted({name for name in names if names.count(name) > 1})
             if twice:
@@ -155,6 +164,7 @@
         services={ServiceName(m.name): service_from_model(m) for m in model.services},
         zones={ZoneName(m.name): AvailabilityZone(**m.model_dump()) for m in model.zones},
         targets={TargetName(m.name): TargetOverride(**m.model_dump()) for m in model.targets},
+        operators={OperatorName(m.name): Operator(**m.model_dump()) for m in model.operators},
     )
 
 
@@ -206,6 +216,7 @@
             "services": list(config.services.values()),
             "zones": list(config.zones.values()),
             "targets": list(config.targets.values()),
+            "operators": list(config.operators.values()),
         },
         from_attributes=True,
     )
--- a/almondspindle/adapters/platform/stored_config.py
+++ b/almondspindle/adapters/platform/stored_config.py
@@ -7,6 +7,7 @@
 from almondspindle.adapters.platform.models import (
     ConfigModel,
     Name,
+    OperatorModel,
     ServiceModel,
     StrictModel,
     TargetModel,
@@ -17,7 +18,7 @@
     service_from_model,
 )
 from almondspindle.core.changes import ConfigDelta, HistoryEntry
-from almondspindle.core.config import AvailabilityZone, ConfigSet, TargetOverride, Team
+from almondspindle.core.config import AvailabilityZone, ConfigSet, Operator, TargetOverride, Team
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.core.stored import ChangeFeed, StoredConfig
 
@@ -36,6 +37,7 @@
     services: dict[Name, ServiceModel | None] = {}
     zones: dict[Name, ZoneModel | None] = {}
     targets: dict[Name, TargetModel | None] = {}
+    operators: dict[Name, OperatorModel | None] = {}
 
 
 class HistoryModel(StrictModel):
@@ -139,6 +141,7 @@
         "services": list(config.services.values()),
         "zones": list(config.zones.values()),
         "targets": list(config.targets.values()),
+        "operators": list(config.operators.values()),
     }
 
 
@@ -160,5 +163,6 @@
         "services": {k: m and service_from_model(m) for k, m in model.services.items()},
         "zones": {k: m and AvailabilityZone(**m.model_dump()) for k, m in model.zones.items()},
         "targets": {k: m and TargetOverride(**m.model_dump()) for k, m in model.targets.items()},
+        "operators": {k: m and Operator(**m.model_dump()) for k, m in model.operators.items()},
     }
     return ConfigDelta(model.base, model.version, **parts)
--- /dev/null
+++ b/almondspindle/commands/apply.py
@@ -0,0 +1,66 @@
+"""Apply a document of commands as one change, or show what it would do."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from almondspindle.commands.base import SHARED_OPTIONS, FleetCommand
+from almondspindle.core.changes import Change
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.language.document import parse_document
+from almondspindle.language.replies import DryRunShown, ExitCode, Problem, Reply
+from almondspindle.language.run import run
+from almondspindle.language.statements import Command as Statement
+from almondspindle.operations.fleet import OperatedFleet
+
+
+class ApplyCommand(FleetCommand):
+    """Apply a document: all of its lines are accepted together or none is."""
+
+    name = "apply"
+    description = "Apply a document of commands as one change."
+    arguments: ClassVar[list[Argument]] = [argument("file", "The document.")]
+    options: ClassVar[list[Option]] = [
+        *SHARED_OPTIONS,
+        option("dry-run", None, "Show the difference and change nothing."),
+        option("if-version", None, "Refuse unless this version is stored.", flag=False),
+        option("wait", None, "Wait until it is in force on every live host."),
+    ]
+
+    def handle(self) -> int:
+        """Apply the document and return the exit code."""
+        return self.act(self._apply)
+
+    async def _apply(self, fleet: OperatedFleet) -> Reply:
+        changes = self._changes()
+        if changes.is_error():
+            return changes.error
+        if self.option("dry-run"):
+            return await _dry_run(fleet, changes.ok)
+        version = self.option("if-version")
+        if version is not None and not str(version).isdigit():
+            return Problem(ExitCode.BAD_INPUT, f"--if-version {version!r} is not a whole number")
+        expected = int(version) if version is not None else None
+        return await run(Statement(changes.ok, expected, bool(self.option("wait"))), fleet)
+
+    def _changes(self) -> Result[tuple[Change, ...], Problem]:
+        path = Path(str(self.argument("file")))
+        try:
+            text = path.read_text()
+        except (OSError, UnicodeDecodeError) as exc:
+            return Error(Problem(ExitCode.BAD_INPUT, f"{path}: {exc}"))
+        parsed = parse_document(text)
+        if parsed.is_error():
+            where = f"{path}, line {parsed.error.line}"
+            return Error(Problem(ExitCode.BAD_INPUT, f"{where}:\n{parsed.error.text}"))
+        return Ok(parsed.ok)
+
+
+async def _dry_run(fleet: OperatedFleet, changes: tuple[Change, ...]) -> Reply:
+    outcome = await fleet.dry_run(changes)
+    if outcome.is_error():
+        return outcome.error
+    return DryRunShown(outcome.ok.version, outcome.ok.lines)
--- /dev/null
+++ b/almondspindle/commands/base.py
@@ -0,0 +1,62 @@
+"""What all commands share: options, the connection to a fleet, output and exit codes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from pydantic import ValidationError
+
+from almondspindle.adapters.platform.models import describe
+from almondspindle.conf.operator import OperatorCfg
+from almondspindle.language.replies import ExitCode, Problem, Reply
+from almondspindle.language.show import as_json, as_text, exit_code
+from almondspindle.operations.connect import connected
+from almondspindle.operations.fleet import OperatedFleet
+
+SHARED_OPTIONS: list[Option] = [
+    option("platform", None, "Base URL of the platform's service.", flag=False),
+    option("token", None, "Token of the operator.", flag=False),
+    option("output", "o", "Form of the output: text or json.", flag=False),
+    option("wait-bound-s", None, "Longest wait of `wait`, in seconds.", flag=False),
+]
+SHOW = {"text": as_text, "json": as_json}
+Action = Callable[[OperatedFleet], Awaitable[Reply]]
+
+
+class FleetCommand(Command):
+    """A command that acts on a fleet. Options go before environment variables."""
+
+    options: ClassVar[list[Option]] = SHARED_OPTIONS
+
+    def settings(self) -> OperatorCfg | None:
+        """Return the settings, or None after telling what is wrong with them."""
+        names = [item.name for item in SHARED_OPTIONS]
+        given = {name.replace("-", "_"): self.option(name) for name in names}
+        try:
+            return OperatorCfg(**{name: value for name, value in given.items() if value})
+        except ValidationError as exc:
+            self.line_error(f"settings: {describe(exc)}")
+            return None
+
+    def act(self, action: Action) -> int:
+        """Run `action` on the fleet, print its reply and return the exit code."""
+        cfg = self.settings()
+        if cfg is None:
+            return ExitCode.BAD_INPUT
+        return self.tell(asyncio.run(self._act(cfg, action)), cfg)
+
+    async def _act(self, cfg: OperatorCfg, action: Action) -> Reply:
+        async with connected(cfg) as fleet:
+            return await action(fleet)
+
+    def tell(self, reply: Reply, cfg: OperatorCfg) -> int:
+        """Print `reply` and return its exit code. Problems go to standard error."""
+        text = SHOW[cfg.output](reply)
+        if isinstance(reply, Problem):
+            self.io.write_error_line(text, verbosity=self.io.output.verbosity.QUIET)
+        else:
+            self.io.write_line(text)
+        return exit_code(reply)
--- /dev/null
+++ b/almondspindle/commands/export.py
@@ -0,0 +1,22 @@
+"""Print the stored configuration as a document that `apply` takes."""
+
+from almondspindle.commands.base import FleetCommand
+from almondspindle.language.document import export_document
+from almondspindle.language.replies import Exported, Reply
+from almondspindle.operations.fleet import OperatedFleet
+
+
+class ExportCommand(FleetCommand):
+    """Export the configuration."""
+
+    name = "export"
+    description = "Print the stored configuration as a document for `apply`."
+
+    def handle(self) -> int:
+        """Print the document and return the exit code."""
+        return self.act(_export)
+
+
+async def _export(fleet: OperatedFleet) -> Reply:
+    config = await fleet.config()
+    return Exported(export_document(config.ok)) if config.is_ok() else config.error
--- /dev/null
+++ b/almondspindle/commands/prompt.py
@@ -0,0 +1,68 @@
+"""An interactive prompt with history."""
+
+import asyncio
+import readline
+from pathlib import Path
+
+from almondspindle.commands.base import FleetCommand
+from almondspindle.conf.operator import OperatorCfg
+from almondspindle.language.replies import ExitCode
+from almondspindle.language.run import run_line
+from almondspindle.operations.connect import connected
+
+PROMPT = "almondspindle> "
+HISTORY_FILE = Path("~/.almondspindle_history")
+HISTORY_LINES = 1000
+LEAVE = frozenset({"exit", "quit"})
+
+
+class PromptCommand(FleetCommand):
+    """Read statements line by line and run each."""
+
+    name = "prompt"
+    description = "Read statements line by line; `exit` leaves."
+
+    def handle(self) -> int:
+        """Run the prompt and return the exit code of its last statement."""
+        cfg = self.settings()
+        if cfg is None:
+            return ExitCode.BAD_INPUT
+        history = HISTORY_FILE.expanduser()
+        _load_history(history)
+        try:
+            return asyncio.run(self._loop(cfg))
+        finally:
+            _save_history(history)
+
+    async def _loop(self, cfg: OperatorCfg) -> int:
+        code: int = ExitCode.DONE
+        async with connected(cfg) as fleet:
+            while True:
+                line = await asyncio.to_thread(_read_line)
+                if line is None or line in LEAVE:
+                    return code
+                if line:
+                    code = self.tell(await run_line(line, fleet), cfg)
+
+
+def _read_line() -> str | None:
+    try:
+        return input(PROMPT).strip()
+    except (EOFError, KeyboardInterrupt):
+        return None
+
+
+def _load_history(path: Path) -> None:
+    # A missing or unreadable history must not keep an operator from working.
+    try:
+        readline.read_history_file(path)
+    except OSError:
+        return
+
+
+def _save_history(path: Path) -> None:
+    readline.set_history_length(HISTORY_LINES)
+    try:
+        readline.write_history_file(path)
+    except OSError:
+        return
--- a/almondspindle/core/changes.py
+++ b/almondspindle/core/changes.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from almondspindle.core.config import AvailabilityZone, ConfigSet, Service, TargetOverride, Team
-from almondspindle.core.identifiers import ServiceName, TargetName, TeamName, ZoneName
+from almondspindle.core.config import AvailabilityZone, ConfigSet, Operator, Service, TargetOverride, Team
+from almondspindle.core.identifiers import OperatorName, ServiceName, TargetName, TeamName, ZoneName
 
 
 class Kind(StrEnum):
@@ -15,6 +15,7 @@
     SERVICE = "service"
     ZONE = "zone"
     TARGET = "target"
+    OPERATOR = "operator"
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,7 @@
     services: dict[ServiceName, Service | None] = field(default_factory=dict)
     zones: dict[ZoneName, AvailabilityZone | None] = field(default_factory=dict)
     targets: dict[TargetName, TargetOverride | None] = field(default_factory=dict)
+    operators: dict[OperatorName, Operator | None] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/core/config.py
+++ b/almondspindle/core/config.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from almondspindle.core.identifiers import ServiceName, TargetName, TeamName, ZoneName
+from almondspindle.core.identifiers import OperatorName, ServiceName, TargetName, TeamName, ZoneName
 
 
 class ServiceKind(StrEnum):
@@ -84,6 +84,14 @@
     limit: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """A person or program that may change the configuration, known by its token's digest."""
+
+    name: OperatorName
+    token_sha256: str
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigSet:
     """All configuration objects at one version. Version 0 means none has been read."""
@@ -93,6 +101,7 @@
     services: dict[ServiceName, Service] = field(default_factory=dict)
     zones: dict[ZoneName, AvailabilityZone] = field(default_factory=dict)
     targets: dict[TargetName, TargetOverride] = field(default_factory=dict)
+    operators: dict[OperatorName, Operator] = field(default_factory=dict)
 
     def zone_intent(self, zone: ZoneName) -> Intent:
         """Return the intent for `zone`; a zone without an object receives work."""
--- a/almondspindle/core/identifiers.py
+++ b/almondspindle/core/identifiers.py
@@ -6,6 +6,7 @@
 HostName = NewType("HostName", str)
 ZoneName = NewType("ZoneName", str)
 TeamName = NewType("TeamName", str)
+OperatorName = NewType("OperatorName", str)
 TargetName = NewType("TargetName", str)
 ServiceName = NewType("ServiceName", str)
 ChatId = NewType("ChatId", str)
--- a/almondspindle/decisions/configuration/apply.py
+++ b/almondspindle/decisions/configuration/apply.py
@@ -27,6 +27,7 @@
     ConfigSet,
     Intent,
     Objectives,
+    Operator,
     Policy,
     Service,
     TargetOverride,
@@ -39,12 +40,14 @@
     Kind.SERVICE: "services",
     Kind.ZONE: "zones",
     Kind.TARGET: "targets",
+    Kind.OPERATOR: "operators",
 }
 CLASSES: dict[Kind, type] = {
     Kind.TEAM: Team,
     Kind.SERVICE: Service,
     Kind.ZONE: AvailabilityZone,
     Kind.TARGET: TargetOverride,
+    Kind.OPERATOR: Operator,
 }
 NESTED: dict[str, Any] = {"policy": Policy, "objectives": Objectives}
 
--- a/almondspindle/language/document.py
+++ b/almondspindle/language/document.py
@@ -73,6 +73,7 @@
         (Kind.SERVICE, config.services),
         (Kind.TEAM, config.teams),
         (Kind.TARGET, config.targets),
+        (Kind.OPERATOR, config.operators),
     )
     for kind, objects in collections:
         for name in sorted(objects):
--- a/almondspindle/language/replies.py
+++ b/almondspindle/language/replies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from almondspindle.core.checks import Finding
 from almondspindle.language.select import Table
 
 
@@ -20,10 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LaggingHost:
-    """A live host that does not have a version in force; -1 when it did not answer."""
+    """A live host that does not have a version in force, and why."""
 
     host: str
-    version: int
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,37 @@
     lines: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class DryRunShown:
+    """What a document would do to the stored version; nothing was changed."""
+
+    version: int
+    lines: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Exported:
+    """The configuration as a document."""
+
+    document: str
+
+
+@dataclass(frozen=True, slots=True)
+class StatusShown:
+    """The stored version, the hosts and the availability zones."""
+
+    version: int
+    hosts: Listing
+    zones: Listing
+
+
+@dataclass(frozen=True, slots=True)
+class CheckShown:
+    """What the numbered checks found."""
+
+    findings: tuple[Finding, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Problem:
     """A statement that was not carried out, and what to do about it."""
@@ -92,4 +124,14 @@
     hint: str = ""
 
 
-Reply = ChangeAccepted | Listing | ChatExplained | KeyExplained | Problem
+Reply = (
+    ChangeAccepted
+    | Listing
+    | ChatExplained
+    | KeyExplained
+    | DryRunShown
+    | Exported
+    | StatusShown
+    | CheckShown
+    | Problem
+)
--- a/almondspindle/language/rows.py
+++ b/almondspindle/language/rows.py
@@ -75,7 +75,14 @@
     why: str
 
 
-Row = TeamRow | ServiceRow | ZoneRow | HostRow | TargetRow
+@dataclass(frozen=True, slots=True)
+class OperatorRow:
+    """An operator. Its token's digest is not shown."""
+
+    name: str
+
+
+Row = TeamRow | ServiceRow | ZoneRow | HostRow | TargetRow | OperatorRow
 
 ROW_OF: dict[Source, type] = {
     Source.TEAMS: TeamRow,
@@ -83,6 +90,7 @@
     Source.ZONES: ZoneRow,
     Source.HOSTS: HostRow,
     Source.TARGETS: TargetRow,
+    Source.OPERATORS: OperatorRow,
 }
 USUAL_FIELDS: dict[Source, tuple[str, ...]] = {
     Source.TEAMS: ("name", "weight", "requests_per_s", "services"),
@@ -90,6 +98,7 @@
     Source.ZONES: ("name", "region", "intent", "hosts", "targets"),
     Source.HOSTS: ("name", "zone", "state", "config_version"),
     Source.TARGETS: ("name", "service", "zone", "state", "owner", "in_flight", "limit", "why"),
+    Source.OPERATORS: ("name",),
 }
 
 
--- a/almondspindle/language/show.py
+++ b/almondspindle/language/show.py
@@ -5,16 +5,21 @@
 from collections.abc import Iterator, Sequence
 from functools import singledispatch
 
+from almondspindle.core.checks import Severity
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.language.replies import (
     ChangeAccepted,
     ChatExplained,
+    CheckShown,
+    DryRunShown,
     ExitCode,
+    Exported,
     KeyExplained,
     LaggingHost,
     Listing,
     Problem,
     Reply,
+    StatusShown,
 )
 from almondspindle.language.statements import Value
 
@@ -59,6 +64,32 @@
     return "\n".join([*lines, *(f"  {line}" for line in reply.lines)])
 
 
+@as_text.register
+def _(reply: DryRunShown) -> str:
+    head = f"against configuration version {reply.version}; nothing was changed"
+    return "\n".join([head, *(reply.lines or ("no difference",))])
+
+
+@as_text.register
+def _(reply: Exported) -> str:
+    return reply.document.rstrip("\n")
+
+
+@as_text.register
+def _(reply: StatusShown) -> str:
+    head = f"configuration version {reply.version}"
+    return "\n\n".join([head, as_text(reply.hosts), as_text(reply.zones)])
+
+
+@as_text.register
+def _(reply: CheckShown) -> str:
+    if not reply.findings:
+        return "no findings"
+    return "\n".join(
+        f"{item.number} {item.severity}: {item.message}\n  {item.hint}" for item in reply.findings
+    )
+
+
 @as_text.register
 def _(reply: Problem) -> str:
     return f"{reply.message}\n{reply.hint}" if reply.hint else reply.message
@@ -80,14 +111,19 @@
     return reply.exit_code
 
 
+@exit_code.register
+def _(reply: CheckShown) -> ExitCode:
+    errors = any(item.severity is Severity.ERROR for item in reply.findings)
+    return ExitCode.FAILED if errors else ExitCode.DONE
+
+
 @exit_code.register
 def _(reply: ChangeAccepted) -> ExitCode:
     return ExitCode.LAGGING if reply.lagging else ExitCode.DONE
 
 
 def _lagging_line(item: LaggingHost) -> str:
-    what = "did not answer" if item.version < 0 else f"still has version {item.version}"
-    return f"not yet in force on {item.host}: it {what}"
+    return f"not yet in force on {item.host}: {item.reason}"
 
 
 def _table_lines(fields: Sequence[str], rows: Sequence[Sequence[Value]]) -> Iterator[str]:
--- a/almondspindle/language/statements.py
+++ b/almondspindle/language/statements.py
@@ -16,6 +16,7 @@
     ZONES = "zones"
     HOSTS = "hosts"
     TARGETS = "targets"
+    OPERATORS = "operators"
 
 
 class Comparison(StrEnum):
--- /dev/null
+++ b/almondspindle/operations/connect.py
@@ -0,0 +1,27 @@
+"""Connect to a fleet from the command line."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from almondspindle.adapters.peer.client import Channels
+from almondspindle.adapters.peer.config_link import PeerConfigLink
+from almondspindle.adapters.peer.operator_link import PeerOperatorLink
+from almondspindle.adapters.platform.http import HttpPlatform
+from almondspindle.conf.operator import OperatorCfg
+from almondspindle.controllers.configuration.operators import ConfigOperator
+from almondspindle.core.clock import SystemClock
+from almondspindle.operations.fleet import OperatedFleet
+
+
+@asynccontextmanager
+async def connected(cfg: OperatorCfg) -> AsyncIterator[OperatedFleet]:
+    """Yield the fleet that `cfg` names, and close all connections at the end."""
+    clock = SystemClock()
+    platform = HttpPlatform(cfg.platform)
+    channels = Channels()
+    link = PeerConfigLink()
+    operator = ConfigOperator(platform, link, clock)
+    try:
+        yield OperatedFleet(cfg, platform, PeerOperatorLink(channels, link), operator, clock)
+    finally:
+        await channels.close()
--- /dev/null
+++ b/almondspindle/operations/fleet.py
@@ -0,0 +1,224 @@
+"""The fleet as the operators' language sees it, from outside of all hosts."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from almondspindle.adapters.peer.operator_messages import (
+    AdmissionRequest,
+    AdmissionTold,
+    CandidatesRequest,
+    CandidatesTold,
+    CandidateTold,
+    TargetReports,
+)
+from almondspindle.adapters.platform.base import Platform
+from almondspindle.conf.operator import OperatorCfg
+from almondspindle.controllers.configuration.operators import ConfigOperator, DryRun
+from almondspindle.core.changes import Change
+from almondspindle.core.clock import Clock
+from almondspindle.core.config import ConfigSet
+from almondspindle.core.identifiers import ChatId, HostName, ServiceName
+from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.roster import Host, Roster
+from almondspindle.core.spread import HostStatus
+from almondspindle.core.target_states import TargetReport
+from almondspindle.language.replies import (
+    CandidateFate,
+    ChangeAccepted,
+    ChatExplained,
+    ExitCode,
+    KeyExplained,
+    LaggingHost,
+    Problem,
+)
+from almondspindle.language.rows import Row
+from almondspindle.language.statements import Source
+from almondspindle.operations.identity import identify
+from almondspindle.operations.listing import ROWS, FleetPicture
+from almondspindle.operations.problems import problem_of
+
+ASKED_AT_ONCE = 64  # hosts
+PLATFORM_HINT = "check --platform; see docs/howto/store-is-down.md"
+
+
+class HostLink(Protocol):
+    """The way to routers. An error says why there was no answer."""
+
+    async def status(self, address: str) -> HostStatus | None:
+        """Return the versions in force on a host and its entries."""
+        ...
+
+    async def target_reports(self, address: str) -> Result[TargetReports, str]:
+        """Return what a router knows of the targets that it owns."""
+        ...
+
+    async def candidates(
+        self, address: str, req: CandidatesRequest
+    ) -> Result[CandidatesTold, str]:
+        """Return the candidates of a chat, by one router's view."""
+        ...
+
+    async def admission(self, address: str, req: AdmissionRequest) -> Result[AdmissionTold, str]:
+        """Return whether an owner would admit a chat."""
+        ...
+
+    async def explain_key(
+        self, addresses: list[str], key: str, service: str, team: str
+    ) -> Result[KeyExplained, str]:
+        """Return what the claim record says of a key."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class OperatedFleet:
+    """Carry out statements on the platform's store and the listed hosts."""
+
+    cfg: OperatorCfg
+    platform: Platform
+    link: HostLink
+    operator: ConfigOperator
+    clock: Clock
+
+    async def submit(
+        self, changes: tuple[Change, ...], if_version: int | None
+    ) -> Result[ChangeAccepted, Problem]:
+        """Have `changes` accepted together, or say why not."""
+        who = await self._who()
+        if who.is_error():
+            return Error(who.error)
+        written = await self.operator.submit(changes, who.ok, if_version)
+        if written.is_error():
+            return Error(problem_of(written.error))
+        return Ok(ChangeAccepted(written.ok.version, written.ok.changed))
+
+    async def dry_run(self, changes: tuple[Change, ...]) -> Result[DryRun, Problem]:
+        """Return what `changes` would do, and write nothing."""
+        return (await self.operator.dry_run(changes)).map_error(problem_of)
+
+    async def config(self) -> Result[ConfigSet, Problem]:
+        """Return the stored configuration."""
+        stored = await self.operator.read()
+        return stored.map(lambda found: found.config).map_error(problem_of)
+
+    async def picture(self) -> Result[FleetPicture, Problem]:
+        """Return the configuration, the host list and what hosts have in force."""
+        read = await self._read()
+        if read.is_error():
+            return Error(read.error)
+        picture, _ = await self._picture(Source.HOSTS, *read.ok)
+        return Ok(picture)
+
+    async def wait_in_force(self, version: int) -> tuple[LaggingHost, ...]:
+        """Wait until `version` is in force on every live host; return those that were late."""
+        rollout = await self.operator.wait(version, self.cfg.wait_bound_s)
+        if rollout.is_error():
+            return (LaggingHost("(all)", rollout.error.message),)
+        return tuple(LaggingHost(lag.host.name, lag.reason) for lag in rollout.ok.lagging)
+
+    async def rows(self, source: Source) -> Result[tuple[list[Row], tuple[str, ...]], Problem]:
+        """Return the rows of `source`, and notes on what could not be asked."""
+        read = await self._read()
+        if read.is_error():
+            return Error(read.error)
+        config, roster = read.ok
+        picture, notes = await self._picture(source, config, roster)
+        return Ok((ROWS[source](picture), notes))
+
+    async def explain_chat(self, chat_id: str, service: str) -> Result[ChatExplained, Problem]:
+        """Return where a chat goes now."""
+        roster = await self._roster()
+        if roster.is_error():
+            return Error(roster.error)
+        req = CandidatesRequest(ServiceName(service), ChatId(chat_id))
+        told = await self._first_answer(roster.ok.hosts.values(), req)
+        if told.is_error():
+            return Error(told.error)
+        if not told.ok.candidates:
+            return Error(Problem(ExitCode.FAILED, told.ok.why))
+        fates = await asyncio.gather(*(self._fate(item, req) for item in told.ok.candidates))
+        return Ok(ChatExplained(chat_id, service, told.ok.config_version, tuple(fates)))
+
+    async def explain_key(
+        self, key: str, service: str, team: str
+    ) -> Result[KeyExplained, Problem]:
+        """Return what the claim record says of a key."""
+        roster = await self._roster()
+        if roster.is_error():
+            return Error(roster.error)
+        addresses = [host.address for host in roster.ok.hosts.values()]
+        explained = await self.link.explain_key(addresses, key, service, team)
+        return explained.map_error(lambda text: Problem(ExitCode.UNAVAILABLE, text))
+
+    async def _who(self) -> Result[str, Problem]:
+        stored = await self.operator.read()
+        if stored.is_error():
+            return Error(problem_of(stored.error))
+        token = self.cfg.token.get_secret_value() if self.cfg.token else None
+        return identify(stored.ok.config, token)
+
+    async def _read(self) -> Result[tuple[ConfigSet, Roster], Problem]:
+        stored = await self.operator.read()
+        if stored.is_error():
+            return Error(problem_of(stored.error))
+        roster = await self._roster()
+        return roster.map(lambda found: (stored.ok.config, found))
+
+    async def _roster(self) -> Result[Roster, Problem]:
+        found = await self.platform.roster()
+        return found.map_error(
+            lambda error: Problem(
+                ExitCode.UNAVAILABLE, f"the host list: {error.message}", PLATFORM_HINT
+            )
+        )
+
+    async def _picture(
+        self, source: Source, config: ConfigSet, roster: Roster
+    ) -> tuple[FleetPicture, tuple[str, ...]]:
+        hosts = list(roster.hosts.values())
+        if source is Source.HOSTS:
+            statuses = dict(await self._ask_all(hosts, self._status))
+            notes = tuple(f"no answer from {n}" for n, found in statuses.items() if found is None)
+            return FleetPicture(config, roster, statuses=statuses), notes
+        if source is Source.TARGETS:
+            answers = await self._ask_all(hosts, self._target_reports)
+            reports: dict[Any, TargetReport] = {}
+            for _, found in answers:
+                reports |= {report.target: report for report in found or ()}
+            notes = tuple(f"no answer from {name}" for name, found in answers if found is None)
+            return FleetPicture(config, roster, reports=reports), notes
+        return FleetPicture(config, roster), ()
+
+    async def _ask_all(self, hosts: Iterable[Host], ask: Any) -> list[tuple[HostName, Any]]:
+        gate = asyncio.Semaphore(ASKED_AT_ONCE)
+
+        async def one(host: Host) -> tuple[HostName, Any]:
+            async with gate:
+                return host.name, await ask(host)
+
+        return list(await asyncio.gather(*(one(host) for host in hosts)))
+
+    async def _status(self, host: Host) -> HostStatus | None:
+        return await self.link.status(host.address)
+
+    async def _target_reports(self, host: Host) -> tuple[TargetReport, ...] | None:
+        found = await self.link.target_reports(host.address)
+        return found.ok.reports if found.is_ok() else None
+
+    async def _first_answer(
+        self, hosts: Iterable[Host], req: CandidatesRequest
+    ) -> Result[CandidatesTold, Problem]:
+        problem = Problem(ExitCode.UNAVAILABLE, "the platform lists no host")
+        for host in hosts:
+            told = await self.link.candidates(host.address, req)
+            if told.is_ok():
+                return Ok(told.ok)
+            problem = Problem(ExitCode.UNAVAILABLE, f"{host.name}: {told.error}")
+        return Error(problem)
+
+    async def _fate(self, item: CandidateTold, req: CandidatesRequest) -> CandidateFate:
+        ask = AdmissionRequest(item.target, req.service, req.chat_id)
+        told = await self.link.admission(item.owner_address, ask)
+        why = told.ok.why if told.is_ok() else f"its owner did not answer: {told.error}"
+        return CandidateFate(item.target, item.zone, item.owner, why)
--- /dev/null
+++ b/almondspindle/operations/listing.py
@@ -0,0 +1,132 @@
+"""Make the rows of each source from the configuration, the host list and what owners tell."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+from almondspindle.core.config import ConfigSet, Policy, Service
+from almondspindle.core.identifiers import HostName, TargetName
+from almondspindle.core.roster import Roster, Target
+from almondspindle.core.spread import HostStatus
+from almondspindle.core.target_states import TargetReport
+from almondspindle.decisions.ownership import owner_of
+from almondspindle.language.rows import (
+    UNKNOWN,
+    HostRow,
+    OperatorRow,
+    Row,
+    ServiceRow,
+    TargetRow,
+    TeamRow,
+    ZoneRow,
+)
+from almondspindle.language.statements import Source
+
+NOT_KNOWN = -1
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPicture:
+    """What was read and asked for one query."""
+
+    config: ConfigSet
+    roster: Roster
+    statuses: Mapping[HostName, HostStatus | None] = field(default_factory=dict)
+    reports: Mapping[TargetName, TargetReport] = field(default_factory=dict)
+
+
+def team_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each team."""
+    return [
+        TeamRow(team.name, team.weight, team.requests_per_s, team.services)
+        for team in picture.config.teams.values()
+    ]
+
+
+def service_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each service."""
+    counts = Counter(target.service for target in picture.roster.targets.values())
+    services = picture.config.services.values()
+    return [_service_row(service, counts[service.name]) for service in services]
+
+
+def _service_row(service: Service, targets: int) -> Row:
+    policy: Policy = service.policy
+    return ServiceRow(
+        name=service.name,
+        kind=service.kind.value,
+        targets=targets,
+        load_multiple=policy.load_multiple,
+        load_floor=policy.load_floor,
+        target_limit=policy.target_limit,
+        cold_limit=policy.cold_limit,
+        slow_start_s=policy.slow_start_s,
+        retry_budget=policy.retry_budget,
+        key_retention_s=policy.key_retention_s,
+    )
+
+
+def zone_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each availability zone, also for those that only the host list names."""
+    hosts = Counter(host.zone for host in picture.roster.hosts.values())
+    targets = Counter(target.zone for target in picture.roster.targets.values())
+    names = sorted({*picture.config.zones, *hosts, *targets})
+    rows: list[Row] = []
+    for name in names:
+        zone = picture.config.zones.get(name)
+        region = zone.region if zone else UNKNOWN
+        intent = picture.config.zone_intent(name).value
+        rows.append(ZoneRow(name, region, intent, hosts[name], targets[name]))
+    return rows
+
+
+def host_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each listed host."""
+    rows: list[Row] = []
+    for host in picture.roster.hosts.values():
+        status = picture.statuses.get(host.name)
+        version = status.everywhere if status else NOT_KNOWN
+        rows.append(HostRow(host.name, host.zone, host.address, host.state.value, version))
+    return rows
+
+
+def target_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each listed target."""
+    row = partial(target_row, picture)
+    return [row(target) for target in picture.roster.targets.values()]
+
+
+def target_row(picture: FleetPicture, target: Target) -> TargetRow:
+    """Return the row of `target`."""
+    report = picture.reports.get(target.name)
+    owner = owner_of(target, picture.roster.hosts.values())
+    intent = picture.config.target_intent(target.name).value
+    return TargetRow(
+        name=target.name,
+        service=target.service,
+        zone=target.zone,
+        address=target.address,
+        state=target.state.value,
+        intent=intent,
+        owner=report.owner if report else (owner.name if owner else UNKNOWN),
+        in_flight=report.in_flight if report else NOT_KNOWN,
+        limit=report.limit if report else NOT_KNOWN,
+        slow_start=report.slow_start if report else UNKNOWN,
+        why=report.why if report else "its owner did not answer",
+    )
+
+
+def operator_rows(picture: FleetPicture) -> list[Row]:
+    """Return a row for each operator."""
+    return [OperatorRow(name) for name in picture.config.operators]
+
+
+ROWS = {
+    Source.TEAMS: team_rows,
+    Source.SERVICES: service_rows,
+    Source.ZONES: zone_rows,
+    Source.HOSTS: host_rows,
+    Source.TARGETS: target_rows,
+    Source.OPERATORS: operator_rows,
+}
--- a/almondspindle/programs/cli.py
+++ b/almondspindle/programs/cli.py
@@ -5,13 +5,30 @@
 from cleo.application import Application
 
 from almondspindle import __version__
+from almondspindle.commands.apply import ApplyCommand
+from almondspindle.commands.check import CheckCommand
+from almondspindle.commands.execute import ExecCommand
+from almondspindle.commands.explain import ExplainCommand
+from almondspindle.commands.export import ExportCommand
+from almondspindle.commands.prompt import PromptCommand
 from almondspindle.commands.status import StatusCommand
 
+COMMANDS = (
+    ApplyCommand,
+    CheckCommand,
+    ExecCommand,
+    ExplainCommand,
+    ExportCommand,
+    PromptCommand,
+    StatusCommand,
+)
+
 
 def make_application() -> Application:
     """Return the application with all its commands."""
     app = Application("almondspindle", __version__)
-    app.add(StatusCommand())
+    for command in COMMANDS:
+        app.add(command())
     return app
 
 
