Admit beyond the slice where no other target takes the chat

Cause: after all zones of a service came back, every owner refused STARTING for seconds: each target was cold and the other owners' digests still told of warm ones, so the slices held although there was nowhere to send the chats. A full warm target beside a cold one had the same effect. Ruled out: waiting for fresh digests (seconds to 46 s by extrapolation); dropping the slices when any target is cold (loses the cache for every restart). Change: a round of refusals with STARTING among them makes the entry say so to owners; they then apply the limits of a cold target and not its slice. The limits hold as before.

--- a/almondspindle/adapters/peer/messages.py
+++ b/almondspindle/adapters/peer/messages.py
@@ -29,6 +29,7 @@
     idempotency_key: str | None = None
     claim_nonce: str | None = None
     resume_after: int | None = None
+    no_other: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,7 @@
         idempotency_key=call.idempotency_key,
         claim_nonce=call.claim_nonce,
         resume_after=call.resume_after,
+        no_other=call.no_other,
     )
 
 
@@ -76,4 +78,5 @@
         claim_nonce=req.claim_nonce,
         target=req.target,
         resume_after=req.resume_after,
+        no_other=req.no_other,
     )
--- a/almondspindle/chain/admit.py
+++ b/almondspindle/chain/admit.py
@@ -20,7 +20,7 @@
     async def apply(self, call: Call, now: float) -> Outcome[Call]:
         """Return the call with its ticket, or a refusal when the target has no room."""
         assert call.target and call.service and call.team and call.work
-        ask = Admit(call.target, call.service, call.team, call.work, call.chat_id)
+        ask = Admit(call.target, call.service, call.team, call.work, call.chat_id, call.no_other)
         asked = asyncio.ensure_future(self._admission.ask(ask))
         try:
             ticket = await asyncio.shield(asked)
--- a/almondspindle/chain/relay.py
+++ b/almondspindle/chain/relay.py
@@ -72,6 +72,7 @@
         tries = _Tries()
         rounds = 0
         while tries.final is None:
+            call = call.with_(no_other=RefusalCode.STARTING in tries.codes)
             tries.codes.clear()
             await self._round(call, sink, tries)
             rounds += 1
--- a/almondspindle/controllers/admission/messages.py
+++ b/almondspindle/controllers/admission/messages.py
@@ -30,13 +30,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit(Question[Outcome[int]]):
-    """Ask for a ticket for one request in flight at `target`."""
+    """Ask for a ticket for one request in flight at `target`.
+
+    `no_other` tells that no target of the service has taken the request so far.
+    """
 
     target: TargetName
     service: ServiceName
     team: TeamName
     work: WorkKind
     chat_id: ChatId | None
+    no_other: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/admission/task.py
+++ b/almondspindle/controllers/admission/task.py
@@ -212,7 +212,7 @@
         policy = self._policy(record.owned.target.service)
         load = self._target_load(record, policy, now)
         bound = target_bound(policy, load, now)
-        code = refusal_of(policy, load, msg.chat_id, now)
+        code = refusal_of(policy, load, msg.chat_id, now, msg.no_other)
         if code is not None:
             if load.trust is not Trust.SETTLED or start_limit_binds(policy, load, now):
                 self._poll(msg.target)
--- a/almondspindle/core/calls.py
+++ b/almondspindle/core/calls.py
@@ -42,7 +42,8 @@
     """A caller's request. Each filter returns a copy with what it has found out.
 
     `deadline_at` is in seconds on this process's monotonic clock. `resume_after` is the number of
-    the last event that the caller has, when the call resumes a stream.
+    the last event that the caller has, when the call resumes a stream. `no_other` tells the owner
+    of a target that no candidate took the call, some of them because they are starting.
     """
 
     request_id: RequestId
@@ -64,6 +65,7 @@
     target_address: str = ""
     ticket: int | None = None
     resume_after: int | None = None
+    no_other: bool = False
 
     def header(self, name: str) -> str | None:
         """Return the first header called `name`, compared without case, or None."""
--- a/almondspindle/decisions/admission.py
+++ b/almondspindle/decisions/admission.py
@@ -159,18 +159,22 @@
 
 
 def refusal_of(
-    policy: Policy, load: TargetLoad, chat_id: ChatId | None, now: float
+    policy: Policy,
+    load: TargetLoad,
+    chat_id: ChatId | None,
+    now: float,
+    no_other: bool = False,
 ) -> RefusalCode | None:
     """Return why one more request does not fit the target, or None when it does.
 
-    While no target of the service is warm there is nowhere to send the chats outside the slice;
-    then only the limits bind.
+    A slice keeps chats on the warm targets that hold their cache. While no target of the service
+    is warm, or none takes the chat (`no_other`), only the limits bind.
     """
     starting = load.trust is not Trust.SETTLED or start_limit_binds(policy, load, now)
     if load.in_flight + load.foreign >= target_bound(policy, load, now):
         return RefusalCode.STARTING if starting else RefusalCode.FULL
     cold_at = load.health.cold_at
-    if cold_at is None or chat_id is None or not load.service.warm:
+    if no_other or cold_at is None or chat_id is None or not load.service.warm:
         return None
     if not is_cold(load.health, policy, load.limit, now):
         return None
--- a/tests/chain/test_relay.py
+++ b/tests/chain/test_relay.py
@@ -56,9 +56,11 @@
     def __init__(self, results):
         self.results = results
         self.tried: list[str] = []
+        self.told_no_other: list[bool] = []
 
     async def relay(self, call, candidate, sink):
         self.tried.append(candidate.target)
+        self.told_no_other.append(call.no_other)
         return self.results[min(len(self.tried), len(self.results)) - 1]
 
 
@@ -81,6 +83,12 @@
     return owners, finished
 
 
+@pytest.mark.parametrize("second", [STARTING, FULL])
+def test_owners_learn_in_the_next_round_that_no_other_target_takes_the_chat(second):
+    owners, _ = asyncio.run(relay([STARTING, second, STARTING, DONE], make_call(CHAT)))
+    assert owners.told_no_other == [False, False, False, True]
+
+
 @pytest.mark.parametrize("case", CASES, ids=str)
 def test_tries(case):
     work, results, attempts, code, state = case
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -70,6 +70,18 @@
     assert {refusal_of(POLICY, alone, chat, NOW) for chat in chats} == {None}
 
 
+def test_a_chat_that_no_warm_target_takes_is_bound_by_the_limits_only():
+    """While digests still tell of warm targets that have just turned cold, nothing else helps."""
+    cold = replace(LOAD, health=COLD)
+    chats = [f"chat-{n}" for n in range(50)]
+    assert RefusalCode.STARTING in {refusal_of(POLICY, cold, chat, NOW) for chat in chats}
+    assert {refusal_of(POLICY, cold, chat, NOW, no_other=True) for chat in chats} == {None}
+    full = replace(cold, in_flight=target_bound(POLICY, cold, NOW))
+    assert {refusal_of(POLICY, full, chat, NOW, no_other=True) for chat in chats} == {
+        RefusalCode.STARTING
+    }
+
+
 @pytest.mark.parametrize(
     ("health", "previous", "now", "trust"),
     [
