--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -34,7 +34,17 @@
 from almondspindle.core.identifiers import ChatId, RequestId, ServiceName, new_request_id
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ANSWERS, FIRST_BYTE, REFUSALS, REQUESTS, MetricSender
-from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
+from almondspindle.core.outcomes import (
+    Error,
+    InvariantError,
+    Ok,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    refused,
+)
+from almondspindle.decisions.answers import EVENT_STREAM
+from almondspindle.decisions.keys import without_claim
 from almondspindle.utils.in_flight import InFlight
 
 BEARER = "bearer "
@@ -67,9 +77,17 @@
         self._task: asyncio.Task[Finished] | None = None
         self._request_id = RequestId(new_request_id())
         self._received_at = front.clock.monotonic()
+        self._counted = False
+        self._serving = False
+        self._whole = False
+        self._body_bytes = 0
 
     def prepare(self) -> None:
-        """Refuse a body whose announced length is over the bound, before it is read."""
+        """Count the request; refuse a body whose announced length is over the bound."""
+        self._counted = True
+        self._front.in_flight.enter()
+        # Tokens are small; Nagle's algorithm would hold each back for the last one's receipt.
+        self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         announced = self.request.headers.get("Content-Length", "0")
         if announced.isdigit() and int(announced) > self._front.cfg.max_body_bytes:
             self._early = self._too_large()
@@ -84,28 +102,35 @@
             self._early = self._too_large()
 
     def on_connection_close(self) -> None:
-        """Cancel the work for a caller that has gone."""
-        if self._task is not None:
+        """Cancel the work for a caller that has gone before its answer was whole."""
+        if self._task is not None and not self._whole:
             self._task.cancel()
+        if not self._serving:
+            self._leave()
+
+    def _leave(self) -> None:
+        if self._counted:
+            self._counted = False
+            self._front.in_flight.leave()
 
     async def _serve(self, **parts: str) -> None:
         front = self._front
-        front.in_flight.enter()
+        self._serving = True
         front.metrics.count(REQUESTS)
         try:
             await self._answer(parts)
         except (CallerGone, asyncio.CancelledError, StreamClosedError):
             emit(CALLER_GONE, request_id=self._request_id)
         finally:
-            front.in_flight.leave()
+            self._leave()
+            if front.stopping:
+                self._close_connection()
 
     async def _answer(self, parts: dict[str, str]) -> None:
-        if self._early is not None:
-            self._refuse(self._early)
-            return
-        made = self.make_call(parts)
+        made = self.make_call(parts) if self._early is None else Error(self._early)
         if made.is_error():
-            self._refuse(made.error)
+            bare = self._bare_call(self._received_at)
+            await self._refuse(without_claim(bare, made.error))
             return
         self._task = asyncio.ensure_future(self._front.chain.run(made.ok, HandlerSink(self)))
         finished = await self._task
@@ -114,7 +139,7 @@
         elif finished.started:
             await self._break_off(finished.refusal)
         else:
-            self._refuse(finished.refusal)
+            await self._refuse(finished.refusal)
 
     def make_call(self, parts: dict[str, str]) -> Outcome[Call]:
         """Return the call in this request, or a refusal. Subclasses say how."""
@@ -128,16 +153,17 @@
                 RefusalCode.MALFORMED_REQUEST,
                 f"{DEADLINE_HEADER} must be a whole number of milliseconds above 0",
             )
-        return Ok(
-            Call(
-                request_id=self._request_id,
-                deadline_at=self._received_at + deadline_s,
-                method=self.request.method or "",
-                path=self.request.path,
-                headers=tuple(self.request.headers.get_all()),
-                body=bytes(self._body),
-                bearer_token=self._token(),
-            )
+        return Ok(self._bare_call(self._received_at + deadline_s))
+
+    def _bare_call(self, deadline_at: float) -> Call:
+        return Call(
+            request_id=self._request_id,
+            deadline_at=deadline_at,
+            method=self.request.method or "",
+            path=self.request.path,
+            headers=tuple(self.request.headers.get_all()),
+            body=bytes(self._body),
+            bearer_token=self._token(),
         )
 
     def _deadline_s(self) -> float | None:
@@ -169,12 +195,26 @@
                 self.add_header(name, value)
         self.set_header(TARGET_HEADER, head.target)
         self.set_header(REQUEST_ID_HEADER, self._request_id)
+        self._announce_close()
+
+    def is_event_stream(self) -> bool:
+        """Return whether the answer is a stream, whose head goes out with its first piece."""
+        return self._headers.get("Content-Type", "").startswith(EVENT_STREAM)
+
+    def _announce_close(self) -> None:
+        """Tell the caller that the connection takes no further request during a planned stop."""
+        if self._front.stopping:
+            self.set_header("Connection", "close")
+
+    def _close_connection(self) -> None:
+        """Close the connection. What was written to it still reaches the caller."""
+        self.request.connection.stream.close()  # type: ignore[union-attr]
 
     def _done(self, call: Call) -> None:
         self._front.metrics.count(ANSWERS)
         emit(REQUEST_DONE, request_id=call.request_id, service=call.service)
 
-    def _refuse(self, refusal: Refusal) -> None:
+    async def _refuse(self, refusal: Refusal) -> None:
         self._log_refusal(refusal)
         self.set_status(STATUS_OF[refusal.code])
         self.set_header("Content-Type", "application/json")
@@ -183,17 +223,28 @@
             self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
         if refusal.code is RefusalCode.BODY_TOO_LARGE:
             self.set_header("Connection", "close")
-        self.finish(refusal_body(refusal))
+        self._announce_close()
+        await self.finish(refusal_body(refusal))
+
+    def write_body(self, data: bytes) -> None:
+        """Write a piece of the body; with a Content-Length its last byte makes it whole."""
+        self._body_bytes += len(data)
+        self._whole = self._headers.get("Content-Length") == str(self._body_bytes)
+        self.write(data)
+
+    async def end_answer(self) -> None:
+        """Write the end of a whole answer. A caller may close its connection from here on."""
+        self._whole = True
+        await self.finish()
 
     async def _break_off(self, refusal: Refusal) -> None:
         """End a started answer so that the caller cannot take it for a whole one."""
         self._log_refusal(refusal)
-        stream = self.request.connection.stream  # type: ignore[union-attr]
-        if self._headers.get("Content-Type", "").startswith("text/event-stream"):
+        if self.is_event_stream():
             self.write(b"event: error\ndata: " + refusal_body(refusal) + b"\n\n")
         await self.flush()
         # The last chunk is never written, so HTTP marks the answer as cut short.
-        stream.close()
+        self._close_connection()
 
     def _log_refusal(self, refusal: Refusal) -> None:
         self._front.metrics.count(REFUSALS)
@@ -231,16 +282,17 @@
     @_write.register
     async def _(self, part: AnswerHead) -> None:
         self._handler.start_answer(part)
-        await self._handler.flush()
+        if not self._handler.is_event_stream():
+            await self._handler.flush()
 
     @_write.register
     async def _(self, part: AnswerChunk) -> None:
-        self._handler.write(part.data)
+        self._handler.write_body(part.data)
         await self._handler.flush()
 
     @_write.register
     async def _(self, part: AnswerEnd) -> None:
-        await self._handler.finish()
+        await self._handler.end_answer()
 
 
 class ChatHandler(CallHandler):
--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,16 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.operator_messages import (
+    AdmissionRequest,
+    AdmissionTold,
+    CandidatesRequest,
+    CandidatesTold,
+    TargetReports,
+    TargetReportsRequest,
+)
+from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
+from almondspindle.adapters.peer.probe_messages import Probe, ProbeAck, ProbeFor, ProbeForResult
 from almondspindle.adapters.peer.telemetry_messages import (
     Accepted,
     GetTelemetry,
@@ -17,9 +27,11 @@
 )
 from almondspindle.core.calls import AnswerChunk, AnswerEnd, AnswerHead
 from almondspindle.core.changes import ConfigDelta
+from almondspindle.core.claims import Claim, ClaimReply, Look, Settle
 from almondspindle.core.config import ConfigSet
+from almondspindle.core.handover import ReleaseAnswer, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal
-from almondspindle.core.roster import Roster
+from almondspindle.core.roster import Roster, RosterDelta
 from almondspindle.core.spread import (
     ConfigAck,
     ConfigPush,
@@ -39,6 +51,15 @@
     6: SubscribeRequest,
     7: ConfigSet,
     8: Roster,
+    10: Probe,
+    11: ProbeAck,
+    12: ProbeFor,
+    13: ProbeForResult,
+    14: RosterDelta,
+    20: Claim,
+    21: Settle,
+    22: Look,
+    23: ClaimReply,
     30: GetConfigRequest,
     31: ConfigDelta,
     32: ConfigUpToDate,
@@ -47,10 +68,22 @@
     35: StatusRequest,
     36: HostStatus,
     37: ConfigAck,
+    40: ReleaseRequest,
+    41: ReleaseAnswer,
+    70: TargetReportsRequest,
+    71: TargetReports,
+    72: CandidatesRequest,
+    73: CandidatesTold,
+    74: AdmissionRequest,
+    75: AdmissionTold,
     60: PushTelemetry,
     61: Accepted,
     62: GetTelemetry,
     63: HostTelemetry,
+    50: RelayedHead,
+    51: RelayedChunk,
+    52: RelayedEnd,
+    53: Heartbeat,
 }
 
 _NUMBERS = {cls: number for number, cls in WIRE_TYPES.items()}
--- a/almondspindle/adapters/peer/messages.py
+++ b/almondspindle/adapters/peer/messages.py
@@ -28,6 +28,8 @@
     chat_id: ChatId | None = None
     idempotency_key: str | None = None
     claim_nonce: str | None = None
+    resume_after: int | None = None
+    no_other: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +56,8 @@
         chat_id=call.chat_id,
         idempotency_key=call.idempotency_key,
         claim_nonce=call.claim_nonce,
+        resume_after=call.resume_after,
+        no_other=call.no_other,
     )
 
 
@@ -73,4 +77,6 @@
         idempotency_key=req.idempotency_key,
         claim_nonce=req.claim_nonce,
         target=req.target,
+        resume_after=req.resume_after,
+        no_other=req.no_other,
     )
--- a/almondspindle/adapters/peer/operator_link.py
+++ b/almondspindle/adapters/peer/operator_link.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from almondspindle.adapters.peer.claims import CLAIM_METHOD
 from almondspindle.adapters.peer.client import Channels
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.operator_messages import (
@@ -18,6 +19,7 @@
     GET_TARGET_REPORTS,
 )
 from almondspindle.adapters.peer.unary import call_unary
+from almondspindle.core.claims import ClaimReply, Look
 from almondspindle.core.outcomes import Result
 from almondspindle.core.spread import HostStatus
 
@@ -37,9 +39,7 @@
         """Return what a router knows of the targets that it owns."""
         return await self._call(address, GET_TARGET_REPORTS, TargetReportsRequest())
 
-    async def candidates(
-        self, address: str, req: CandidatesRequest
-    ) -> Result[CandidatesTold, str]:
+    async def candidates(self, address: str, req: CandidatesRequest) -> Result[CandidatesTold, str]:
         """Return the candidates of a chat, by one router's view."""
         return await self._call(address, GET_CANDIDATES, req)
 
@@ -47,5 +47,9 @@
         """Return whether an owner would admit a chat."""
         return await self._call(address, ASK_ADMISSION, req)
 
+    async def look(self, address: str, look: Look) -> Result[ClaimReply, str]:
+        """Return what a host reads of a key's claim record."""
+        return await self._call(address, CLAIM_METHOD, look)
+
     async def _call(self, address: str, method: str, msg: object) -> Result[Any, str]:
         return await call_unary(self._channels, address, method, msg)
--- a/almondspindle/chain/measure.py
+++ b/almondspindle/chain/measure.py
@@ -25,6 +25,7 @@
         RefusalCode.KEY_MALFORMED,
         RefusalCode.KEY_EXPIRED,
         RefusalCode.KEY_REUSED,
+        RefusalCode.ANSWER_NOT_KEPT,
         RefusalCode.IN_PROGRESS,
         RefusalCode.RATE_LIMITED,
     }
--- a/almondspindle/commands/base.py
+++ b/almondspindle/commands/base.py
@@ -22,7 +22,7 @@
     option("output", "o", "Form of the output: text or json.", flag=False),
     option("wait-bound-s", None, "Longest wait of `wait`, in seconds.", flag=False),
 ]
-SHOW = {"text": as_text, "json": as_json}
+SHOW: dict[str, Callable[[Reply], str]] = {"text": as_text, "json": as_json}
 Action = Callable[[OperatedFleet], Awaitable[Reply]]
 
 
@@ -56,7 +56,7 @@
         """Print `reply` and return its exit code. Problems go to standard error."""
         text = SHOW[cfg.output](reply)
         if isinstance(reply, Problem):
-            self.io.write_error_line(text, verbosity=self.io.output.verbosity.QUIET)
+            self.io.write_error_line(text)
         else:
             self.io.write_line(text)
         return exit_code(reply)
--- a/almondspindle/commands/explain.py
+++ b/almondspindle/commands/explain.py
@@ -16,7 +16,7 @@
     """Explain a chat or a key."""
 
     name = "explain"
-    description = "Explain a chat (explain chat ID SERVICE) or key (explain key K SERVICE --team T)."
+    description = "Explain a chat, or an idempotency key."
     arguments: ClassVar[list[Argument]] = [
         argument("what", "`chat` or `key`."),
         argument("id", "The chat's id, or the key."),
--- /dev/null
+++ b/almondspindle/commands/restore.py
@@ -0,0 +1,21 @@
+"""Write the configuration in force on the hosts back to a store that has lost it."""
+
+from almondspindle.commands.base import FleetCommand
+from almondspindle.language.replies import Reply
+from almondspindle.operations.fleet import OperatedFleet
+
+
+class RestoreCommand(FleetCommand):
+    """Write the highest configuration in force on a host back to the store."""
+
+    name = "restore"
+    description = "Write the configuration in force on the hosts back to the store."
+
+    def handle(self) -> int:
+        """Restore the configuration and return the exit code."""
+        return self.act(_restore)
+
+
+async def _restore(fleet: OperatedFleet) -> Reply:
+    outcome = await fleet.restore()
+    return outcome.ok if outcome.is_ok() else outcome.error
--- a/almondspindle/commands/status.py
+++ b/almondspindle/commands/status.py
@@ -1,7 +1,7 @@
 """Show the configuration version, the hosts, and the zones."""
 
 from almondspindle.commands.base import FleetCommand
-from almondspindle.language.replies import Problem, Reply, StatusShown
+from almondspindle.language.replies import Listing, Problem, Reply, StatusShown
 from almondspindle.language.run import run
 from almondspindle.language.statements import Query, Source
 from almondspindle.operations.fleet import OperatedFleet
@@ -24,7 +24,6 @@
         return config.error
     hosts = await run(Query(Source.HOSTS), fleet)
     zones = await run(Query(Source.ZONES), fleet)
-    for reply in (hosts, zones):
-        if isinstance(reply, Problem):
-            return reply
-    return StatusShown(config.ok.version, hosts, zones)
+    if isinstance(hosts, Listing) and isinstance(zones, Listing):
+        return StatusShown(config.ok.version, hosts, zones)
+    return hosts if isinstance(hosts, Problem) else zones
--- a/almondspindle/controllers/configuration/rollout.py
+++ b/almondspindle/controllers/configuration/rollout.py
@@ -11,7 +11,7 @@
 
 ASKED_AT_ONCE = 64  # hosts
 POLL_PAUSE_S = 0.1
-ASKED_STATES = frozenset({HostState.LIVE, HostState.SUSPECT})
+ASKED_STATES = frozenset({HostState.LIVE, HostState.SUSPECT, HostState.DAMPED})
 
 
 class StatusLink(Protocol):
--- a/almondspindle/core/changes.py
+++ b/almondspindle/core/changes.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from almondspindle.core.config import AvailabilityZone, ConfigSet, Operator, Service, TargetOverride, Team
+from almondspindle.core.config import (
+    AvailabilityZone,
+    ConfigSet,
+    Operator,
+    Service,
+    TargetOverride,
+    Team,
+)
 from almondspindle.core.identifiers import OperatorName, ServiceName, TargetName, TeamName, ZoneName
 
 
@@ -85,7 +92,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigDelta:
-    """What differs between the versions `base` and `version`. None stands for a deleted object."""
+    """What differs between the versions `base` and `version`. None stands for a deleted object.
+
+    `base_nonce` and `nonce` are those of the writes that made the two versions.
+    """
 
     base: int
     version: int
@@ -94,6 +104,8 @@
     zones: dict[ZoneName, AvailabilityZone | None] = field(default_factory=dict)
     targets: dict[TargetName, TargetOverride | None] = field(default_factory=dict)
     operators: dict[OperatorName, Operator | None] = field(default_factory=dict)
+    base_nonce: str = ""
+    nonce: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/decisions/configuration/delta.py
+++ b/almondspindle/decisions/configuration/delta.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from almondspindle.core.changes import ConfigDelta, Kind
+from almondspindle.core.changes import ConfigDelta, HistoryEntry, Kind
 from almondspindle.core.config import ConfigSet
 from almondspindle.decisions.configuration.apply import COLLECTIONS
 
@@ -10,17 +10,17 @@
 def diff(old: ConfigSet, new: ConfigSet) -> ConfigDelta:
     """Return what leads from `old` to `new`."""
     parts = {name: _diff(getattr(old, name), getattr(new, name)) for name in COLLECTIONS.values()}
-    return ConfigDelta(old.version, new.version, **parts)
+    return ConfigDelta(old.version, new.version, base_nonce=old.nonce, nonce=new.nonce, **parts)
 
 
 def apply_delta(config: ConfigSet, delta: ConfigDelta) -> ConfigSet | None:
-    """Return `config` after `delta`, or None when the delta has another base version."""
-    if delta.base != config.version:
+    """Return `config` after `delta`, or None when the delta has another base."""
+    if (delta.base, delta.base_nonce) != (config.version, config.nonce):
         return None
     parts = {
         name: _patched(getattr(config, name), getattr(delta, name)) for name in COLLECTIONS.values()
     }
-    return ConfigSet(delta.version, **parts)
+    return ConfigSet(delta.version, nonce=delta.nonce, **parts)
 
 
 def is_empty(delta: ConfigDelta) -> bool:
@@ -66,3 +66,13 @@
 def size(delta: ConfigDelta) -> int:
     """Return the number of objects that `delta` creates, changes or deletes."""
     return sum(len(getattr(delta, name)) for name in COLLECTIONS.values())
+
+
+def describe_entry(entry: HistoryEntry) -> list[str]:
+    """Return a line for each object that an accepted change created, changed or deleted."""
+    lines = []
+    for kind, name in COLLECTIONS.items():
+        before = getattr(entry.backward, name)
+        for key, value in sorted(getattr(entry.forward, name).items()):
+            lines.append(_line(kind, key, before.get(key), value))
+    return lines
--- a/almondspindle/decisions/configuration/spread.py
+++ b/almondspindle/decisions/configuration/spread.py
@@ -16,7 +16,7 @@
 RANDOM_PEERS = 1  # peers, besides those of the tree
 WATCH_KEY = "configuration-watch"
 
-REACHABLE_STATES = frozenset({HostState.LIVE, HostState.SUSPECT, HostState.LEAVING})
+REACHABLE_STATES = frozenset(set(HostState) - {HostState.DEAD})
 
 
 def watching_hosts(hosts: Iterable[Host], per_zone: int = WATCHERS_PER_ZONE) -> list[HostName]:
--- /dev/null
+++ b/almondspindle/decisions/probing.py
@@ -0,0 +1,35 @@
+"""Whom to probe next, and who helps."""
+
+from collections.abc import Collection, Sequence
+from random import Random
+
+from almondspindle.core.identifiers import HostName
+
+
+class ProbeOrder:
+    """A shuffled round-robin, so that each host is probed once in each round.
+
+    A host that joins gets its place in the next round; one that is gone is passed over.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._left: list[HostName] = []
+
+    def next(self, names: Collection[HostName]) -> HostName | None:
+        """Return the next of `names`, or None when there is none."""
+        if not names:
+            return None
+        present = set(names)
+        while self._left:
+            name = self._left.pop()
+            if name in present:
+                return name
+        self._left = sorted(names)
+        self._rng.shuffle(self._left)
+        return self._left.pop()
+
+
+def pick_helpers(names: Sequence[HostName], count: int, rng: Random) -> list[HostName]:
+    """Return up to `count` of `names` at random."""
+    return rng.sample(names, min(count, len(names)))
--- a/almondspindle/language/replies.py
+++ b/almondspindle/language/replies.py
@@ -99,6 +99,24 @@
     document: str
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeShown:
+    """An accepted change. `at` is in seconds since the Unix epoch."""
+
+    version: int
+    at: float
+    operator: str
+    nonce: str
+    lines: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryShown:
+    """Accepted changes, the latest one first."""
+
+    changes: tuple[ChangeShown, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StatusShown:
     """The stored version, the hosts and the availability zones."""
@@ -131,6 +149,7 @@
     | KeyExplained
     | DryRunShown
     | Exported
+    | HistoryShown
     | StatusShown
     | CheckShown
     | Problem
--- a/almondspindle/language/show.py
+++ b/almondspindle/language/show.py
@@ -3,17 +3,20 @@
 import dataclasses
 import json
 from collections.abc import Iterator, Sequence
+from datetime import UTC, datetime
 from functools import singledispatch
 
 from almondspindle.core.checks import Severity
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.language.replies import (
     ChangeAccepted,
+    ChangeShown,
     ChatExplained,
     CheckShown,
     DryRunShown,
     ExitCode,
     Exported,
+    HistoryShown,
     KeyExplained,
     LaggingHost,
     Listing,
@@ -75,6 +78,11 @@
     return reply.document.rstrip("\n")
 
 
+@as_text.register
+def _(reply: HistoryShown) -> str:
+    return "\n".join(line for change in reply.changes for line in _change_lines(change))
+
+
 @as_text.register
 def _(reply: StatusShown) -> str:
     head = f"configuration version {reply.version}"
@@ -122,6 +130,12 @@
     return ExitCode.LAGGING if reply.lagging else ExitCode.DONE
 
 
+def _change_lines(change: ChangeShown) -> Iterator[str]:
+    at = datetime.fromtimestamp(change.at, UTC).isoformat(timespec="seconds")
+    yield f"version {change.version} at {at} by {change.operator}, nonce {change.nonce}"
+    yield from (f"  {line}" for line in change.lines)
+
+
 def _lagging_line(item: LaggingHost) -> str:
     return f"not yet in force on {item.host}: {item.reason}"
 
--- a/almondspindle/operations/checks.py
+++ b/almondspindle/operations/checks.py
@@ -43,9 +43,7 @@
 @register
 def targets_have_services(picture: FleetPicture) -> Iterable[Finding]:
     """C003: each listed target offers a configured service."""
-    unknown = {
-        t.service for t in picture.roster.targets.values()
-    } - picture.config.services.keys()
+    unknown = {t.service for t in picture.roster.targets.values()} - picture.config.services.keys()
     for service in sorted(unknown):
         hint = f"create service {service} with kind=chat (or plain)"
         yield _error("C003", f"listed targets offer {service}, which is not configured", hint)
--- a/almondspindle/operations/fleet.py
+++ b/almondspindle/operations/fleet.py
@@ -16,17 +16,22 @@
 from almondspindle.adapters.platform.base import Platform
 from almondspindle.conf.operator import OperatorCfg
 from almondspindle.controllers.configuration.operators import ConfigOperator, DryRun
-from almondspindle.core.changes import Change
+from almondspindle.core.changes import Change, HistoryEntry
+from almondspindle.core.claims import ClaimReply, Decision, KeyScope, Look
 from almondspindle.core.clock import Clock
 from almondspindle.core.config import ConfigSet
-from almondspindle.core.identifiers import ChatId, HostName, ServiceName
+from almondspindle.core.identifiers import ChatId, HostName, ServiceName, TeamName
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.core.roster import Host, Roster
 from almondspindle.core.spread import HostStatus
 from almondspindle.core.target_states import TargetReport
+from almondspindle.decisions.claim_keys import segment_of, shard_hosts
+from almondspindle.decisions.claim_reports import report_key
+from almondspindle.decisions.configuration.delta import describe_entry
 from almondspindle.language.replies import (
     CandidateFate,
     ChangeAccepted,
+    ChangeShown,
     ChatExplained,
     ExitCode,
     KeyExplained,
@@ -54,9 +59,7 @@
         """Return what a router knows of the targets that it owns."""
         ...
 
-    async def candidates(
-        self, address: str, req: CandidatesRequest
-    ) -> Result[CandidatesTold, str]:
+    async def candidates(self, address: str, req: CandidatesRequest) -> Result[CandidatesTold, str]:
         """Return the candidates of a chat, by one router's view."""
         ...
 
@@ -64,10 +67,8 @@
         """Return whether an owner would admit a chat."""
         ...
 
-    async def explain_key(
-        self, addresses: list[str], key: str, service: str, team: str
-    ) -> Result[KeyExplained, str]:
-        """Return what the claim record says of a key."""
+    async def look(self, address: str, look: Look) -> Result[ClaimReply, str]:
+        """Return what a host reads of a key's claim record."""
         ...
 
 
@@ -102,6 +103,19 @@
         stored = await self.operator.read()
         return stored.map(lambda found: found.config).map_error(problem_of)
 
+    async def history(self, count: int) -> Result[tuple[ChangeShown, ...], Problem]:
+        """Return the latest `count` accepted changes, the latest one first."""
+        found = await self.operator.history(count)
+        return found.map(lambda entries: tuple(map(_shown, entries))).map_error(problem_of)
+
+    async def restore(self) -> Result[ChangeAccepted, Problem]:
+        """Write the configuration in force on the hosts back to the store."""
+        who = await self._who()
+        if who.is_error():
+            return Error(who.error)
+        written = await self.operator.restore(who.ok)
+        return written.map(lambda ok: ChangeAccepted(ok.version, ok.changed)).map_error(problem_of)
+
     async def picture(self) -> Result[FleetPicture, Problem]:
         """Return the configuration, the host list and what hosts have in force."""
         read = await self._read()
@@ -140,16 +154,29 @@
         fates = await asyncio.gather(*(self._fate(item, req) for item in told.ok.candidates))
         return Ok(ChatExplained(chat_id, service, told.ok.config_version, tuple(fates)))
 
-    async def explain_key(
-        self, key: str, service: str, team: str
-    ) -> Result[KeyExplained, Problem]:
+    async def explain_key(self, key: str, service: str, team: str) -> Result[KeyExplained, Problem]:
         """Return what the claim record says of a key."""
         roster = await self._roster()
         if roster.is_error():
             return Error(roster.error)
-        addresses = [host.address for host in roster.ok.hosts.values()]
-        explained = await self.link.explain_key(addresses, key, service, team)
-        return explained.map_error(lambda text: Problem(ExitCode.UNAVAILABLE, text))
+        scope = KeyScope(TeamName(team), ServiceName(service), key)
+        hosts = shard_hosts(segment_of(scope).shard, roster.ok.hosts.values())
+        told = await self._look(hosts, scope)
+        if told.is_error():
+            return Error(told.error)
+        report = report_key(key, told.ok.record, self.clock.wall())
+        state, run_state = report.state.value, report.run_state.value
+        return Ok(KeyExplained(key, state, run_state, report.lines))
+
+    async def _look(self, hosts: Iterable[Host], scope: KeyScope) -> Result[ClaimReply, Problem]:
+        problem = Problem(ExitCode.UNAVAILABLE, "the platform lists no host")
+        for host in hosts:
+            told = await self.link.look(host.address, Look(scope))
+            if told.is_ok() and told.ok.decision is not Decision.UNAVAILABLE:
+                return Ok(told.ok)
+            reason = told.ok.reason if told.is_ok() else told.error
+            problem = Problem(ExitCode.UNAVAILABLE, f"{host.name}: {reason}", PLATFORM_HINT)
+        return Error(problem)
 
     async def _who(self) -> Result[str, Problem]:
         stored = await self.operator.read()
@@ -222,3 +249,8 @@
         told = await self.link.admission(item.owner_address, ask)
         why = told.ok.why if told.is_ok() else f"its owner did not answer: {told.error}"
         return CandidateFate(item.target, item.zone, item.owner, why)
+
+
+def _shown(entry: HistoryEntry) -> ChangeShown:
+    lines = tuple(describe_entry(entry))
+    return ChangeShown(entry.version, entry.at, entry.operator, entry.nonce, lines)
--- a/almondspindle/programs/cli.py
+++ b/almondspindle/programs/cli.py
@@ -10,7 +10,9 @@
 from almondspindle.commands.execute import ExecCommand
 from almondspindle.commands.explain import ExplainCommand
 from almondspindle.commands.export import ExportCommand
+from almondspindle.commands.history import HistoryCommand
 from almondspindle.commands.prompt import PromptCommand
+from almondspindle.commands.restore import RestoreCommand
 from almondspindle.commands.status import StatusCommand
 
 COMMANDS = (
@@ -19,7 +21,9 @@
     ExecCommand,
     ExplainCommand,
     ExportCommand,
+    HistoryCommand,
     PromptCommand,
+    RestoreCommand,
     StatusCommand,
 )
 
--- a/almondspindle/utils/reference.py
+++ b/almondspindle/utils/reference.py
@@ -10,6 +10,7 @@
 
 from almondspindle.conf.base import ENV_PREFIX, ProgramCfg
 from almondspindle.conf.entry import EntryCfg
+from almondspindle.conf.operator import OperatorCfg
 from almondspindle.conf.report import ReportCfg
 from almondspindle.conf.router import RouterCfg
 from almondspindle.core.events import EVENTS
@@ -18,6 +19,7 @@
 PROGRAMS: dict[str, type[ProgramCfg]] = {
     "almondspindle-entry": EntryCfg,
     "almondspindle-router": RouterCfg,
+    "almondspindle": OperatorCfg,
     "almondspindle-report": ReportCfg,
 }
 BOUNDS = {"ge": "at least", "gt": "above", "le": "at most", "lt": "below", "min_length": "items:"}
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -7,6 +7,7 @@
 from almondspindle.core.calls import AnswerChunk, AnswerHead, WorkKind
 from almondspindle.core.changes import ConfigDelta
 from almondspindle.core.config import ConfigSet, Service, ServiceKind, Team
+from almondspindle.core.handover import ReleaseAnswer, Released, ReleaseRequest
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode
 from almondspindle.core.spread import ConfigPush, GetConfigRequest, HostStatus
 
@@ -20,6 +21,8 @@
     ConfigPush("h", 3, ConfigDelta(2, 3, {"a": Team("a", "0" * 64)})),
     ConfigPush("h", 3),
     HostStatus("h", "z", 3, {"h:1": 2}),
+    ReleaseRequest("h1", ("t1", "t2")),
+    ReleaseAnswer((Released("t1", 3),)),
     ConfigSet(3, {"a": Team("a", "0" * 64)}, {"s": Service("s", ServiceKind.PLAIN)}),
 ]
 
--- /dev/null
+++ b/tests/programs/test_membership.py
@@ -0,0 +1,116 @@
+"""Membership between real routers: loss, pause, restart and planned stop of a process."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.standins.caller import Caller, wait_ready, wait_until
+from tests.standins.fleet import BUREAU_CONFIG, Fleet
+
+ZONES = {"host-1": "walvis-a", "host-2": "walvis-a", "host-3": "swakop-a"}
+ROUTER_ARGS = ("--probe-period-s", "0.2")
+WARM_CONFIG = {
+    **BUREAU_CONFIG,
+    "services": [
+        {"name": "forecast-llm", "kind": "chat", "policy": {"slow_start_s": 0.0}},
+        {"name": "dispatch-app", "kind": "plain"},
+    ],
+}
+LONG_TOKENS = 400
+STANDING_CHANGED, LEAVING_ANNOUNCED, OWNER_MOVED = 1313, 1315, 1310
+
+
+def events(fleet: Fleet, host: str, number: int) -> list[dict]:
+    """Return the router's log messages of one event."""
+    lines = Path(f"{fleet.log_dir}/router-{host}.log").read_text().splitlines()
+    found = (json.loads(line) for line in lines if f'"almondspindle:{number}"' in line)
+    return list(found)
+
+
+async def wait_event(fleet: Fleet, host: str, number: int, **fields: object) -> None:
+    async def is_logged() -> bool:
+        found = events(fleet, host, number)
+        return any(all(e.get(k) == v for k, v in fields.items()) for e in found)
+
+    await wait_until(is_logged, f"{host} did not log {number} with {fields}")
+
+
+async def wait_reads_pass(fleet: Fleet, hosts: list[str]) -> None:
+    """Wait until each entry gets four reads answered in a row."""
+    for name in hosts:
+        caller = Caller(fleet.hosts[name].entry.address)
+
+        async def reads_pass(caller: Caller = caller) -> bool:
+            return all([(await caller.read()).status == 200 for _ in range(4)])
+
+        await wait_until(reads_pass, f"reads through {name} do not pass")
+
+
+def owner_of_dispatch(fleet: Fleet) -> str:
+    """Return the host that owns the only replica of the plain service, by host-3's log."""
+    moves = [e for e in events(fleet, "host-3", OWNER_MOVED) if e["after"] in ("host-1", "host-2")]
+    return moves[-1]["after"]
+
+
+async def lose_owner(fleet: Fleet, owner: str) -> None:
+    await fleet.hosts[owner].router.kill()
+    await wait_reads_pass(fleet, list(ZONES))
+    await wait_event(fleet, "host-3", OWNER_MOVED, before=owner, reason="owner dead")
+
+
+async def restart_owner(fleet: Fleet, owner: str) -> None:
+    await lose_owner(fleet, owner)
+    host = fleet.hosts[owner]
+    host.router = await fleet.start_router(owner, host.zone, host.router.address)
+    await wait_event(fleet, "host-3", OWNER_MOVED, after=owner, reason="another host ranks higher")
+    await wait_reads_pass(fleet, list(ZONES))
+
+
+async def pause_owner(fleet: Fleet, owner: str) -> None:
+    proc = fleet.hosts[owner].router.proc
+    proc.send_signal(signal.SIGSTOP)
+    await wait_event(fleet, "host-3", OWNER_MOVED, before=owner, reason="owner dead")
+    others = [name for name in ZONES if name != owner]
+    await wait_reads_pass(fleet, others)
+    proc.send_signal(signal.SIGCONT)
+    await wait_event(fleet, owner, STANDING_CHANGED, after="paused")
+    await wait_event(fleet, owner, STANDING_CHANGED, before="paused", after="owning")
+    await wait_event(fleet, "host-3", OWNER_MOVED, after=owner, reason="another host ranks higher")
+    await wait_reads_pass(fleet, list(ZONES))
+
+
+async def stop_owner(fleet: Fleet, owner: str) -> None:
+    caller = Caller(fleet.hosts["host-3"].entry.address)
+    stream = asyncio.create_task(caller.chat("chat-1", "long", LONG_TOKENS))
+    engine = fleet.engines["forecast-0"].state
+
+    async def is_streaming() -> bool:
+        return engine.in_flight > 0
+
+    await wait_until(is_streaming, "the stream did not begin")
+    stopped = asyncio.create_task(fleet.hosts[owner].router.stop())
+    await wait_event(fleet, owner, LEAVING_ANNOUNCED)
+    await wait_reads_pass(fleet, ["host-3"])
+    assert (await stream).is_whole_stream("long", LONG_TOKENS)
+    assert await stopped == 0
+    assert events(fleet, "host-3", OWNER_MOVED)[-1]["reason"] == "owner leaving"
+
+
+async def run_case(case, log_dir: str) -> None:
+    async with Fleet(log_dir=log_dir, router_args=ROUTER_ARGS) as fleet:
+        fleet.configure(WARM_CONFIG)
+        fleet.add_engine("forecast-0", "walvis-a", token_pause_s=0.005)
+        fleet.add_service("dispatch-0", "walvis-a")
+        await fleet.add_hosts(ZONES)
+        for host in fleet.hosts.values():
+            await wait_ready(Caller(host.entry.address))
+        await wait_reads_pass(fleet, list(ZONES))
+        await case(fleet, owner_of_dispatch(fleet))
+
+
+@pytest.mark.parametrize("case", [lose_owner, restart_owner, pause_owner, stop_owner])
+def test_routers_notice_by_themselves(case, tmp_path):
+    asyncio.run(run_case(case, str(tmp_path)))
