--- a/almondspindle/adapters/peer/codec.py
+++ b/almondspindle/adapters/peer/codec.py
@@ -9,6 +9,14 @@
 import msgspec
 
 from almondspindle.adapters.peer.messages import RelayRequest, SubscribeRequest
+from almondspindle.adapters.peer.operator_messages import (
+    AdmissionRequest,
+    AdmissionTold,
+    CandidatesRequest,
+    CandidatesTold,
+    TargetReports,
+    TargetReportsRequest,
+)
 from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
 from almondspindle.adapters.peer.probe_messages import Probe, ProbeAck, ProbeFor, ProbeForResult
 from almondspindle.adapters.peer.telemetry_messages import (
@@ -62,6 +70,12 @@
     37: ConfigAck,
     40: ReleaseRequest,
     41: ReleaseAnswer,
+    70: TargetReportsRequest,
+    71: TargetReports,
+    72: CandidatesRequest,
+    73: CandidatesTold,
+    74: AdmissionRequest,
+    75: AdmissionTold,
     60: PushTelemetry,
     61: Accepted,
     62: GetTelemetry,
--- a/almondspindle/controllers/admission/messages.py
+++ b/almondspindle/controllers/admission/messages.py
@@ -10,8 +10,9 @@
 from almondspindle.core.handover import ReleaseAnswer
 from almondspindle.core.identifiers import ChatId, HostName, ServiceName, TargetName, TeamName
 from almondspindle.core.load import LoadReport, OwnedTarget
-from almondspindle.core.outcomes import Outcome
+from almondspindle.core.outcomes import Outcome, Refusal
 from almondspindle.core.roster import Host
+from almondspindle.core.target_states import TargetReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +31,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit(Question[Outcome[int]]):
-    """Ask for a ticket for one request in flight at `target`."""
+    """Ask for a ticket for one request in flight at `target`.
+
+    `no_other` tells that no target of the service has taken the request so far.
+    """
 
     target: TargetName
     service: ServiceName
     team: TeamName
     work: WorkKind
     chat_id: ChatId | None
+    no_other: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WouldAdmit(Question[Refusal | None]):
+    """Ask why a chat would be refused by `target` now; None when it would be admitted."""
+
+    target: TargetName
+    chat_id: ChatId
+
+
+@dataclass(frozen=True, slots=True)
+class GetTargetReports(Question[tuple[TargetReport, ...]]):
+    """Ask for what is known of each owned target; `owner` is this host."""
+
+    owner: HostName
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/admission/task.py
+++ b/almondspindle/controllers/admission/task.py
@@ -13,6 +13,7 @@
     GetAwaited,
     GetDigests,
     GetReleased,
+    GetTargetReports,
     HandedOver,
     LoadHeard,
     LoadMissed,
@@ -22,6 +23,7 @@
     PollListener,
     Release,
     SubscribePolls,
+    WouldAdmit,
 )
 from almondspindle.controllers.admission.record import TargetRecord
 from almondspindle.controllers.admission.report import emit_changes
@@ -34,8 +36,9 @@
 from almondspindle.core.identifiers import ServiceName, TargetName, TeamName
 from almondspindle.core.load import OwnedTarget
 from almondspindle.core.logs import emit
-from almondspindle.core.outcomes import InvariantError, Ok, Outcome, RefusalCode, refused
+from almondspindle.core.outcomes import InvariantError, Ok, Outcome, Refusal, RefusalCode, refused
 from almondspindle.core.roster import Host
+from almondspindle.core.target_states import TargetReport
 from almondspindle.decisions.admission import (
     ServiceLoad,
     TargetLoad,
@@ -56,6 +59,7 @@
     observe,
 )
 from almondspindle.decisions.sharing import has_share
+from almondspindle.decisions.target_reports import target_report
 
 RETRY_AFTER_S = 1.0
 
@@ -208,11 +212,31 @@
             self._poll(ticket.target)
         self._drop_if_idle(ticket.target)
 
+    @handle.register
+    def _(self, msg: GetTargetReports, now: float) -> tuple[TargetReport, ...]:
+        reports = []
+        for record in self._owned():
+            policy = self._policy(record.owned.target.service)
+            load = self._target_load(record, policy, now)
+            reports.append(target_report(policy, load, msg.owner, now))
+        return tuple(reports)
+
+    @handle.register
+    def _(self, msg: WouldAdmit, now: float) -> Refusal | None:
+        record = self._records.get(msg.target)
+        if record is None or not record.is_owned:
+            return Refusal(RefusalCode.NOT_OWNER, f"this host does not own {msg.target!r}")
+        policy = self._policy(record.owned.target.service)
+        code = refusal_of(policy, self._target_load(record, policy, now), msg.chat_id, now)
+        if code is None:
+            return None
+        return Refusal(code, f"target {msg.target!r} is {code.value}")
+
     def _refusal(self, record: TargetRecord, msg: Admit, now: float) -> RefusalCode | None:
         policy = self._policy(record.owned.target.service)
         load = self._target_load(record, policy, now)
         bound = target_bound(policy, load, now)
-        code = refusal_of(policy, load, msg.chat_id, now)
+        code = refusal_of(policy, load, msg.chat_id, now, msg.no_other)
         if code is not None:
             if load.trust is not Trust.SETTLED or start_limit_binds(policy, load, now):
                 self._poll(msg.target)
--- a/almondspindle/language/replies.py
+++ b/almondspindle/language/replies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from almondspindle.core.checks import Finding
 from almondspindle.language.select import Table
 
 
@@ -20,10 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LaggingHost:
-    """A live host that does not have a version in force; -1 when it did not answer."""
+    """A live host that does not have a version in force, and why."""
 
     host: str
-    version: int
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,55 @@
     lines: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class DryRunShown:
+    """What a document would do to the stored version; nothing was changed."""
+
+    version: int
+    lines: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Exported:
+    """The configuration as a document."""
+
+    document: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeShown:
+    """An accepted change. `at` is in seconds since the Unix epoch."""
+
+    version: int
+    at: float
+    operator: str
+    nonce: str
+    lines: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryShown:
+    """Accepted changes, the latest one first."""
+
+    changes: tuple[ChangeShown, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StatusShown:
+    """The stored version, the hosts and the availability zones."""
+
+    version: int
+    hosts: Listing
+    zones: Listing
+
+
+@dataclass(frozen=True, slots=True)
+class CheckShown:
+    """What the numbered checks found."""
+
+    findings: tuple[Finding, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Problem:
     """A statement that was not carried out, and what to do about it."""
@@ -92,4 +142,15 @@
     hint: str = ""
 
 
-Reply = ChangeAccepted | Listing | ChatExplained | KeyExplained | Problem
+Reply = (
+    ChangeAccepted
+    | Listing
+    | ChatExplained
+    | KeyExplained
+    | DryRunShown
+    | Exported
+    | HistoryShown
+    | StatusShown
+    | CheckShown
+    | Problem
+)
--- a/almondspindle/programs/cli.py
+++ b/almondspindle/programs/cli.py
@@ -5,17 +5,34 @@
 from cleo.application import Application
 
 from almondspindle import __version__
+from almondspindle.commands.apply import ApplyCommand
+from almondspindle.commands.check import CheckCommand
+from almondspindle.commands.execute import ExecCommand
+from almondspindle.commands.explain import ExplainCommand
+from almondspindle.commands.export import ExportCommand
 from almondspindle.commands.history import HistoryCommand
+from almondspindle.commands.prompt import PromptCommand
 from almondspindle.commands.restore import RestoreCommand
 from almondspindle.commands.status import StatusCommand
 
+COMMANDS = (
+    ApplyCommand,
+    CheckCommand,
+    ExecCommand,
+    ExplainCommand,
+    ExportCommand,
+    HistoryCommand,
+    PromptCommand,
+    RestoreCommand,
+    StatusCommand,
+)
+
 
 def make_application() -> Application:
     """Return the application with all its commands."""
     app = Application("almondspindle", __version__)
-    app.add(StatusCommand())
-    app.add(HistoryCommand())
-    app.add(RestoreCommand())
+    for command in COMMANDS:
+        app.add(command())
     return app
 
 
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -9,6 +9,7 @@
 from almondspindle.adapters.peer.config_link import PeerConfigLink
 from almondspindle.adapters.peer.config_methods import ConfigMethods
 from almondspindle.adapters.peer.handover import HandoverMethods, PeerHandoverLink
+from almondspindle.adapters.peer.operator_methods import OperatorMethods
 from almondspindle.adapters.peer.probes import UdpProbeLink
 from almondspindle.adapters.peer.server import PeerServer, Publisher
 from almondspindle.adapters.peer.tables import GrpcTableLink, serve_table
@@ -131,7 +132,10 @@
         self._server.add_method(CLAIM_METHOD, ClaimsDesk(self._claims).decide)
         ConfigMethods(self._spread, self._directory, receiver).register(self._server)
         HandoverMethods(self._admission).register(self._server)
-        TelemetryMethods(HostName(cfg.host), self._telemetry).register(self._server)
+        TelemetryMethods(host, self._telemetry).register(self._server)
+        OperatorMethods(host, self._configuration, self._directory, self._admission).register(
+            self._server
+        )
 
     async def run(self) -> int:
         """Serve until a signal, finish what is in flight, and return the exit status."""
--- /dev/null
+++ b/tests/commands/common.py
@@ -0,0 +1,18 @@
+"""Run the operators' program as a process."""
+
+import asyncio
+import sys
+
+
+async def command(*args: str) -> tuple[int, str]:
+    """Run the operators' program; return its exit status and output."""
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "almondspindle.programs.cli",
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await proc.communicate()
+    return proc.returncode or 0, out.decode()
