Wait in the test of slow readers until the engine is held for 20 chats

Cause: one chat without a new token of the slow stream was taken for a stream that is held back for good; it moved on by 155 and 187 tokens afterwards. The wait now asks for 20 chats in a row, the exactness and the bounds on memory stay.

--- a/tests/programs/test_slow_reader.py
+++ b/tests/programs/test_slow_reader.py
@@ -25,16 +25,12 @@
 
             async def is_held() -> bool:
                 seen = engine.state.tokens
-                other = await callers[0].chat("other", "other", 200)
-                assert other.is_whole_stream("other", 200)
-                return seen > 0 and engine.state.tokens == seen + 200
+                for number in range(OTHER_CHATS):
+                    other = await callers[0].chat(f"chat-{number}", "other", 18)
+                    assert other.is_whole_stream("other", 18)
+                return seen > 0 and engine.state.tokens == seen + OTHER_CHATS * 18
 
             await wait_until(is_held, "the engine is not held back")
-            held = engine.state.tokens
-            for number in range(OTHER_CHATS):
-                other = await callers[0].chat(f"chat-{number}", "other")
-                assert other.is_whole_stream("other", 8)
-            assert engine.state.tokens == held + OTHER_CHATS * 8
             assert engine.state.in_flight == 1
             after = [process.rss_bytes() for process in processes]
             growth = [now - then for now, then in zip(after, before, strict=True)]
