--- a/almondspindle/decisions/membership.py
+++ b/almondspindle/decisions/membership.py
@@ -51,8 +51,14 @@
 
 
 def suspicion_timeout_s(timings: MembershipTimings, hosts: int) -> float:
-    """Return how long a suspected host has to refute, growing with the log of the fleet."""
-    return timings.period_s * timings.suspicion_periods * max(1.0, math.log10(max(hosts, 1)))
+    """Return how long a suspected host has to refute, growing with the log of the fleet.
+
+    A host also takes itself for paused when its task did not run for this time, so it is never
+    shorter than a period whose probes are all met with silence.
+    """
+    silent_s = timings.period_s + timings.probe_timeout_s + timings.helper_timeout_s
+    grown_s = timings.period_s * timings.suspicion_periods * max(1.0, math.log10(max(hosts, 1)))
+    return max(silent_s, grown_s)
 
 
 @dataclass(slots=True)
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -6,6 +6,7 @@
 from almondspindle.core.members import STATE_RANK, MemberRecord, MembershipTimings
 from almondspindle.core.roster import Host, HostState
 from almondspindle.decisions.digests import DigestTable, load_digest, short_id
+from almondspindle.decisions.freshness import Standing, ViewFreshness
 from almondspindle.decisions.gossip import NewsQueue, transmission_limit
 from almondspindle.decisions.membership import ON_MISSED_PROBE, MemberTable, suspicion_timeout_s
 
@@ -107,3 +108,13 @@
     assert not table.merge([load_digest("a", [ServiceDigest("s", 9, 9)])], 90.0)
     assert table.named(["a"], ["s"], 100.0) == {"a": (ServiceDigest("s", 1, 1),)}
     assert table.named(["a"], ["s"], 1000.0) == {}
+
+
+@pytest.mark.parametrize("period_s", [0.05, 0.2, 1.0])
+@pytest.mark.parametrize("hosts", [1, 3, 1100])
+def test_a_period_of_silent_probes_is_shorter_than_a_pause(period_s, hosts):
+    timings = MembershipTimings(period_s=period_s)
+    longest_s = max(period_s, timings.probe_timeout_s + timings.helper_timeout_s)
+    fresh = ViewFreshness(ticked_at=0.0)
+    fresh.tick(longest_s, suspicion_timeout_s(timings, hosts))
+    assert fresh.standing(longest_s, suspicion_timeout_s(timings, hosts)) is Standing.OWNING
