--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -164,6 +164,6 @@
     async with bureau_fleet() as (fleet, _):
         for name, host in fleet.hosts.items():
             step(f"{name} in {host.zone}: entry {host.entry.address}, router {host.router.address}")
-        step(f"platform stand-in: {fleet.store.url}")
+        step(f"platform stand-in: export ALMONDSPINDLE_PLATFORM={fleet.store.url}")
         step("team token: grid-desk-token; interrupt with Ctrl-C")
         await asyncio.Event().wait()
