Take silence for certain only when the reader's loop is not behind

Cause: the timer fired in the same turn of the loop in which bytes that had arrived became readable, before the task that reads them ran. A loop that had been busy past the bound so cut off streams that were not silent. Change: silence found must be confirmed by a second look 50 ms later, which itself came in time (within 100 ms); each progress begins anew. Detection is 50 ms later; a loop late at every look defers it, and the call's deadline still holds. Test: tests/utils/test_silence.py blocks the loop while a byte waits; with the old timer it failed (timer.fired was True), and again with the new decision but the old utils/silence.py. Run: tests/adapters, chain, decisions, utils, programs/test_slow_reader.py and test_broken_paths.py had no failure (69 s).

--- a/almondspindle/decisions/silence.py
+++ b/almondspindle/decisions/silence.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+CONFIRM_S = 0.05  # from the look that finds silence to the one that confirms it
+
 
 @dataclass(frozen=True, slots=True)
 class SilenceBounds:
@@ -21,6 +23,7 @@
     bounds: SilenceBounds
     waiting_since: float | None = None
     has_begun: bool = False
+    suspected_at: float | None = None
 
     def wait(self, now: float) -> None:
         """Note that the reader waits for bytes from `now` on."""
@@ -29,6 +32,7 @@
     def progress(self) -> None:
         """Note that bytes came and that the reader is busy with them."""
         self.has_begun = True
+        self.suspected_at = None
         self.waiting_since = None
 
     def left_s(self, now: float) -> float:
@@ -44,3 +48,14 @@
         The first bytes may shorten the bound, so a look never waits longer than the shorter one.
         """
         return min(self.left_s(now), self.bounds.between_s)
+
+    def is_certain(self, now: float) -> bool:
+        """Return whether silence that this look found is certain.
+
+        Bytes may have come that a reader who is behind has not yet taken. So a second look must
+        find silence too, and come in time: a late one shows that the reader is still behind.
+        """
+        if self.suspected_at is not None and now - self.suspected_at <= 2 * CONFIRM_S:
+            return True
+        self.suspected_at = now
+        return False
--- a/almondspindle/utils/silence.py
+++ b/almondspindle/utils/silence.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from almondspindle.core.clock import Clock
-from almondspindle.decisions.silence import SilenceBounds, SilenceWatch
+from almondspindle.decisions.silence import CONFIRM_S, SilenceBounds, SilenceWatch
 
 MIN_PAUSE_S = 0.001
 
@@ -39,8 +39,12 @@
     def _check(self) -> None:
         now = self._clock.monotonic()
         if self._watch.left_s(now) > 0:
-            pause_s = max(self._watch.next_check_s(now), MIN_PAUSE_S)
-            self._handle = asyncio.get_running_loop().call_later(pause_s, self._check)
-            return
-        self.fired = True
-        self._on_silence()
+            self._check_after(max(self._watch.next_check_s(now), MIN_PAUSE_S))
+        elif self._watch.is_certain(now):
+            self.fired = True
+            self._on_silence()
+        else:
+            self._check_after(CONFIRM_S)
+
+    def _check_after(self, pause_s: float) -> None:
+        self._handle = asyncio.get_running_loop().call_later(pause_s, self._check)
