Dispatch the parts of answers by functions

Cause: functools.singledispatchmethod binds a new wrapper at each access; timeit gave 3.9 us a call against 0.86 us for singledispatch. A token passes two such calls at the router and three at the entry. Change: the sinks and the reader on the data path dispatch by module functions on the part's type. Checks are as they were. The rest is tornado's read and gRPC; see docs/topics/whole-answers.md. Ruled out without a try: merging pieces of a wake-up (tornado joins chunks, tokens come 74 ms apart), one decode in place of two (not in the profile).

--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from dataclasses import dataclass, field
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any
 
 from tornado.iostream import StreamClosedError
@@ -271,28 +271,33 @@
     async def write(self, part: AnswerPart) -> None:
         """Pass `part` to the caller. Raise `CallerGone` when it has closed the connection."""
         try:
-            await self._write(part)
+            await _write(part, self._handler)
         except StreamClosedError as exc:
             raise CallerGone from exc
 
-    @singledispatchmethod
-    async def _write(self, part: Any) -> None:
-        raise InvariantError(f"unexpected answer part {type(part).__name__}")
 
-    @_write.register
-    async def _(self, part: AnswerHead) -> None:
-        self._handler.start_answer(part)
-        if not self._handler.is_event_stream():
-            await self._handler.flush()
+# A function dispatches at a fifth of the cost of a method, which is bound anew for each part.
+@singledispatch
+async def _write(part: Any, handler: CallHandler) -> None:
+    raise InvariantError(f"unexpected answer part {type(part).__name__}")
 
-    @_write.register
-    async def _(self, part: AnswerChunk) -> None:
-        self._handler.write_body(part.data)
-        await self._handler.flush()
 
-    @_write.register
-    async def _(self, part: AnswerEnd) -> None:
-        await self._handler.end_answer()
+@_write.register
+async def _(part: AnswerHead, handler: CallHandler) -> None:
+    handler.start_answer(part)
+    if not handler.is_event_stream():
+        await handler.flush()
+
+
+@_write.register
+async def _(part: AnswerChunk, handler: CallHandler) -> None:
+    handler.write_body(part.data)
+    await handler.flush()
+
+
+@_write.register
+async def _(part: AnswerEnd, handler: CallHandler) -> None:
+    await handler.end_answer()
 
 
 class ChatHandler(CallHandler):
--- a/almondspindle/adapters/peer/reader.py
+++ b/almondspindle/adapters/peer/reader.py
@@ -1,6 +1,6 @@
 """Follow the parts of one relayed answer."""
 
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
 from almondspindle.core.calls import AnswerEnd, AnswerSink, Finished
@@ -13,50 +13,60 @@
     """Check the parts of one relayed answer and pass them on."""
 
     def __init__(self, request_id: RequestId, sink: AnswerSink) -> None:
-        self._sink = sink
-        self._order = PartOrder(request_id)
-        self._started = False
+        self.sink = sink
+        self.order = PartOrder(request_id)
+        self.started = False
 
-    @singledispatchmethod
     async def take(self, part: object) -> Finished | None:
         """Pass `part` on; return how the answer ended when `part` is its last."""
-        raise InvariantError(f"unexpected answer part {type(part).__name__}")
-
-    @take.register
-    async def _(self, part: RelayedChunk) -> Finished | None:
-        problem = self._order.numbered(part.sequence)
-        if problem is not None:
-            return self.broken(RefusalCode.ANSWER_BROKEN, problem)
-        await self._sink.write(part.chunk)
-        return None
-
-    @take.register
-    async def _(self, part: RelayedHead) -> Finished | None:
-        problem = self._order.named(part.request_id)
-        if self._started:
-            problem = "a second head came"
-        if problem is not None:
-            return self.broken(RefusalCode.ANSWER_BROKEN, problem)
-        self._started = True
-        await self._sink.write(part.head)
-        return None
-
-    @take.register
-    async def _(self, part: RelayedEnd) -> Finished | None:
-        problem = self._order.named(part.request_id) or self._order.numbered(part.sequence)
-        if problem is not None:
-            return self.broken(RefusalCode.ANSWER_BROKEN, problem)
-        await self._sink.write(AnswerEnd())
-        return Finished(started=True)
-
-    @take.register
-    async def _(self, part: Heartbeat) -> Finished | None:
-        return None
-
-    @take.register
-    async def _(self, part: Refusal) -> Finished | None:
-        return Finished(self._started, part)
+        return await _take(part, self)
 
     def broken(self, code: RefusalCode, message: str) -> Finished:
         """Return the end of an answer whose rest will not come."""
-        return Finished(self._started, Refusal(code, message, RunState.UNKNOWN))
+        return Finished(self.started, Refusal(code, message, RunState.UNKNOWN))
+
+
+# A function dispatches at a fifth of the cost of a method, which is bound anew for each part.
+@singledispatch
+async def _take(part: object, reader: AnswerReader) -> Finished | None:
+    raise InvariantError(f"unexpected answer part {type(part).__name__}")
+
+
+@_take.register
+async def _(part: RelayedChunk, reader: AnswerReader) -> Finished | None:
+    problem = reader.order.numbered(part.sequence)
+    if problem is not None:
+        return reader.broken(RefusalCode.ANSWER_BROKEN, problem)
+    await reader.sink.write(part.chunk)
+    return None
+
+
+@_take.register
+async def _(part: RelayedHead, reader: AnswerReader) -> Finished | None:
+    problem = reader.order.named(part.request_id)
+    if reader.started:
+        problem = "a second head came"
+    if problem is not None:
+        return reader.broken(RefusalCode.ANSWER_BROKEN, problem)
+    reader.started = True
+    await reader.sink.write(part.head)
+    return None
+
+
+@_take.register
+async def _(part: RelayedEnd, reader: AnswerReader) -> Finished | None:
+    problem = reader.order.named(part.request_id) or reader.order.numbered(part.sequence)
+    if problem is not None:
+        return reader.broken(RefusalCode.ANSWER_BROKEN, problem)
+    await reader.sink.write(AnswerEnd())
+    return Finished(started=True)
+
+
+@_take.register
+async def _(part: Heartbeat, reader: AnswerReader) -> Finished | None:
+    return None
+
+
+@_take.register
+async def _(part: Refusal, reader: AnswerReader) -> Finished | None:
+    return Finished(reader.started, part)
--- a/almondspindle/adapters/peer/streams.py
+++ b/almondspindle/adapters/peer/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any
 
 from almondspindle.adapters.peer.parts import Heartbeat, RelayedChunk, RelayedEnd, RelayedHead
@@ -71,27 +71,32 @@
 
     def __init__(self, stream: LiveStream, request_id: RequestId) -> None:
         self._stream = stream
-        self._request_id = request_id
-        self._sequence = 0
+        self.request_id = request_id
+        self.sequence = 0
 
     async def write(self, part: AnswerPart) -> None:
         """Pass `part` to the peer. A write waits while the reader is slow."""
-        await self._stream.write(self._wrap(part))
+        await self._stream.write(_wrap(part, self))
 
-    @singledispatchmethod
-    def _wrap(self, part: Any) -> object:
-        raise InvariantError(f"unexpected answer part {type(part).__name__}")
 
-    @_wrap.register
-    def _(self, part: AnswerChunk) -> object:
-        sequence = self._sequence
-        self._sequence += 1
-        return RelayedChunk(sequence, part)
+# A function dispatches at a fifth of the cost of a method, which is bound anew for each part.
+@singledispatch
+def _wrap(part: Any, sink: RelaySink) -> object:
+    raise InvariantError(f"unexpected answer part {type(part).__name__}")
 
-    @_wrap.register
-    def _(self, part: AnswerHead) -> object:
-        return RelayedHead(self._request_id, part)
 
-    @_wrap.register
-    def _(self, part: AnswerEnd) -> object:
-        return RelayedEnd(self._request_id, self._sequence)
+@_wrap.register
+def _(part: AnswerChunk, sink: RelaySink) -> object:
+    sequence = sink.sequence
+    sink.sequence += 1
+    return RelayedChunk(sequence, part)
+
+
+@_wrap.register
+def _(part: AnswerHead, sink: RelaySink) -> object:
+    return RelayedHead(sink.request_id, part)
+
+
+@_wrap.register
+def _(part: AnswerEnd, sink: RelaySink) -> object:
+    return RelayedEnd(sink.request_id, sink.sequence)
--- a/almondspindle/chain/resume.py
+++ b/almondspindle/chain/resume.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from dataclasses import dataclass, replace
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Any
 
 from almondspindle.chain.relay import OwnerLink
@@ -40,46 +40,52 @@
     """
 
     def __init__(self, sink: AnswerSink) -> None:
-        self._sink = sink
-        self._head: AnswerHead | None = None
-        self._waiting: AnswerHead | None = None
+        self.sink = sink
+        self.head: AnswerHead | None = None
+        self.waiting: AnswerHead | None = None
         self.started = False
         self.last_event: int | None = None
 
     async def write(self, part: AnswerPart) -> None:
         """Pass `part` on. Raise `ResumeRefused` for a head that cannot be a resume's."""
-        await self._write(part)
-
-    @singledispatchmethod
-    async def _write(self, part: Any) -> None:
-        raise InvariantError(f"unexpected answer part {type(part).__name__}")
-
-    @_write.register
-    async def _(self, part: AnswerChunk) -> None:
-        await self._start()
-        await self._sink.write(part)
-        if part.last_event is not None:
-            self.last_event = part.last_event
-
-    @_write.register
-    async def _(self, part: AnswerHead) -> None:
-        if self._head is not None:
-            _check_resumed(self._head, part)
-            return
-        self._head = self._waiting = part
-        if not _is_stream(part):
-            await self._start()
-
-    @_write.register
-    async def _(self, part: AnswerEnd) -> None:
-        await self._start()
-        await self._sink.write(part)
-
-    async def _start(self) -> None:
-        if self._waiting is not None:
-            head, self._waiting = self._waiting, None
+        await _write(part, self)
+
+    async def start(self) -> None:
+        """Pass on the head if it still waits."""
+        if self.waiting is not None:
+            head, self.waiting = self.waiting, None
             self.started = True
-            await self._sink.write(head)
+            await self.sink.write(head)
+
+
+# A function dispatches at a fifth of the cost of a method, which is bound anew for each part.
+@singledispatch
+async def _write(part: Any, stream: StreamSink) -> None:
+    raise InvariantError(f"unexpected answer part {type(part).__name__}")
+
+
+@_write.register
+async def _(part: AnswerChunk, stream: StreamSink) -> None:
+    await stream.start()
+    await stream.sink.write(part)
+    if part.last_event is not None:
+        stream.last_event = part.last_event
+
+
+@_write.register
+async def _(part: AnswerHead, stream: StreamSink) -> None:
+    if stream.head is not None:
+        _check_resumed(stream.head, part)
+        return
+    stream.head = stream.waiting = part
+    if not _is_stream(part):
+        await stream.start()
+
+
+@_write.register
+async def _(part: AnswerEnd, stream: StreamSink) -> None:
+    await stream.start()
+    await stream.sink.write(part)
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/chain/send.py
+++ b/almondspindle/chain/send.py
@@ -1,6 +1,6 @@
 """Send a call to its target and pass the answer on."""
 
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Protocol
 
 from almondspindle.controllers.admission.messages import Answered, Release
@@ -27,24 +27,27 @@
         self, sink: AnswerSink, admission: AdmissionController, clock: Clock, ticket: int
     ) -> None:
         self._sink = sink
-        self._admission = admission
-        self._clock = clock
-        self._ticket = ticket
-        self._sent_at = clock.monotonic()
+        self.admission = admission
+        self.clock = clock
+        self.ticket = ticket
+        self.sent_at = clock.monotonic()
 
     async def write(self, part: AnswerPart) -> None:
         """Pass on `part`."""
-        self._note(part)
+        _note(part, self)
         await self._sink.write(part)
 
-    @singledispatchmethod
-    def _note(self, part: object) -> None:
-        """Note nothing of the parts after the head."""
 
-    @_note.register
-    def _(self, part: AnswerHead) -> None:
-        first_byte_s = self._clock.monotonic() - self._sent_at
-        self._admission.tell(Answered(self._ticket, first_byte_s))
+# A function dispatches at a fifth of the cost of a method, which is bound anew for each part.
+@singledispatch
+def _note(part: object, sink: _TimedSink) -> None:
+    """Note nothing of the parts after the head."""
+
+
+@_note.register
+def _(part: AnswerHead, sink: _TimedSink) -> None:
+    first_byte_s = sink.clock.monotonic() - sink.sent_at
+    sink.admission.tell(Answered(sink.ticket, first_byte_s))
 
 
 class SendToTarget:
