Measure memory where a router owns its share of the targets

Cause: the memory bench listed one host, which then owned all 11,000 targets and ran a poller, a record and a refused connection for each. At the size to design for a router knows 11,000 targets and owns about 10. Ruled out: a change of the bound; the figure with one host stays, as router_rss_mb_sole_owner. Change: 1,100 hosts are listed; the import share, the slope per 1,000 targets and per 100 teams are printed. The reading is taken when the entry is ready, before silent hosts are declared dead.

--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+import sys
 import time
 from dataclasses import dataclass, field
 
@@ -24,6 +25,8 @@
 PAUSE_S = 0.074
 STREAM_TOKENS = 80
 TARGETS = 11_000
+HOSTS = 1_100
+ZONES = [zone["name"] for zone in BUREAU_CONFIG["zones"]]
 TEAMS = 600
 MS_PER_S = 1000.0
 BYTES_PER_MB = 1024.0 * 1024.0
@@ -132,19 +135,55 @@
     await source.stop()
 
 
-async def measure_memory() -> None:
-    """Read the memory of a router and an entry that know all targets and teams."""
-    teams = [{"name": f"team-{n}", "token_sha256": token_hash(f"token-{n}")} for n in range(TEAMS)]
+async def import_rss_mb(module: str) -> float:
+    """Return the resident memory of a process that has only imported `module`."""
+    code = f"import {module}; print(next(x for x in open('/proc/self/status') if 'VmRSS' in x))"
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+    )
+    printed, _ = await proc.communicate()
+    return int(printed.split()[1]) * 1024 / BYTES_PER_MB
+
+
+async def measure_node(targets: int, teams: int, hosts: int) -> dict[str, float]:
+    """Return the memory in MB of a router and an entry that know so many targets and teams.
+
+    All `hosts` but one are only listed. Each probe period finds one of them silent, so that in
+    the time of the reading they still own their shares.
+    """
+    named = [{"name": f"team-{n}", "token_sha256": token_hash(f"token-{n}")} for n in range(teams)]
     async with Fleet() as fleet:
-        fleet.configure({**config(), "teams": [*BUREAU_CONFIG["teams"], *teams]})
-        for number in range(TARGETS):
+        fleet.configure({**config(), "teams": [*BUREAU_CONFIG["teams"], *named]})
+        for number in range(targets):
             address = f"127.0.{number // 250}.{number % 250 + 1}:9"
-            fleet._list_target(f"forecast-{number}", "forecast-llm", "walvis-a", address)
+            zone = ZONES[number % len(ZONES)]
+            fleet._list_target(f"forecast-{number}", "forecast-llm", zone, address)
+        for number in range(1, hosts):
+            entry = {"role": "router", "name": f"node-{number}", "zone": ZONES[number % len(ZONES)]}
+            address = f"127.1.{number // 250}.{number % 250 + 1}:9"
+            fleet.store.state.entries.append({**entry, "address": address})
         await fleet.add_hosts(HOST)
         host = fleet.hosts["entry-1"]
         await wait_ready(Caller(host.entry.address))
-        figure("router_rss_mb", host.router.rss_bytes() / BYTES_PER_MB, "MB")
-        figure("entry_rss_mb", host.entry.rss_bytes() / BYTES_PER_MB, "MB")
+        processes = {"router": host.router, "entry": host.entry}
+        return {name: p.rss_bytes() / BYTES_PER_MB for name, p in processes.items()}
+
+
+async def measure_memory() -> None:
+    """Read the memory at the size to design for, its import share, and its slopes."""
+    sole = await measure_node(TARGETS, TEAMS, 1)
+    whole = await measure_node(TARGETS, TEAMS, HOSTS)
+    few_targets = await measure_node(TARGETS // 11, TEAMS, HOSTS)
+    few_teams = await measure_node(TARGETS, 0, HOSTS)
+    for name, used in whole.items():
+        imported = await import_rss_mb(f"almondspindle.programs.{name}")
+        per_targets = (used - few_targets[name]) / (TARGETS - TARGETS // 11) * 1_000
+        per_teams = (used - few_teams[name]) / TEAMS * 100
+        figure(f"{name}_rss_import_mb", imported, "MB")
+        figure(f"{name}_rss_mb", used, "MB")
+        figure(f"{name}_rss_mb_sole_owner", sole[name], "MB")
+        figure(f"{name}_rss_mb_per_1000_targets", per_targets, "MB")
+        figure(f"{name}_rss_mb_per_100_teams", per_teams, "MB")
 
 
 async def measure() -> None:
