Validate the platform's list entry by entry

Ruled out: copies of the roster: membership, directory and publisher share one object, and the owner table (4 MB), target list and first delta (0.1 MB) are small beside it. Change: msgspec splits the list, the same pydantic model validates each entry, and the data class is built before the next one; names of services and zones are interned. All errors are still told, each with its place.

--- a/almondspindle/adapters/platform/models.py
+++ b/almondspindle/adapters/platform/models.py
@@ -1,9 +1,12 @@
 """Validated models of what the platform stores and lists."""
 
 import json
+from functools import singledispatch
+from sys import intern
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError, model_validator
 
 from almondspindle.core.config import (
     AvailabilityZone,
@@ -17,7 +20,7 @@
     Team,
 )
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, TeamName, ZoneName
-from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.outcomes import Error, InvariantError, Ok, Result
 from almondspindle.core.roster import Host, HostState, Roster, Target, TargetState
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S
 
@@ -132,10 +135,14 @@
     leaving: bool = False
 
 
-class HostListModel(BaseModel):
-    """The platform's lagging list."""
+EntryModel = Annotated[RouterEntryModel | TargetEntryModel, Field(discriminator="role")]
+_ENTRY: TypeAdapter[RouterEntryModel | TargetEntryModel] = TypeAdapter(EntryModel)
 
-    entries: list[Annotated[RouterEntryModel | TargetEntryModel, Field(discriminator="role")]]
+
+class _HostList(msgspec.Struct):
+    """The platform's lagging list, its entries not yet decoded."""
+
+    entries: list[msgspec.Raw]
 
 
 def service_from_model(model: ServiceModel) -> Service:
@@ -161,41 +168,54 @@
 
 
 def parse_roster(value: bytes) -> Result[Roster, str]:
-    """Return the hosts and targets in the platform's list `value`, or what is wrong with it."""
+    """Return the hosts and targets in the platform's list `value`, or what is wrong with it.
+
+    Each entry is validated and turned into a data class before the next one is decoded, since
+    the memory of 11,000 models at once would stay with the process.
+    """
     try:
-        model = HostListModel.model_validate_json(value)
-    except ValidationError as exc:
-        return Error(describe(exc))
-    routers = [entry for entry in model.entries if isinstance(entry, RouterEntryModel)]
-    targets = [entry for entry in model.entries if isinstance(entry, TargetEntryModel)]
-    return Ok(
-        Roster(
-            hosts={HostName(entry.name): _host(entry) for entry in routers},
-            targets={TargetName(entry.name): _target(entry) for entry in targets},
-        )
-    )
+        entries = msgspec.json.decode(value, type=_HostList).entries
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Error(f"document: {exc}")
+    roster, wrong = Roster(), []
+    for number, raw in enumerate(entries):
+        try:
+            _add_entry(_ENTRY.validate_json(bytes(raw)), roster)
+        except ValidationError as exc:
+            wrong.append(describe(exc, f"entries.{number}"))
+    return Error("; ".join(wrong)) if wrong else Ok(roster)
+
+
+@singledispatch
+def _add_entry(entry: object, roster: Roster) -> None:
+    raise InvariantError(f"unexpected entry {type(entry).__name__}")
 
 
-def _host(entry: RouterEntryModel) -> Host:
+@_add_entry.register
+def _(entry: RouterEntryModel, roster: Roster) -> None:
     state = HostState.LEAVING if entry.leaving else HostState.LIVE
-    return Host(HostName(entry.name), ZoneName(entry.zone), entry.address, state)
+    name = HostName(entry.name)
+    roster.hosts[name] = Host(name, ZoneName(intern(entry.zone)), entry.address, state)
 
 
-def _target(entry: TargetEntryModel) -> Target:
-    return Target(
-        name=TargetName(entry.name),
-        service=ServiceName(entry.service),
-        zone=ZoneName(entry.zone),
+@_add_entry.register
+def _(entry: TargetEntryModel, roster: Roster) -> None:
+    name = TargetName(entry.name)
+    roster.targets[name] = Target(
+        name=name,
+        service=ServiceName(intern(entry.service)),
+        zone=ZoneName(intern(entry.zone)),
         address=entry.address,
         state=TargetState.LEAVING if entry.leaving else TargetState.LIVE,
     )
 
 
-def describe(exc: ValidationError) -> str:
-    """Return all errors of `exc` on one line, each with the place it concerns."""
+def describe(exc: ValidationError, within: str = "") -> str:
+    """Return all errors of `exc` on one line, each with the place (`within` it) it concerns."""
     parts = []
     for error in exc.errors(include_url=False, include_input=False):
-        place = ".".join(str(step) for step in error["loc"]) or "document"
+        steps = (within, *error["loc"]) if within else error["loc"]
+        place = ".".join(str(step) for step in steps) or "document"
         parts.append(f"{place}: {error['msg']}")
     return "; ".join(parts)
 
