Keep only the owner's name per target, and score first targets once

Cause: the owner table kept an object and a 64-bit score for each of 11,000 targets, for a comparison that only a host that comes needs; and the first roster scored each target against each host of its zone twice, in the placing and again in the offers of the same hosts. Ruled out: smaller sets per owner and zone; they answer questions on each change. Change: the owner's score is worked out when a host comes; targets placed in the same step, against all hosts, are not offered again. The test against the naive scan holds it. Against it: a host that comes costs two hashes a target of its zone instead of one.

--- a/almondspindle/decisions/ownership.py
+++ b/almondspindle/decisions/ownership.py
@@ -55,13 +55,6 @@
     reason: MoveReason
 
 
-@dataclass(frozen=True, slots=True)
-class _Owned:
-    owner: HostName
-    score: int
-    is_near: bool
-
-
 @dataclass(slots=True)
 class OwnerTable:
     """The owners of all targets, changed in proportion to what changed in the roster.
@@ -74,14 +67,14 @@
     _able: dict[ZoneName, dict[HostName, Host]] = field(default_factory=dict)
     _targets: dict[TargetName, Target] = field(default_factory=dict)
     _by_zone: dict[ZoneName, set[TargetName]] = field(default_factory=dict)
-    _owned: dict[TargetName, _Owned] = field(default_factory=dict)
+    _owned: dict[TargetName, HostName] = field(default_factory=dict)
     _by_owner: dict[HostName, set[TargetName]] = field(default_factory=dict)
     _far: set[TargetName] = field(default_factory=set)
 
     def owner(self, target: TargetName) -> Host | None:
         """Return the host that owns `target`, or None."""
         found = self._owned.get(target)
-        return self._hosts[found.owner] if found else None
+        return self._hosts[found] if found is not None else None
 
     def owned_by(self, host: HostName) -> frozenset[TargetName]:
         """Return the targets that `host` owns."""
@@ -94,10 +87,11 @@
         for host in lost:
             loose |= self._by_owner.get(host.name, set())
         before = {name: self._drop(name) for name in loose}
-        for name in loose & self._targets.keys():
+        placed = loose & self._targets.keys()
+        for name in placed:
             self._place(self._targets[name])
         for host in gained:
-            self._offer(host, before)
+            self._offer(host, before, placed)
         return list(self._moves(before))
 
     def _take_hosts(self, hosts: dict[HostName, Host]) -> tuple[list[Host], list[Host]]:
@@ -141,41 +135,44 @@
         if not able:
             self._far.add(target.name)
             return
-        best, owner = max((score(target.name, name), name) for name in able)
-        self._give(target.name, _Owned(owner, best, bool(near)))
+        _, owner = max((score(target.name, name), name) for name in able)
+        self._give(target.name, owner, bool(near))
 
-    def _offer(self, host: Host, before: dict[TargetName, HostName | None]) -> None:
-        """Give `host` each target that it wins from the present owner."""
+    def _offer(
+        self, host: Host, before: dict[TargetName, HostName | None], placed: set[TargetName]
+    ) -> None:
+        """Give `host` each target that it wins; those in `placed` were offered to all hosts."""
         near = self._by_zone.get(host.zone, set())
-        for name in near | self._far:
+        for name in (near | self._far) - placed:
             is_near = name in near
-            value = score(name, host.name)
-            owned = self._owned.get(name)
-            if owned is not None and (is_near, value) <= (owned.is_near, owned.score):
+            owner = self._owned.get(name)
+            # The owner's score is worked out anew: to keep it for every target costs a megabyte.
+            if owner is not None and (is_near, score(name, host.name)) <= (
+                name not in self._far,
+                score(name, owner),
+            ):
                 continue
             old = self._drop(name)
             before.setdefault(name, old)
-            self._give(name, _Owned(host.name, value, is_near))
+            self._give(name, host.name, is_near)
 
-    def _give(self, name: TargetName, owned: _Owned) -> None:
-        self._owned[name] = owned
-        self._by_owner.setdefault(owned.owner, set()).add(name)
-        if not owned.is_near:
+    def _give(self, name: TargetName, owner: HostName, is_near: bool) -> None:
+        self._owned[name] = owner
+        self._by_owner.setdefault(owner, set()).add(name)
+        if not is_near:
             self._far.add(name)
 
     def _drop(self, name: TargetName) -> HostName | None:
         """Take the target from its owner and return who that was."""
         self._far.discard(name)
-        owned = self._owned.pop(name, None)
-        if owned is None:
-            return None
-        self._by_owner[owned.owner].discard(name)
-        return owned.owner
+        owner = self._owned.pop(name, None)
+        if owner is not None:
+            self._by_owner[owner].discard(name)
+        return owner
 
     def _moves(self, before: dict[TargetName, HostName | None]) -> Iterator[OwnerMove]:
         for name, old in before.items():
-            found = self._owned.get(name)
-            new = found.owner if found else None
+            new = self._owned.get(name)
             if new != old:
                 yield OwnerMove(name, old, new, why_moved(old, new, self._hosts))
 
