Revert 'Rank no targets in a router'

Cause: operators' explain chat asks a router for the order of targets, so that it gives the answer of a host's own view. Conclusion: not worth a second way to rank.

--- a/almondspindle/controllers/targets/directory.py
+++ b/almondspindle/controllers/targets/directory.py
@@ -46,15 +46,13 @@
 class DirectoryController(Controller):
     """Own the roster and what is derived from it: owners and a ranking per service."""
 
-    def __init__(
-        self, clock: Clock, own_host: HostName, rankings: ServiceRankings | None = None
-    ) -> None:
+    def __init__(self, clock: Clock, own_host: HostName) -> None:
         super().__init__(clock)
         self._own_host = own_host
         self._roster = Roster()
         self._config = ConfigSet()
         self._owners = OwnerTable()
-        self._rankings = ServiceRankings() if rankings is None else rankings
+        self._rankings = ServiceRankings()
         self._zone: ZoneName | None = None
         self._previous: dict[TargetName, HostName] = {}
         self._listener: OwnedListener = lambda owned: None
--- a/almondspindle/controllers/targets/rankings.py
+++ b/almondspindle/controllers/targets/rankings.py
@@ -31,10 +31,3 @@
         """Return the first `count` targets of `service` for `key`, best first."""
         ring = self._rings.get(service)
         return ring.rank(key, count) if ring is not None else []
-
-
-class NoRankings(ServiceRankings):
-    """Rank nothing, for a router, which is told the target of each request by an entry."""
-
-    def place(self, target: TargetName, service: ServiceName | None) -> None:
-        """Leave `target` unranked."""
--- a/almondspindle/programs/router.py
+++ b/almondspindle/programs/router.py
@@ -57,7 +57,6 @@
 from almondspindle.controllers.membership.task import MembershipController
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import ConfigChanged, RosterRead, SubscribeOwned
-from almondspindle.controllers.targets.rankings import NoRankings
 from almondspindle.controllers.telemetry.task import TelemetryController
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.config import ConfigSet
@@ -88,7 +87,7 @@
         self._clock = clock = SystemClock()
         self._platform = HttpPlatform(cfg.platform)
         self._configuration = ConfigurationController(clock)
-        self._directory = DirectoryController(clock, HostName(cfg.host), NoRankings())
+        self._directory = DirectoryController(clock, HostName(cfg.host))
         self._timings = MembershipTimings(
             period_s=cfg.probe_period_s, list_interval_s=cfg.roster_interval_s
         )
