Log a failed attempt in one place

Cause: resume.py had a copy of relay.py's function that logs a failed attempt. Change: one function, log_attempt, serves both; behaviour is as it was. Measured: tests of relay and peer answers pass (37), ruff and Black are clean; the full suite was not rerun.

--- a/almondspindle/chain/relay.py
+++ b/almondspindle/chain/relay.py
@@ -94,7 +94,7 @@
             if tries.last.refusal is None:
                 tries.final = tries.last
                 return
-            _log_attempt(call, candidate, tries.last.refusal)
+            log_attempt(call, candidate, tries.last.refusal)
             tries.codes.add(tries.last.refusal.code)
             if not await self._goes_on(call, tries, candidate is call.candidates[-1]):
                 tries.final = tries.last
@@ -146,7 +146,8 @@
     return Refusal(RefusalCode.DEADLINE_EXCEEDED, f"the deadline passed; {reason}", state)
 
 
-def _log_attempt(call: Call, candidate: Candidate, refusal: Refusal) -> None:
+def log_attempt(call: Call, candidate: Candidate, refusal: Refusal) -> None:
+    """Log that an attempt at `call` through the candidate's owner ended with `refusal`."""
     emit(
         ATTEMPT_FAILED,
         request_id=call.request_id,
--- a/almondspindle/chain/resume.py
+++ b/almondspindle/chain/resume.py
@@ -6,7 +6,7 @@
 from functools import singledispatch
 from typing import Any
 
-from almondspindle.chain.relay import OwnerLink
+from almondspindle.chain.relay import OwnerLink, log_attempt
 from almondspindle.controllers.targets.directory import DirectoryController
 from almondspindle.controllers.targets.messages import FindCandidate
 from almondspindle.core.calls import (
@@ -20,7 +20,7 @@
     Finished,
 )
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import ATTEMPT_FAILED, STREAM_RESUMED
+from almondspindle.core.events import STREAM_RESUMED
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import RESUMES, MetricSender
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
@@ -109,7 +109,7 @@
             )
             if step is ResumeStep.GIVE_UP:
                 return Finished(True, finished.refusal)
-            _log_break(call, candidate, finished.refusal)
+            log_attempt(call, candidate, finished.refusal)
             await asyncio.sleep(resume_pause_s(progress, random.random()))
             finished = await self._resume(call, candidate, stream)
             progress = self._advance(progress, stream)
@@ -147,15 +147,3 @@
     goes_on = (second.status, second.target) == (first.status, first.target)
     if not (goes_on and _is_stream(second)):
         raise ResumeRefused(f"the target answered the resume with status {second.status}")
-
-
-def _log_break(call: Call, candidate: Candidate, refusal: Refusal) -> None:
-    emit(
-        ATTEMPT_FAILED,
-        request_id=call.request_id,
-        target=candidate.target,
-        owner=candidate.owner,
-        code=refusal.code,
-        reason=refusal.message,
-        run_state=refusal.run_state,
-    )
