Copy prompts between targets instead of reading them again

Change: an attempt names a likely holder of its prompt where the chosen target is not known to hold it; the holder is what this host sent there, else the first in the prompt's order.

--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -113,11 +113,13 @@
             target=placed.target,
             reason=placed.reason,
             load=placed.load,
+            copy_from=placed.copy_from,
         )
         sent = call.with_(
             target=placed.target,
             target_address=placed.address,
             resume_after=progress.last_event,
+            copy_from=placed.copy_from,
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
         try:
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -1,5 +1,6 @@
 """The controller that places requests on targets."""
 
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from itertools import count
 from typing import Any
@@ -23,7 +24,8 @@
 from almondspindle.core.placements import AttemptEnd, Placement
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
-from almondspindle.decisions.placing import Candidate, choose, load_cap
+from almondspindle.decisions.holders import HolderBook, copy_source
+from almondspindle.decisions.placing import Candidate, Choice, choose, load_cap, rank_names
 from almondspindle.decisions.repeat_budget import RepeatLog, may_repeat, note_request
 from almondspindle.decisions.trust import after_attempt, is_trusted
 
@@ -44,7 +46,8 @@
         self._hosts: tuple[str, ...] = (cfg.host,)
         self._peers = PeerLoadBook()
         self._repeats: dict[ServiceName, RepeatLog] = {}
-        self._tickets: dict[int, Known] = {}
+        self._tickets: dict[int, _Ticket] = {}
+        self._holders = HolderBook()
         self._numbers = count(1)
 
     @singledispatchmethod
@@ -81,6 +84,7 @@
             known = known_before.get(record.name)
             if known is None or _has_restarted(known.record, record):
                 known = Known(record, cold_until=now + record.cold_left_s)
+                self._holders.forget(record.name)
             elif record is not known.record:
                 # A record that was written anew says anew how long the target stays cold.
                 known.cold_until = max(known.cold_until, now + record.cold_left_s)
@@ -111,15 +115,17 @@
             return refused(RefusalCode.STARTING, text, retry_after_s=BUSY_RETRY_AFTER_S)
         if msg.is_repeat and not may_repeat(log, self._cfg.bounds, len(self._hosts), now):
             return refused(RefusalCode.RATE_LIMITED, "the budget of repeats is spent")
-        return Ok(self._take(self._targets[choice.candidate.name], choice.reason, now))
+        return Ok(self._take(msg, choice, now))
 
     @handle.register
     def _(self, msg: AttemptOver, now: float) -> None:
-        known = self._tickets.pop(msg.ticket, None)
-        if known is None:
+        ticket = self._tickets.pop(msg.ticket, None)
+        if ticket is None:
             return
+        known, report = ticket.known, msg.report
         known.in_flight -= 1
-        report = msg.report
+        if ticket.key and (report.started or report.end is AttemptEnd.ANSWERED):
+            self._holders.note(ticket.key, known.record.name, now)
         if report.cold_left_s is not None:
             known.cold_until = now + report.cold_left_s
         before, known.trust = known.trust, after_attempt(known.trust, report, now)
@@ -166,14 +172,40 @@
         )
         return may_send(known.sent_cold_at, share, now)
 
-    def _take(self, known: Known, reason: Any, now: float) -> Placement:
+    def _take(self, msg: Place, choice: Choice, now: float) -> Placement:
+        known = self._targets[choice.candidate.name]
         ticket = next(self._numbers)
-        self._tickets[ticket] = known
+        self._tickets[ticket] = _Ticket(known, msg.key)
         known.in_flight += 1
         if now < known.cold_until:
             known.sent_cold_at.append(now)
-        record = known.record
-        return Placement(ticket, record.name, record.address, reason, known.in_flight)
+        return Placement(
+            ticket=ticket,
+            target=known.record.name,
+            address=known.record.address,
+            reason=choice.reason,
+            load=known.in_flight,
+            copy_from=self._copy_from(msg, known.record.name, now),
+        )
+
+    def _copy_from(self, msg: Place, chosen: TargetName, now: float) -> str | None:
+        spec = self._services.get(msg.service)
+        if not msg.key or spec is None or spec.engine is None or not spec.engine.can_copy:
+            return None
+        everyone = self._by_service[msg.service]
+        sound = {known.record.name for known in everyone if is_trusted(known.trust, now)}
+        holders = self._holders.holders(msg.key, now)
+        names = rank_names([known.record.name for known in everyone], msg.key)
+        source = copy_source(chosen, holders, names, sound)
+        return self._targets[source].record.address if source is not None else None
+
+
+@dataclass(frozen=True, slots=True)
+class _Ticket:
+    """An attempt that has not ended, and what its prompt shares."""
+
+    known: Known
+    key: str
 
 
 def _has_restarted(before: TargetRecord, after: TargetRecord) -> bool:
--- a/almondspindle/core/calls.py
+++ b/almondspindle/core/calls.py
@@ -49,7 +49,8 @@
     the last event that the caller has, when the call resumes a stream. `no_other` tells the owner
     of a target that no candidate took the call, some of them because they are starting. The fields
     from `authority` on are set for calls that match a route of the route table: `priority` 0 is
-    the most urgent, and `bearer_token` then holds the caller's API key.
+    the most urgent, and `bearer_token` then holds the caller's API key. `copy_from` is the address
+    of a target that the call's target may copy the prompt from.
     """
 
     request_id: RequestId
@@ -76,6 +77,7 @@
     route: "Route | None" = None
     prompt: "Prompt | None" = None
     priority: int | None = None
+    copy_from: str | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first header called `name`, compared without case, or None."""
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -44,13 +44,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """A target for one attempt. `ticket` is given back when the attempt has ended."""
+    """A target for one attempt. `ticket` is given back when the attempt has ended.
+
+    `copy_from` is the address of a target that may hold the request's prompt in memory.
+    """
 
     ticket: int
     target: TargetName
     address: str
     reason: Reason
     load: int = 0
+    copy_from: str | None = None
 
 
 class AttemptEnd(StrEnum):
--- a/almondspindle/core/routes.py
+++ b/almondspindle/core/routes.py
@@ -45,10 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """The batch size and the memory, in tokens, of a service's model engines."""
+    """The batch size and the memory, in tokens, of a service's model engines.
+
+    `can_copy` tells that engines copy prompts from each other's memory.
+    """
 
     slots: int
     memory_tokens: int
+    can_copy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/almondspindle/decisions/holders.py
@@ -0,0 +1,56 @@
+"""Which targets hold a prompt in memory, and from where another one copies it.
+
+Copying a prompt between targets costs a fraction of reading it again. A copy from a target that
+holds nothing of the prompt costs next to nothing, so a likely holder is named whenever the chosen
+target is not known to hold the prompt.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Sequence
+
+from almondspindle.core.identifiers import TargetName
+
+MAX_KEYS = 8192  # about 1 MB; the deployments have some hundred shared prompts
+HELD_S = 20.0  # engines evict what was not used for long
+
+
+class HolderBook:
+    """The targets that answered requests with each shared prompt, as far as this host knows."""
+
+    def __init__(self) -> None:
+        self._held: OrderedDict[str, dict[TargetName, float]] = OrderedDict()
+
+    def note(self, key: str, target: TargetName, now: float) -> None:
+        """Note that `target` has read the prompt `key`."""
+        self._held.setdefault(key, {})[target] = now
+        self._held.move_to_end(key)
+        while len(self._held) > MAX_KEYS:
+            self._held.popitem(last=False)
+
+    def forget(self, target: TargetName) -> None:
+        """Note that `target` holds nothing any more."""
+        for targets in self._held.values():
+            targets.pop(target, None)
+
+    def holders(self, key: str, now: float) -> list[TargetName]:
+        """Return the targets that hold the prompt `key`, the latest one first."""
+        held = self._held.get(key, {})
+        fresh = [(at, name) for name, at in held.items() if now - at <= HELD_S]
+        return [name for _, name in sorted(fresh, reverse=True)]
+
+
+def copy_source(
+    chosen: TargetName,
+    holders: Sequence[TargetName],
+    ranked: Sequence[TargetName],
+    sound: Collection[TargetName],
+) -> TargetName | None:
+    """Return the target to copy a prompt from, or None if `chosen` holds it.
+
+    `ranked` are the targets in the order in which requests with the prompt try them: where this
+    host knows no holder, the first one is the likeliest. Only targets in `sound` are asked.
+    """
+    if chosen in holders:
+        return None
+    likely = (*holders, *ranked)
+    return next((name for name in likely if name != chosen and name in sound), None)
--- a/almondspindle/decisions/placing.py
+++ b/almondspindle/decisions/placing.py
@@ -54,6 +54,11 @@
     return CAP_SHARE * cap_multiple * sum(loads) / len(loads) + CAP_FLOOR
 
 
+def rank_names(names: Sequence[TargetName], key: str) -> list[TargetName]:
+    """Return `names` in the order in which requests with the prompt `key` try them."""
+    return sorted(names, key=lambda name: score(key, name), reverse=True)
+
+
 def choose(
     candidates: Sequence[Candidate], key: str, zone: ZoneName, tie_break: str, cap: float
 ) -> Choice | None:
@@ -70,8 +75,9 @@
     if not key:
         return _least_loaded(usable, zone, tie_break, Reason.LEAST_LOADED)
     bound = min(cap, load_bound(usable))
-    ordered = sorted(usable, key=lambda c: score(key, c.name), reverse=True)
-    for place, candidate in enumerate(ordered):
+    by_name = {candidate.name: candidate for candidate in usable}
+    for place, name in enumerate(rank_names(list(by_name), key)):
+        candidate = by_name[name]
         if candidate.load < min(bound, candidate.slots * 1.0):
             return Choice(candidate, Reason.SPILL if place else Reason.HOME)
     return _least_loaded(usable, zone, tie_break, Reason.LEAST_LOADED)
--- a/almondspindle/platform/headers.py
+++ b/almondspindle/platform/headers.py
@@ -148,6 +148,8 @@
         added.append(("X-Tenant", str(call.team)))
     if call.priority is not None:
         added.append(("X-Request-Priority", str(min(call.priority, LEAST_URGENT))))
+    if call.copy_from is not None:
+        added.append(("Kv-Fetch", call.copy_from))
     passed = call.headers
     if call.resume_after is not None:
         passed = tuple(pair for pair in passed if pair[0].lower() != RESUME_AFTER)
--- a/almondspindle/platform/objects.py
+++ b/almondspindle/platform/objects.py
@@ -79,6 +79,7 @@
 class _Engine(Struct):
     slots: int = 1
     kv_tokens: int = 0
+    link_mbps: float = 0.0  # between the memories of engines
 
 
 class _Service(Struct):
@@ -195,12 +196,19 @@
 
 
 def _service(found: _Service) -> ServiceSpec:
-    engine = Engine(found.engine.slots, found.engine.kv_tokens) if found.engine else None
     return ServiceSpec(
-        ServiceName(found.name), found.max_conns, found.cold_s, found.cold_per_s, engine
+        name=ServiceName(found.name),
+        connection_limit=found.max_conns,
+        cold_s=found.cold_s,
+        cold_per_s=found.cold_per_s,
+        engine=_engine(found.engine) if found.engine else None,
     )
 
 
+def _engine(found: _Engine) -> Engine:
+    return Engine(found.slots, found.kv_tokens, can_copy=found.link_mbps > 0)
+
+
 def _decode_replica(name: str, spec: bytes) -> RecordValue:
     found = msgspec.json.decode(spec, type=_Replica)
     host, _, port = found.addr.rpartition(":")
--- /dev/null
+++ b/tests/decisions/test_holders.py
@@ -0,0 +1,39 @@
+"""Which targets hold a prompt, and from where another one copies it."""
+
+from almondspindle.core.identifiers import TargetName
+from almondspindle.decisions.holders import HELD_S, MAX_KEYS, HolderBook, copy_source
+
+T = [TargetName(f"t{number}") for number in range(4)]
+
+
+def test_nothing_is_copied_to_a_target_that_holds_the_prompt():
+    assert copy_source(T[0], holders=[T[1], T[0]], ranked=T, sound=T) is None
+
+
+def test_the_latest_holder_is_asked_first_then_the_first_in_the_order():
+    assert copy_source(T[0], holders=[T[2], T[1]], ranked=T, sound=T) == T[2]
+    assert copy_source(T[0], holders=[], ranked=T, sound=T) == T[1]
+    assert copy_source(T[3], holders=[], ranked=T, sound=T) == T[0]
+
+
+def test_only_sound_targets_are_asked():
+    assert copy_source(T[0], holders=[T[2]], ranked=T, sound=[T[0], T[3]]) == T[3]
+    assert copy_source(T[0], holders=[T[2]], ranked=T, sound=[T[0]]) is None
+
+
+def test_holders_are_forgotten_with_time_and_with_a_restart():
+    book = HolderBook()
+    book.note("key", T[0], now=1.0)
+    book.note("key", T[1], now=2.0)
+    assert book.holders("key", now=3.0) == [T[1], T[0]]
+    book.forget(T[1])
+    assert book.holders("key", now=3.0) == [T[0]]
+    assert book.holders("key", now=1.1 + HELD_S) == []
+
+
+def test_the_book_is_bounded():
+    book = HolderBook()
+    for number in range(MAX_KEYS + 1):
+        book.note(f"key-{number}", T[0], now=1.0)
+    assert book.holders("key-0", now=1.0) == []
+    assert book.holders("key-1", now=1.0) == [T[0]]
