Count the loads that other hosts report; reload settings; treat a zone's return as cold

The reports of other hosts reached the exchange, but nothing handed their loads to the placement, so each host saw its own requests only. Change: the node hands reported loads to the placement. The targets of a zone that returns count as cold, since they may have turned cold unseen. Settings are read again on SIGHUP or when the file changes.

--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -6,6 +6,7 @@
 
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.exchange.messages import Ahead, GetAhead, GetReceivers, ReportHeard
+from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
 from almondspindle.core.identifiers import HostName
@@ -27,16 +28,21 @@
         self._rng = rng
         self._reports: dict[HostName, tuple[float, HostReport]] = {}
         self._behind_since: dict[Topic, float] = {}
-        own = f"{cfg.ip}:{cfg.peer_port}"
-        seeds = {f"{ip}:{cfg.peer_port}" for ip in cfg.other_hosts}
-        self._own_address = own
-        self._addresses = seeds - {own}
+        self._own_address = f"{cfg.ip}:{cfg.peer_port}"
+        self._addresses = self._seeds(cfg)
+
+    def _seeds(self, cfg: NodeCfg) -> set[str]:
+        return {f"{ip}:{cfg.peer_port}" for ip in cfg.other_hosts} - {self._own_address}
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
         """Handle a message; see the module of messages."""
         return super().handle(msg, now)
 
+    @handle.register
+    def _(self, msg: SettingsChanged, now: float) -> None:
+        self._addresses |= self._seeds(msg.cfg)
+
     @handle.register
     def _(self, msg: HostsChanged, now: float) -> None:
         found = {record.address for record in msg.hosts.values()}
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -8,6 +8,7 @@
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.placement.messages import AttemptOver, GetLoads, PeerLoads, Place
 from almondspindle.controllers.placement.targets import Known, PeerLoadBook
+from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import (
     HostsChanged,
     RoutesChanged,
@@ -55,12 +56,21 @@
         """Handle a message; see the module of messages."""
         return super().handle(msg, now)
 
+    @handle.register
+    def _(self, msg: SettingsChanged, now: float) -> None:
+        self._cfg = msg.cfg
+
     @handle.register
     def _(self, msg: RoutesChanged, now: float) -> None:
         self._services = dict(msg.table.services)
 
     @handle.register
     def _(self, msg: ZonesChanged, now: float) -> None:
+        # The targets of a zone that returns may have turned cold while they received nothing.
+        for known in self._targets.values():
+            zone, spec = known.record.zone, self._services.get(known.record.service)
+            if zone in self._zones_out and zone not in msg.zones_out and spec is not None:
+                known.cold_until = max(known.cold_until, now + spec.cold_s)
         self._zones_out = msg.zones_out
 
     @handle.register
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -132,6 +132,11 @@
 REQUEST_MALFORMED = event(1604, "request_malformed", "A connection sent no valid HTTP request.")
 LINES_DROPPED = event(1605, "lines_dropped", "Log lines over the bound were dropped; how many.")
 
+SETTINGS_RELOADED = event(1610, "settings_reloaded", "Changed settings came into force.")
+SETTINGS_INVALID = event(
+    1611, "settings_invalid", "Changed settings are not valid; the former ones stay in force."
+)
+
 # 1700 to 1799: the copy of the platform's records.
 VIEW_CHANGED = event(1700, "view_changed", "The records of a topic changed; says the revision.")
 STORE_LOST = event(1701, "store_lost", "Calls to the store began to fail.")
--- a/almondspindle/platform/settings.py
+++ b/almondspindle/platform/settings.py
@@ -57,9 +57,14 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
+def settings_path() -> str | None:
+    """Return the path of the settings file, or None if the environment names none."""
+    return os.environ.get(SETTINGS_VARIABLE) or None
+
+
 def read_settings() -> Result[NodeCfg, str]:
     """Return the settings of this process, or one line that says what is wrong with them."""
-    path = os.environ.get(SETTINGS_VARIABLE)
+    path = settings_path()
     if not path:
         return Error(f"{SETTINGS_VARIABLE} is not set; it holds the path of the settings file")
     try:
--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -50,6 +50,10 @@
     """Read, follow and write the platform's objects."""
 
     def __init__(self, address: str) -> None:
+        self.move(address)
+
+    def move(self, address: str) -> None:
+        """Send later calls to the store at `address`."""
         self._transport = StoreTransport(f"http://{address}")
 
     async def read(self, topic: Topic) -> Result[Snapshot, StoreError]:
--- a/almondspindle/programs/node.py
+++ b/almondspindle/programs/node.py
@@ -22,7 +22,9 @@
 from almondspindle.controllers.exchange.messages import ReportHeard
 from almondspindle.controllers.exchange.runners import Puller, Reporter
 from almondspindle.controllers.exchange.task import ExchangeController
+from almondspindle.controllers.placement.messages import PeerLoads
 from almondspindle.controllers.placement.task import PlacementController
+from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
 from almondspindle.controllers.view.messages import (
     GetSnapshot,
     HostsChanged,
@@ -50,6 +52,7 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.registry import MetricRegistry
+from almondspindle.core.reports import HostReport
 from almondspindle.decisions.readiness import (
     ROTATION_S,
     Standing,
@@ -58,7 +61,7 @@
 )
 from almondspindle.platform import headers as codec
 from almondspindle.platform.objects import decode_record
-from almondspindle.platform.settings import read_settings
+from almondspindle.platform.settings import read_settings, settings_path
 from almondspindle.platform.store import PlatformStore
 from almondspindle.programs.base import EXIT_FAILED, EXIT_OK
 from almondspindle.utils.tasks import TaskSet
@@ -93,7 +96,13 @@
         self._front = Front(chain, codec, self._clock, self._metrics)
         self._store = PlatformStore(cfg.store)
         self._servers: list[SmallServer] = []
-        self._reports = ReportLink(lambda report: self._exchange.tell(ReportHeard(report)))
+        self._reports = ReportLink(self._hear)
+        self._settings = SettingsWatcher(cfg, read_settings, settings_path, self._reload)
+
+    def _hear(self, report: HostReport) -> None:
+        self._exchange.tell(ReportHeard(report))
+        if report.host != self._cfg.host:
+            self._placement.tell(PeerLoads(report.host, report.in_flight))
 
     @singledispatchmethod
     def _publish(self, news: Publication) -> None:
@@ -122,6 +131,18 @@
         self._placement.tell(news)
         self._exchange.tell(news)
 
+    def look_at_settings(self) -> None:
+        """Read the settings file now. Called on SIGHUP."""
+        self._settings.look()
+
+    def _reload(self, cfg: NodeCfg) -> None:
+        """Put changed settings into force. Addresses that the process listens on stay."""
+        if cfg.store != self._cfg.store:
+            self._store.move(cfg.store)
+        self._cfg = cfg
+        self._placement.tell(SettingsChanged(cfg))
+        self._exchange.tell(SettingsChanged(cfg))
+
     async def run(self, stop: asyncio.Event) -> int:
         """Serve until `stop` is set or an invariant is broken; return the exit status."""
         self._start()
@@ -162,6 +183,7 @@
                 "exchange": self._exchange,
                 "pool": self._pool,
                 "front": self._front,
+                "settings": self._settings,
                 "announcer": Announcer(record, self._store),
                 "lapses": LapseTimer(self._view),
                 "puller": Puller(self._view, self._exchange, TopicClient(decode_record)),
@@ -223,9 +245,11 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    node = Node(cfg)
+    loop.add_signal_handler(signal.SIGHUP, node.look_at_settings)
     # Objects made at the start stay; leaving them out makes each collection short.
     gc.freeze()
-    return await Node(cfg).run(stop)
+    return await node.run(stop)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/controllers/test_settings_watcher.py
@@ -0,0 +1,42 @@
+"""Settings that change under way."""
+
+import asyncio
+
+from almondspindle.controllers.settings import SettingsWatcher
+from almondspindle.core.node import NodeCfg
+from almondspindle.platform.settings import SETTINGS_VARIABLE, read_settings, settings_path
+from tests.standins.node_fleet import settings, until
+
+
+def test_valid_changes_are_told_once_and_others_never(tmp_path, monkeypatch):
+    path = tmp_path / "node.json"
+    path.write_bytes(settings("10.0.0.1:80"))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    told: list[NodeCfg] = []
+    watcher = SettingsWatcher(read_settings().ok, read_settings, settings_path, told.append)
+    watcher.look()
+    assert told == []
+    path.write_text("{")
+    watcher.look()
+    assert told == []
+    path.write_bytes(settings("10.0.0.2:80"))
+    watcher.look()
+    watcher.look()
+    assert [cfg.store for cfg in told] == ["10.0.0.2:80"]
+
+
+def test_a_change_without_a_signal_is_found(tmp_path, monkeypatch):
+    path = tmp_path / "node.json"
+    path.write_bytes(settings("10.0.0.1:80"))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    told: list[NodeCfg] = []
+
+    async def check() -> None:
+        watcher = SettingsWatcher(read_settings().ok, read_settings, settings_path, told.append)
+        task = asyncio.get_running_loop().create_task(watcher.run())
+        path.write_bytes(settings("10.0.0.22:80"))
+        await until(lambda: told)
+        task.cancel()
+
+    asyncio.run(check())
+    assert told[0].store == "10.0.0.22:80"
