Let six hosts follow each topic in the store; the others learn from reports

Change: the six hosts that rank first for a topic among those that reach the store follow it, with waits of 3 to 10 s; reports say who reaches the store.

--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -34,3 +34,10 @@
     """Ask which topics have been behind a peer's for a while; `known` is what this host knows."""
 
     known: Mapping[Topic, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Follows(Question[bool]):
+    """Ask whether this host is one of those that follow `topic` in the store."""
+
+    topic: Topic
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -10,7 +10,7 @@
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.messages import GetLoads
 from almondspindle.controllers.placement.task import PlacementController
-from almondspindle.controllers.view.messages import GetRevisions, SnapshotRead
+from almondspindle.controllers.view.messages import GetRevisions, ReachesStore, SnapshotRead
 from almondspindle.controllers.view.task import ViewController
 from almondspindle.core.events import TOPIC_PULLED
 from almondspindle.core.inventory import Snapshot, Topic
@@ -55,6 +55,7 @@
             host=self._cfg.host,
             address=f"{self._cfg.ip}:{self._cfg.peer_port}",
             number=number,
+            reaches_store=await self._view.ask(ReachesStore()),
             revisions={str(topic): found.changed for topic, found in revisions.items()},
             in_flight=dict(loads),
         )
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from almondspindle.controllers.base import Controller
-from almondspindle.controllers.exchange.messages import Ahead, GetAhead, GetReceivers, ReportHeard
+from almondspindle.controllers.exchange.messages import (
+    Ahead,
+    Follows,
+    GetAhead,
+    GetReceivers,
+    ReportHeard,
+)
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
@@ -14,6 +20,7 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.catching_up import is_due
+from almondspindle.decisions.following import follows
 
 RECEIVERS = 8  # hosts that a report goes to; in a small fleet that is every other host
 HEARD_S = 2.0  # a host that was silent for longer is not asked
@@ -61,10 +68,15 @@
         addresses = sorted(self._addresses)
         return self._rng.sample(addresses, min(RECEIVERS, len(addresses)))
 
+    @handle.register
+    def _(self, msg: Follows, now: float) -> bool:
+        able = [report.host for report in self._fresh(now) if report.reaches_store]
+        return follows(msg.topic, self._cfg.host, able)
+
     @handle.register
     def _(self, msg: GetAhead, now: float) -> list[Ahead]:
         ahead = []
-        fresh = [report for at, report in self._reports.values() if now - at <= HEARD_S]
+        fresh = self._fresh(now)
         for topic, revision in msg.known.items():
             best = max(fresh, key=lambda r: r.revisions.get(topic, 0), default=None)
             if best is None or best.revisions.get(topic, 0) <= revision:
@@ -73,3 +85,6 @@
             if is_due(self._behind_since.setdefault(topic, now), now):
                 ahead.append(Ahead(topic, best.address, best.revisions[topic]))
         return ahead
+
+    def _fresh(self, now: float) -> list[HostReport]:
+        return [report for at, report in self._reports.values() if now - at <= HEARD_S]
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -59,6 +59,11 @@
     """Ask up to which store revision each topic is known."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReachesStore(Question[bool]):
+    """Ask whether the last call to the store succeeded."""
+
+
 @dataclass(frozen=True, slots=True)
 class GetSnapshot(Question[Snapshot]):
     """Ask for all that is known of a topic."""
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -14,6 +14,7 @@
     HostsChanged,
     LapseDue,
     Publication,
+    ReachesStore,
     RoutesChanged,
     SnapshotRead,
     StoreFailed,
@@ -133,17 +134,22 @@
             for name in due:
                 held.lapsed.pop(name)
                 held.records.pop(name, None)
+            held.changed = held.revision
             self._announce(topic, held, STORE_SOURCE)
 
     @handle.register
     def _(self, msg: GetRevisions, now: float) -> Mapping[Topic, TopicRevision]:
         return {t: TopicRevision(held.revision, held.changed) for t, held in self._held.items()}
 
+    @handle.register
+    def _(self, msg: ReachesStore, now: float) -> bool:
+        return self._contact.failing_since is None
+
     @handle.register
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
+        # Lapsed records are included: whoever asks may not know of the outage.
         held = self._held[msg.topic]
-        records = tuple(r for name, r in held.records.items() if name not in held.lapsed)
-        return Snapshot(msg.topic, held.revision, records)
+        return Snapshot(msg.topic, held.revision, tuple(held.records.values()))
 
     @handle.register
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -5,6 +5,8 @@
 from typing import Protocol
 
 from almondspindle.adapters.platform.base import StoreError
+from almondspindle.controllers.exchange.messages import Follows
+from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
     ChangesRead,
     GetRevisions,
@@ -17,7 +19,11 @@
 from almondspindle.core.outcomes import Result
 from almondspindle.decisions.jitter import full_jitter
 
-WATCH_S = 4.0  # a silent connection is found at most this long, and a second, after it fell silent
+# Bounds of a watch's wait. Waits differ, so that of several silent connections one is found soon;
+# what that host learns anew reaches the others in their reports.
+WATCH_MIN_S = 3.0
+WATCH_MAX_S = 10.0
+ROLE_CHECK_S = 0.5  # a host that stops to follow is replaced within this time
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 0.5  # within the bound of two seconds for a new configuration
 LAPSE_CHECK_S = 0.25
@@ -45,10 +51,17 @@
 class Watcher:
     """Keep one topic of the view up to date."""
 
-    def __init__(self, topic: Topic, inventory: Inventory, view: ViewController) -> None:
+    def __init__(
+        self,
+        topic: Topic,
+        inventory: Inventory,
+        view: ViewController,
+        exchange: ExchangeController,
+    ) -> None:
         self._topic = topic
         self._inventory = inventory
         self._view = view
+        self._exchange = exchange
         self._failures = 0
 
     async def run(self) -> None:
@@ -68,9 +81,16 @@
             await self._pause(found.error)
 
     async def _follow(self) -> bool:
-        """Wait for the next changes; return whether the history still covers what is known."""
+        """Wait for the next changes, if this host follows the topic.
+
+        Return False when the store's history no longer covers what is known.
+        """
+        if not await self._exchange.ask(Follows(self._topic)):
+            await asyncio.sleep(ROLE_CHECK_S)
+            return True
         revisions = await self._view.ask(GetRevisions())
-        found = await self._inventory.watch(self._topic, revisions[self._topic].known, WATCH_S)
+        wait_s = random.uniform(WATCH_MIN_S, WATCH_MAX_S)
+        found = await self._inventory.watch(self._topic, revisions[self._topic].known, wait_s)
         if found.is_error():
             await self._pause(found.error)
             return True
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -10,11 +10,13 @@
     """The state of one host.
 
     `revisions` gives the store revision of the last known change of each topic, by the topic's
-    name, and `in_flight` the requests at each target.
+    name, and `in_flight` the requests at each target. `reaches_store` tells whether the
+    host's calls to the store succeed.
     """
 
     host: HostName
     address: str
     number: int
+    reaches_store: bool = True
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
--- a/almondspindle/programs/node.py
+++ b/almondspindle/programs/node.py
@@ -190,10 +190,13 @@
                 "reporter": Reporter(
                     cfg, self._placement, self._view, self._exchange, self._reports.send
                 ),
-                **{f"watch {topic}": Watcher(topic, self._store, self._view) for topic in Topic},
+                **{f"watch {topic}": self._watcher(topic) for topic in Topic},
             }
         )
 
+    def _watcher(self, topic: Topic) -> Watcher:
+        return Watcher(topic, self._store, self._view, self._exchange)
+
     async def _stop(self) -> None:
         began_at = self._clock.monotonic()
         self._standing = replace(self._standing, stopping_since=began_at)
--- /dev/null
+++ b/tests/decisions/test_following.py
@@ -0,0 +1,26 @@
+"""Which hosts follow a topic in the store."""
+
+import pytest
+
+from almondspindle.decisions.following import WATCHERS, follows
+
+
+@pytest.mark.parametrize("count", [1, 6, 62, 300])
+def test_a_bounded_number_of_hosts_follows_each_topic(count):
+    hosts = {f"host-{number}" for number in range(count)}
+    chosen = {host for host in hosts if follows("routes", host, hosts - {host})}
+    assert len(chosen) == min(count, WATCHERS)
+
+
+def test_another_host_follows_when_one_does_not_reach_the_store():
+    hosts = {f"host-{number}" for number in range(20)}
+    chosen = {host for host in hosts if follows("routes", host, hosts - {host})}
+    lost = min(chosen)
+    able = hosts - {lost}
+    now = {host for host in able if follows("routes", host, able - {host})}
+    assert chosen - {lost} < now
+    assert len(now) == WATCHERS
+
+
+def test_a_host_that_hears_nobody_follows_every_topic():
+    assert all(follows(topic, "host", ()) for topic in ("routes", "targets", "zones"))
