Copy prompts only from targets whose last attempt did not fail; a target's 504 is no error of its own

Change: sources of copies are targets without a failure since their last answer. A 504, which says that the request's own time has passed, does not count as the target's error.

--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -203,7 +203,7 @@
         if not msg.key or spec is None or spec.engine is None or not spec.engine.can_copy:
             return None
         everyone = self._by_service[msg.service]
-        sound = {known.record.name for known in everyone if is_trusted(known.trust, now)}
+        sound = {known.record.name for known in everyone if not known.trust.failures}
         holders = self._holders.holders(msg.key, now)
         names = rank_names([known.record.name for known in everyone], msg.key)
         source = copy_source(chosen, holders, names, sound)
--- a/almondspindle/decisions/trust.py
+++ b/almondspindle/decisions/trust.py
@@ -11,6 +11,7 @@
 ERROR_ANSWERS = 4  # answers until the share counts
 ERROR_DOUBT_S = 2.0
 FIRST_SERVER_ERROR = 500
+TIME_IS_UP = 504  # the target's word that the request's own time has passed
 
 # How many failures an end counts for. A single connection may break without the target failing.
 WEIGHTS = {
@@ -43,7 +44,8 @@
 def after_attempt(trust: Trust, report: AttemptReport, now: float) -> Trust:
     """Return the trust after an attempt."""
     if report.end is AttemptEnd.ANSWERED:
-        return _after_answer(trust, report.status >= FIRST_SERVER_ERROR, now)
+        is_error = report.status >= FIRST_SERVER_ERROR and report.status != TIME_IS_UP
+        return _after_answer(trust, is_error, now)
     weight = WEIGHTS[report.end]
     if weight == 0:
         return trust
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/test_placement.py
@@ -142,3 +142,12 @@
     records = {name: target(name, started_at_ms=7) for name in ("t0", "t1")}
     found.handle(TargetsChanged({record.name: record for record in records.values()}), 2.0)
     assert place(found, now=2.1, key="part").ok.copy_from is not None
+
+
+def test_nothing_is_copied_from_a_target_that_has_failed():
+    found = controller(target("t0"), target("t1"), target("t2"))
+    first = place(found, key="part").ok
+    end(found, first.ticket, AttemptEnd.ANSWERED)
+    end(found, place(found, now=1.1, key="part").ok.ticket, AttemptEnd.CUT, now=1.2)
+    other = place(found, now=9.0, key="part", tried=(first.target,)).ok
+    assert other.copy_from != first.address
--- a/tests/decisions/test_trust.py
+++ b/tests/decisions/test_trust.py
@@ -38,3 +38,17 @@
 def test_the_end_of_time_and_a_caller_that_leaves_say_nothing_of_the_target():
     for end in (AttemptEnd.TIMED_OUT, AttemptEnd.ABANDONED, AttemptEnd.REJECTED):
         assert after_attempt(Trust(), AttemptReport(end), now=1.0) == Trust()
+
+
+def test_a_single_error_among_many_answers_says_nothing():
+    trust = Trust()
+    for status in [*[200] * 9, 500] * 5:
+        trust = after_attempt(trust, AttemptReport(AttemptEnd.ANSWERED, status=status), now=1.0)
+        assert is_trusted(trust, 1.0)
+
+
+def test_the_end_of_a_requests_own_time_is_no_error_of_the_target():
+    trust = Trust()
+    for _ in range(2 * ERROR_ANSWERS):
+        trust = after_attempt(trust, AttemptReport(AttemptEnd.ANSWERED, status=504), now=1.0)
+    assert is_trusted(trust, 1.0)
