--- /dev/null
+++ b/tests/core/test_log_writer.py
@@ -0,0 +1,95 @@
+"""Log lines that are bounded and that nothing waits for."""
+
+import json
+import os
+
+from almondspindle.core.log_writer import (
+    BUFFER_BYTES,
+    MESSAGE_TYPE,
+    ROUTINE_BURST,
+    ROUTINE_LINES_PER_S,
+    BoundedWriter,
+)
+
+ROUTINE = "almondspindle:1600"
+RARE = "almondspindle:1701"
+
+
+class Pipe:
+    """A pipe with a writer at one end, and a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.reader, self._sink = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.now = 100.0
+        self._rest = b""
+        self.writer = BoundedWriter(self._sink, lambda: self.now, frozenset({ROUTINE}))
+
+    def lines(self) -> list[dict[str, object]]:
+        """Return the whole lines that have come through the pipe since the last call."""
+        data = self._rest
+        while True:
+            try:
+                data += os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                *whole, self._rest = data.split(b"\n")
+                return [json.loads(line) for line in whole]
+
+    def write(self, kind: str, count: int = 1) -> None:
+        """Write `count` messages of `kind`."""
+        for number in range(count):
+            self.writer.write({MESSAGE_TYPE: kind, "number": number})
+
+
+def test_routine_lines_are_dropped_first_and_counted():
+    pipe = Pipe()
+    pipe.write(ROUTINE, int(ROUTINE_BURST) + 50)
+    pipe.write(RARE)
+    kinds = [line[MESSAGE_TYPE] for line in pipe.lines()]
+    assert kinds.count(ROUTINE) == ROUTINE_BURST
+    assert kinds.count(RARE) == 1
+    assert pipe.writer.dropped_in_all == 50
+
+
+def test_a_line_tells_how_many_were_dropped():
+    pipe = Pipe()
+    pipe.write(ROUTINE, int(ROUTINE_BURST) + 50)
+    pipe.write(RARE)
+    told = [line["dropped"] for line in pipe.lines() if "dropped" in line]
+    assert told == [50]
+
+
+def test_the_rate_of_routine_lines_is_bounded_over_time():
+    pipe = Pipe()
+    written = 0
+    for _ in range(100):
+        pipe.now += 0.1
+        pipe.write(ROUTINE, 100)
+        written += len([line for line in pipe.lines() if line[MESSAGE_TYPE] == ROUTINE])
+    assert written <= ROUTINE_BURST + 10 * ROUTINE_LINES_PER_S
+
+
+def test_nothing_waits_for_a_reader_that_reads_nothing():
+    pipe = Pipe()
+    pipe.write(RARE, 20_000)  # would wait for ever if a write did
+    assert pipe.writer.dropped_in_all > 0
+    assert len(pipe.writer._buffer) <= BUFFER_BYTES
+
+
+def test_lines_stay_whole_when_the_reader_returns():
+    pipe = Pipe()
+    pipe.write(RARE, 20_000)
+    before = pipe.lines()
+    pipe.writer.flush()
+    after = pipe.lines()
+    pipe.write(RARE)
+    last = pipe.lines()
+    rare = [line for line in [*before, *after, *last] if line[MESSAGE_TYPE] == RARE]
+    assert len(rare) == len([*before, *after, *last]) - 1
+    assert any("dropped" in line for line in last)
+
+
+def test_a_reader_that_has_gone_stops_nothing():
+    pipe = Pipe()
+    os.close(pipe.reader)
+    pipe.write(RARE, 10)
--- /dev/null
+++ b/tests/core/test_registry.py
@@ -0,0 +1,18 @@
+"""Counters and histograms as text."""
+
+from almondspindle.core.metrics import ANSWERS, WHOLE_TIME
+from almondspindle.core.registry import MetricRegistry
+
+
+def test_counters_and_histograms_are_served_as_text():
+    registry = MetricRegistry()
+    registry.count(ANSWERS)
+    registry.count(ANSWERS, 2)
+    for seconds in (0.004, 0.004, 0.15, 99.0):
+        registry.time(WHOLE_TIME, seconds)
+    lines = registry.text().splitlines()
+    assert "almondspindle_answers_total 3" in lines
+    assert 'almondspindle_whole_time_seconds_bucket{le="0.005"} 2' in lines
+    assert 'almondspindle_whole_time_seconds_bucket{le="0.2"} 3' in lines
+    assert 'almondspindle_whole_time_seconds_bucket{le="+Inf"} 4' in lines
+    assert "almondspindle_whole_time_seconds_count 4" in lines
