--- a/almondspindle/adapters/http1/consumer_connection.py
+++ b/almondspindle/adapters/http1/consumer_connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import httptools
 
@@ -36,10 +36,28 @@
 Arrival = RequestCame | RequestRefused
 
 
+class Owner(Protocol):
+    """What a connection needs of the front that it belongs to."""
+
+    limits: FrontLimits
+
+    def now(self) -> float:
+        """Return seconds on the monotonic clock."""
+        ...
+
+    def opened(self, connection: "ConsumerConnection") -> None:
+        """Start the task of a new connection."""
+        ...
+
+    def closed(self, connection: "ConsumerConnection") -> None:
+        """End the task of a connection that is gone."""
+        ...
+
+
 class ConsumerConnection(asyncio.Protocol):
     """Parse a caller's requests. `arrivals` is the inbox of the connection's task."""
 
-    def __init__(self, front: Any, now: float) -> None:
+    def __init__(self, front: Owner, now: float) -> None:
         self._front = front
         self.transport: Any = None
         self.arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
@@ -103,8 +121,7 @@
     @property
     def limits(self) -> FrontLimits:
         """Return the limits in force."""
-        limits: FrontLimits = self._front.limits
-        return limits
+        return self._front.limits
 
     # What follows is called by the parser.
 
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -8,7 +8,7 @@
 from almondspindle.adapters.platform.base import StoreError
 from almondspindle.controllers.exchange.messages import Ahead, GetAhead, GetReceivers
 from almondspindle.controllers.exchange.task import ExchangeController
-from almondspindle.controllers.placement.messages import GetLoads
+from almondspindle.controllers.placement.messages import GetFailures, GetLoads
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.view.messages import GetRevisions, ReachesStore, SnapshotRead
 from almondspindle.controllers.view.task import ViewController
@@ -51,6 +51,7 @@
     async def _report(self, number: int) -> HostReport:
         revisions = await self._view.ask(GetRevisions())
         loads = await self._placement.ask(GetLoads())
+        failures = await self._placement.ask(GetFailures())
         return HostReport(
             host=self._cfg.host,
             address=f"{self._cfg.ip}:{self._cfg.peer_port}",
@@ -58,6 +59,7 @@
             reaches_store=await self._view.ask(ReachesStore()),
             revisions={str(topic): found.changed for topic, found in revisions.items()},
             in_flight=dict(loads),
+            failures=dict(failures),
         )
 
 
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -1,12 +1,13 @@
 """Messages to the placement controller."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from almondspindle.controllers.base import Question
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName
 from almondspindle.core.outcomes import Outcome
 from almondspindle.core.placements import AttemptReport, Placement
+from almondspindle.core.reports import Tally
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,12 +36,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLoads:
-    """The requests that another host has in flight, by target."""
+    """What another host has in flight, and which attempts failed there lately, by target."""
 
     host: HostName
     in_flight: Mapping[TargetName, int]
+    failures: Mapping[TargetName, Tally] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class GetLoads(Question[Mapping[TargetName, int]]):
     """Ask for the requests that this host has in flight, by target."""
+
+
+@dataclass(frozen=True, slots=True)
+class GetFailures(Question[Mapping[TargetName, Tally]]):
+    """Ask for this host's tallies of the targets at which attempts failed lately."""
--- a/almondspindle/controllers/placement/targets.py
+++ b/almondspindle/controllers/placement/targets.py
@@ -4,8 +4,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from almondspindle.controllers.placement.messages import PeerLoads
 from almondspindle.core.identifiers import HostName, TargetName
 from almondspindle.core.inventory import TargetRecord
+from almondspindle.core.reports import Tally
+from almondspindle.decisions.evidence import AttemptLog
 from almondspindle.decisions.trust import Trust
 
 PEER_LOADS_S = 1.5  # several times the interval of the hosts' reports
@@ -19,15 +22,18 @@
     in_flight: int = 0
     cold_until: float = 0.0
     trust: Trust = field(default_factory=Trust)
+    attempts: AttemptLog = field(default_factory=AttemptLog)
+    is_failing: bool = False
     sent_cold_at: deque[float] = field(default_factory=deque)
 
 
 @dataclass(frozen=True, slots=True)
 class Reported:
-    """The loads that another host reported at `at`."""
+    """The loads and failures that another host reported at `at`."""
 
     at: float
     in_flight: Mapping[TargetName, int]
+    failures: Mapping[TargetName, Tally]
 
 
 class PeerLoadBook:
@@ -38,9 +44,9 @@
         self._sums: dict[TargetName, int] = {}
         self._summed_at = 0.0
 
-    def put(self, host: HostName, in_flight: Mapping[TargetName, int], now: float) -> None:
-        """Replace the report of `host`."""
-        self._reports[host] = Reported(now, in_flight)
+    def put(self, msg: PeerLoads, now: float) -> None:
+        """Replace the report of a host."""
+        self._reports[msg.host] = Reported(now, msg.in_flight, msg.failures)
         self._sum(now)
 
     def of(self, target: TargetName, now: float) -> int:
@@ -49,6 +55,11 @@
             self._sum(now)
         return self._sums.get(target, 0)
 
+    def failures(self, target: TargetName) -> list[Tally]:
+        """Return the other hosts' tallies of `target`."""
+        reports = self._reports.values()
+        return [report.failures[target] for report in reports if target in report.failures]
+
     def _sum(self, now: float) -> None:
         self._summed_at = now
         self._reports = {
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from almondspindle.controllers.base import Controller
-from almondspindle.controllers.placement.messages import AttemptOver, GetLoads, PeerLoads, Place
+from almondspindle.controllers.placement.messages import (
+    AttemptOver,
+    GetFailures,
+    GetLoads,
+    PeerLoads,
+    Place,
+)
 from almondspindle.controllers.placement.targets import Known, PeerLoadBook
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import (
@@ -23,8 +29,10 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.placements import AttemptEnd, Placement
+from almondspindle.core.reports import Tally
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
+from almondspindle.decisions.evidence import is_failing, note, tally
 from almondspindle.decisions.holders import HolderBook, copy_source
 from almondspindle.decisions.placing import Candidate, Choice, choose, load_cap, rank_names
 from almondspindle.decisions.repeat_budget import RepeatLog, may_repeat, note_request
@@ -79,12 +87,17 @@
 
     @handle.register
     def _(self, msg: PeerLoads, now: float) -> None:
-        self._peers.put(msg.host, msg.in_flight, now)
+        self._peers.put(msg, now)
 
     @handle.register
     def _(self, msg: GetLoads, now: float) -> dict[TargetName, int]:
         return {name: known.in_flight for name, known in self._targets.items() if known.in_flight}
 
+    @handle.register
+    def _(self, msg: GetFailures, now: float) -> dict[TargetName, Tally]:
+        tallies = {name: tally(known.attempts, now) for name, known in self._targets.items()}
+        return {name: found for name, found in tallies.items() if found.errors}
+
     @handle.register
     def _(self, msg: TargetsChanged, now: float) -> None:
         known_before = self._targets
@@ -138,6 +151,7 @@
             self._holders.note(ticket.key, known.record.name, now)
         if report.cold_left_s is not None:
             known.cold_until = now + report.cold_left_s
+        note(known.attempts, report, now)
         before, known.trust = known.trust, after_attempt(known.trust, report, now)
         if known.trust.doubted_until > max(now, before.doubted_until):
             emit(
@@ -146,7 +160,6 @@
                 end=report.end,
                 status=report.status,
                 failures=known.trust.failures,
-                error_share=round(known.trust.error_share, 2),
                 avoided_for_s=round(known.trust.doubted_until - now, 2),
             )
         elif before.failures and report.end is AttemptEnd.ANSWERED:
@@ -163,10 +176,26 @@
             zone=record.zone,
             load=self._load(known, now),
             slots=record.slots,
-            is_trusted=is_trusted(known.trust, now),
+            is_trusted=self._is_trusted(known, now),
             may_take=self._may_take(known, now),
         )
 
+    def _is_trusted(self, known: Known, now: float) -> bool:
+        if not is_trusted(known.trust, now):
+            return False
+        own, peers = tally(known.attempts, now), self._peers.failures(known.record.name)
+        failing = is_failing([own, *peers])
+        if failing is not known.is_failing:
+            known.is_failing = failing
+            emit(
+                TARGET_DOUBTED if failing else TARGET_TRUSTED,
+                target=known.record.name,
+                attempts=own.attempts,
+                errors=own.errors,
+                peers_errors=sum(found.errors for found in peers),
+            )
+        return not failing
+
     def _load(self, known: Known, now: float) -> float:
         return known.in_flight + self._peers.of(known.record.name, now)
 
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -33,6 +33,7 @@
 from almondspindle.core.inventory import (
     HostRecord,
     Record,
+    RecordValue,
     Snapshot,
     TargetRecord,
     Topic,
@@ -191,21 +192,34 @@
         if publication is not None:
             self._publish(publication)
 
-    def _publication(self, topic: Topic, values: dict[str, Any]) -> Publication | None:
-        match topic:
-            case Topic.ROUTES:
-                tables = [v for v in values.values() if isinstance(v, RouteTable)]
-                newest = max(tables, key=lambda table: table.version, default=None)
-                if newest is None or (self._table and newest.version <= self._table.version):
-                    return None
-                self._table = newest
-                return RoutesChanged(newest)
-            case Topic.TARGETS:
-                return TargetsChanged(
-                    {n: v for n, v in values.items() if isinstance(v, TargetRecord)}
-                )
-            case Topic.ZONES:
-                zones = (v.zone for v in values.values() if isinstance(v, ZoneOut))
-                return ZonesChanged(frozenset(zones))
-            case Topic.HOSTS:
-                return HostsChanged({n: v for n, v in values.items() if isinstance(v, HostRecord)})
+    def _publication(self, topic: Topic, values: dict[str, RecordValue]) -> Publication | None:
+        if topic is Topic.ROUTES:
+            return self._new_table(values)
+        return PUBLICATIONS[topic](values)
+
+    def _new_table(self, values: dict[str, RecordValue]) -> RoutesChanged | None:
+        tables = [value for value in values.values() if isinstance(value, RouteTable)]
+        newest = max(tables, key=lambda table: table.version, default=None)
+        if newest is None or (self._table and newest.version <= self._table.version):
+            return None
+        self._table = newest
+        return RoutesChanged(newest)
+
+
+def _targets(values: dict[str, RecordValue]) -> TargetsChanged:
+    return TargetsChanged({n: v for n, v in values.items() if isinstance(v, TargetRecord)})
+
+
+def _zones(values: dict[str, RecordValue]) -> ZonesChanged:
+    return ZonesChanged(frozenset(v.zone for v in values.values() if isinstance(v, ZoneOut)))
+
+
+def _hosts(values: dict[str, RecordValue]) -> HostsChanged:
+    return HostsChanged({n: v for n, v in values.items() if isinstance(v, HostRecord)})
+
+
+PUBLICATIONS: dict[Topic, Callable[[dict[str, RecordValue]], Publication]] = {
+    Topic.TARGETS: _targets,
+    Topic.ZONES: _zones,
+    Topic.HOSTS: _hosts,
+}
--- a/almondspindle/programs/node.py
+++ b/almondspindle/programs/node.py
@@ -63,7 +63,7 @@
 from almondspindle.platform.objects import decode_record
 from almondspindle.platform.settings import read_settings, settings_path
 from almondspindle.platform.store import PlatformStore
-from almondspindle.programs.base import EXIT_FAILED, EXIT_OK
+from almondspindle.programs.base import EXIT_FAILED, EXIT_OK, StopSignal
 from almondspindle.utils.tasks import TaskSet
 
 EXIT_BAD_SETTINGS = 2
@@ -102,7 +102,7 @@
     def _hear(self, report: HostReport) -> None:
         self._exchange.tell(ReportHeard(report))
         if report.host != self._cfg.host:
-            self._placement.tell(PeerLoads(report.host, report.in_flight))
+            self._placement.tell(PeerLoads(report.host, report.in_flight, report.failures))
 
     @singledispatchmethod
     def _publish(self, news: Publication) -> None:
@@ -244,15 +244,12 @@
 
 
 async def _run(cfg: NodeCfg) -> int:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    stop = StopSignal()
     node = Node(cfg)
-    loop.add_signal_handler(signal.SIGHUP, node.look_at_settings)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, node.look_at_settings)
     # Objects made at the start stay; leaving them out makes each collection short.
     gc.freeze()
-    return await node.run(stop)
+    return await node.run(stop.event)
 
 
 if __name__ == "__main__":
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/test_placement.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from almondspindle.controllers.placement.messages import AttemptOver, GetLoads, PeerLoads, Place
+from almondspindle.controllers.placement.messages import (
+    AttemptOver,
+    GetFailures,
+    GetLoads,
+    PeerLoads,
+    Place,
+)
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.view.messages import (
     HostsChanged,
@@ -16,6 +22,7 @@
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.outcomes import RefusalCode
 from almondspindle.core.placements import AttemptEnd, AttemptReport
+from almondspindle.core.reports import Tally
 from almondspindle.core.routes import Engine, RouteTable, ServiceSpec
 
 SERVICE = ServiceName("s")
@@ -151,3 +158,43 @@
     end(found, place(found, now=1.1, key="part").ok.ticket, AttemptEnd.CUT, now=1.2)
     other = place(found, now=9.0, key="part", tried=(first.target,)).ok
     assert other.copy_from != first.address
+
+
+def answer(found: PlacementController, ticket: int, status: int, now: float) -> None:
+    found.handle(AttemptOver(ticket, AttemptReport(AttemptEnd.ANSWERED, status)), now)
+
+
+def test_a_target_that_answers_with_errors_is_avoided_for_a_while():
+    found = controller(target("t0"), target("t1"))
+    first = place(found, key="part").ok
+    answer(found, first.ticket, 500, now=1.0)
+    for _ in range(3):
+        again = place(found, now=1.0, key="part").ok
+        assert again.target == first.target
+        answer(found, again.ticket, 500, now=1.0)
+    assert place(found, now=1.1, key="part").ok.target != first.target
+    assert place(found, now=9.0, key="part").ok.target == first.target
+
+
+def test_errors_that_other_hosts_saw_count():
+    found = controller(target("t0"), target("t1"))
+    first = place(found, key="part").ok
+    failures = {first.target: Tally(attempts=6, errors=2)}
+    for number in (1, 2):
+        found.handle(PeerLoads(HostName(f"h{number}"), {}, failures), 1.0)
+    assert place(found, now=1.1, key="part").ok.target != first.target
+
+
+def test_the_end_of_a_requests_own_time_is_no_error_of_the_target():
+    found = controller(target("t0"), target("t1"))
+    first = place(found, key="part").ok
+    for _ in range(10):
+        answer(found, place(found, now=1.0, key="part").ok.ticket, 504, now=1.0)
+    assert place(found, now=1.1, key="part").ok.target == first.target
+
+
+def test_errors_are_told_to_the_other_hosts():
+    found = controller(target("t0"), target("t1"))
+    ticket = place(found).ok
+    answer(found, ticket.ticket, 500, now=1.0)
+    assert found.handle(GetFailures(), 1.1) == {ticket.target: Tally(1, 1)}
