Remove what nothing reads, and keep one copy of the address parser

The parser of "ip:port" stood in adapters/peer and in adapters/http1, the second without IPv6; the status of a server's error stood in two decisions. Change: the left-overs go; utils/addresses.py serves both; decisions/attempts takes the status from decisions/evidence. Behaviour and assertions stay as they are.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from almondspindle.adapters.http1.base import split_address
 from almondspindle.core.events import DATAGRAM_IGNORED
 from almondspindle.core.logs import emit
 from almondspindle.core.reports import HostReport
+from almondspindle.utils.addresses import split_address
 
 MAX_DATAGRAM_BYTES = 60_000
 _ENCODER = msgspec.msgpack.Encoder()
--- a/almondspindle/adapters/exchange/small_server.py
+++ b/almondspindle/adapters/exchange/small_server.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from almondspindle.adapters.http1.base import split_address
+from almondspindle.utils.addresses import split_address
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/adapters/http1/base.py
+++ b/almondspindle/adapters/http1/base.py
@@ -39,9 +39,3 @@
     """Return the bytes of a message's head."""
     lines = [first_line, *(f"{name}: {value}" for name, value in headers), "", ""]
     return "\r\n".join(lines).encode("latin-1")
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of "ip:port"."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/almondspindle/adapters/http1/front.py
+++ b/almondspindle/adapters/http1/front.py
@@ -3,7 +3,7 @@
 import asyncio
 from functools import singledispatchmethod
 
-from almondspindle.adapters.http1.base import HeaderCodec, encode_head, split_address
+from almondspindle.adapters.http1.base import HeaderCodec, encode_head
 from almondspindle.adapters.http1.consumer_connection import (
     ConsumerConnection,
     RequestCame,
@@ -23,6 +23,7 @@
 from almondspindle.core.metrics import ANSWERS, REFUSALS, REQUESTS, WHOLE_TIME, MetricSender
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.routes import FrontLimits
+from almondspindle.utils.addresses import split_address
 from almondspindle.utils.in_flight import InFlight
 
 SWEEP_S = 0.5
--- a/almondspindle/adapters/http1/link.py
+++ b/almondspindle/adapters/http1/link.py
@@ -92,14 +92,11 @@
     facts: AnswerFacts | None = None
     status: int = 0
     keeps_open: bool = False
-    sent_at: float = 0.0
-    first_byte_s: float | None = None
     end: AttemptReport | None = None
 
     async def run(self, bounds: SilenceBounds) -> AttemptReport:
         """Send the request, take the parts of its answer, and return how that ended."""
-        self.sent_at = self.clock.monotonic()
-        headers = self.codec.request_headers(self.call, self.sent_at)
+        headers = self.codec.request_headers(self.call, self.clock.monotonic())
         head = encode_head(f"{self.call.method} {self.call.path} HTTP/1.1", headers)
         self.connection.send(head + self.call.body, self.call.method == "HEAD")
         with SilenceTimer(bounds, self.clock, self._on_silence) as timer:
@@ -122,7 +119,6 @@
 
     @take.register
     async def _(self, part: HeadCame) -> None:
-        self.first_byte_s = self.clock.monotonic() - self.sent_at
         self.raw_headers = part.headers
         self.status = part.status
         self.keeps_open = part.keeps_open
@@ -200,7 +196,5 @@
             status=self.status,
             started=self.progress.started,
             detail=detail,
-            first_byte_s=self.first_byte_s,
-            occupancy=self.facts.occupancy if self.facts else None,
             cold_left_s=self.facts.cold_left_s if self.facts else None,
         )
--- a/almondspindle/adapters/http1/pool.py
+++ b/almondspindle/adapters/http1/pool.py
@@ -4,13 +4,13 @@
 from collections import deque
 from dataclasses import dataclass
 
-from almondspindle.adapters.http1.base import split_address
 from almondspindle.adapters.http1.target_connection import TargetConnection
 from almondspindle.core.calls import Headers
 from almondspindle.core.clock import Clock
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.metrics import CONNECTIONS, MetricSender
 from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.utils.addresses import split_address
 
 CONNECT_TIMEOUT_S = 0.5  # a round trip takes some ms; a dropped opening packet costs seconds
 IDLE_MARGIN_S = 0.6  # a request must arrive before the target's own limit
--- a/almondspindle/adapters/peer/probes.py
+++ b/almondspindle/adapters/peer/probes.py
@@ -24,6 +24,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.members import Gossip
 from almondspindle.core.roster import Host
+from almondspindle.utils.addresses import split_address
 
 DATAGRAM_OVERHEAD_BYTES = 28  # headers of IPv4 and UDP
 HELPED_AT_ONCE = 64  # probes on behalf of others; more are dropped
@@ -49,7 +50,7 @@
         self._hear = hear
         self._help = help_probe
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=_split(address))
+        await loop.create_datagram_endpoint(lambda: self, local_addr=split_address(address))
 
     def close(self) -> None:
         """Close the socket."""
@@ -92,7 +93,7 @@
     async def _ask(self, address: str, number: int, msg: object, timeout_s: float) -> Any:
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[number] = fut
-        self._send(msg, _split(address))
+        self._send(msg, split_address(address))
         try:
             return await asyncio.wait_for(fut, timeout_s)
         except TimeoutError:
@@ -148,9 +149,3 @@
         answer = await self._help(gossip, msg.host, msg.address)
         wire = None if answer is None else to_wire(answer)
         self._send(ProbeForResult(msg.number, wire), source)  # type: ignore[arg-type]
-
-
-def _split(address: str) -> SocketAddress:
-    """Return ip and port of "ip:port"; an IPv6 address stands in brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -34,7 +34,6 @@
 REPEATS = metric("repeats", "counter", "attempts", "Attempts after the first of a request.")
 ATTEMPTS = metric("attempts", "counter", "attempts", "Requests sent to targets.")
 CONNECTIONS = metric("connections", "counter", "connections", "New connections to targets.")
-LOG_LINES_DROPPED = metric("log_lines_dropped", "counter", "lines", "Log lines over the bound.")
 WHOLE_TIME = metric("whole_time", "timer", "ms", "Time from request to the end of the answer.")
 FIRST_BYTE = metric("first_byte", "timer", "ms", "Time from request to first byte of the answer.")
 
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -72,16 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptReport:
-    """How an attempt ended and what the target's answer said of the target.
-
-    `first_byte_s` is the time from sending to the first byte of the answer. `cold_left_s` is set
-    when the target said how long it stays cold.
-    """
+    """How an attempt ended; `cold_left_s` is set when the target said how long it stays cold."""
 
     end: AttemptEnd
     status: int = 0
     started: bool = False
     detail: str = ""
-    first_byte_s: float | None = None
-    occupancy: Occupancy | None = None
     cold_left_s: float | None = None
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -7,9 +7,9 @@
 from almondspindle.core.outcomes import Refusal, RefusalCode, RunState
 from almondspindle.core.placements import AttemptEnd, AttemptReport
 from almondspindle.core.routes import Route
+from almondspindle.decisions.evidence import FIRST_SERVER_ERROR
 from almondspindle.decisions.silence import SilenceBounds
 
-FIRST_SERVER_ERROR = 500
 MAX_REJECTIONS = 3  # a fourth target is as likely to be full as the three before
 RETRY_AFTER_S = 0.3
 LEAST_USEFUL_S = 0.05  # an attempt with less time left can't end in time
--- a/almondspindle/decisions/readiness.py
+++ b/almondspindle/decisions/readiness.py
@@ -28,11 +28,6 @@
     return None
 
 
-def is_out_of_rotation(standing: Standing, now: float) -> bool:
-    """Return whether no new caller is sent to a host that stops."""
-    return standing.stopping_since is not None and now - standing.stopping_since >= ROTATION_S
-
-
 def longest_stop_s(grace_s: float) -> float:
     """Return the longest time that a planned stop may take, in seconds."""
     return max(0.0, grace_s - EXIT_MARGIN_S)
