Pull topics as compressed patches, per topic, within the zone first

Every host pulled the whole manifest (316 KB at 1,400 routes) from the one host with the highest revision. Change: a pull names the requester's version and gets the changed records only, large records as patches by piece, compressed. Each topic is pulled by a task of its own. The peer is picked at random among those with the newest copy, in the own zone first; two delegates a zone cross the border at once, the others after 0.6 s. A change of one route takes less than 1,000 bytes.

--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -1,40 +1,101 @@
-"""Fetch snapshots of topics from peers over HTTP, and encode them for peers."""
+"""Fetch updates of topics from peers over HTTP, and serve them to peers.
 
-from collections.abc import Callable
-from typing import Any
+An update has only the records that the peer lacks, and of a large record only the parts that
+changed. It is compressed, since a whole manifest can take most of a second on a slow link.
+"""
+
+import zlib
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
+from almondspindle.adapters.exchange.internal_server import NOT_FOUND, Reply
+from almondspindle.adapters.exchange.patches import Part, apply_patch, make_patch
 from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.adapters.platform.transport import StoreTransport
-from almondspindle.core.inventory import Record, Snapshot, Topic
+from almondspindle.core.inventory import CopyVersion, Record, Snapshot, Topic, TopicUpdate
 from almondspindle.core.outcomes import Error, Ok, Result
 
 TOPIC_PATH = "/topics/"
 HTTP_OK = 200
 PULL_TIMEOUT_S = 1.0
+COMPRESSION_LEVEL = 1  # higher levels take twice the time and save a few per cent
+CACHED_REPLIES = 8  # most peers that pull at the same time have the same version
 
 DecodeRecord = Callable[[Topic, bytes], Record | None]
+GetUpdate = Callable[[Topic, CopyVersion], Awaitable[TopicUpdate]]
+
+
+class _WirePatch(msgspec.Struct):
+    """Parts that make a record's bytes out of its version at revision `base`."""
 
+    base: int
+    parts: list[bytes | tuple[int, int]]
 
-class _WireSnapshot(msgspec.Struct):
-    """The wire form of `Snapshot`.
 
-    `records` has each record's bytes as stored. They include records that the sending host could
-    not decode itself. `lapsing` is `Snapshot.retained`.
+class _WireUpdate(msgspec.Struct):
+    """The wire form of `TopicUpdate`.
+
+    `records` has the bytes of whole records as stored, and `patches` the patches of others by name.
+    They include records that the sending host could not decode itself. `lapsing` is
+    `TopicUpdate.retained`.
     """
 
     revision: int
     records: list[bytes]
+    patches: dict[str, _WirePatch] = {}
+    unchanged: list[str] = []
     lapsing: dict[str, float] = {}
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Return `snapshot` as the response body for a peer."""
-    records = [record.raw for record in snapshot.records]
-    return msgspec.msgpack.encode(
-        _WireSnapshot(snapshot.revision, records, dict(snapshot.retained))
+def encode_update(update: TopicUpdate) -> bytes:
+    """Return `update` as the response body for a peer."""
+    whole = [change.record.raw for change in update.changed if change.base is None]
+    patches = {
+        change.record.name: _WirePatch(
+            change.base_revision, make_patch(change.base, change.record.raw)
+        )
+        for change in update.changed
+        if change.base is not None
+    }
+    wire = _WireUpdate(
+        update.revision, whole, patches, list(update.unchanged), dict(update.retained)
     )
+    return zlib.compress(msgspec.msgpack.encode(wire), COMPRESSION_LEVEL)
+
+
+class TopicServer:
+    """Serve updates of this host's topics at the path TOPIC/REVISION/NEWEST.
+
+    The numbers are those of the requester's `CopyVersion`.
+    """
+
+    def __init__(self, get_update: GetUpdate) -> None:
+        self._get_update = get_update
+        self._replies: OrderedDict[tuple[Topic, CopyVersion, int], Reply] = OrderedDict()
+
+    async def respond(self, path: str) -> Reply:
+        """Return the update for the requester's version, or status 404 for another path."""
+        match path.split("/"):
+            case [name, revision, newest] if revision.isdecimal() and newest.isdecimal():
+                since = CopyVersion(int(revision), int(newest))
+            case _:
+                return NOT_FOUND
+        if name not in set(Topic):
+            return NOT_FOUND
+        update = await self._get_update(Topic(name), since)
+        key = (update.topic, since, update.revision)
+        cached = self._replies.get(key)
+        # Retention times change while the revision stays the same.
+        if cached is not None and not update.retained:
+            return cached
+        reply = Reply(HTTP_OK, encode_update(update), "application/octet-stream")
+        if not update.retained:
+            self._replies[key] = reply
+            if len(self._replies) > CACHED_REPLIES:
+                self._replies.popitem(last=False)
+        return reply
 
 
 class TopicClient:
@@ -43,22 +104,42 @@
     def __init__(self, decode_record: DecodeRecord) -> None:
         self._decode_record = decode_record
 
-    async def fetch(self, address: str, topic: Topic) -> Result[Snapshot, StoreError]:
-        """Return the snapshot of `topic` at the peer whose peer address is `address`.
+    async def fetch(self, address: str, base: Snapshot) -> Result[Snapshot, StoreError]:
+        """Return the newer snapshot of the topic of `base` at the peer with peer address `address`.
 
-        Records that this host can't decode are left out.
+        `base` is this host's copy of the topic. Records that this host can't decode are left out.
+        If the peer's update doesn't fit `base`, the whole topic is fetched.
         """
+        result = await self._fetch(address, base)
+        if result.is_error() and result.error.code is StoreErrorCode.MALFORMED:
+            return await self._fetch(address, Snapshot(base.topic, 0, ()))
+        return result
+
+    async def _fetch(self, address: str, base: Snapshot) -> Result[Snapshot, StoreError]:
+        newest = max((record.revision for record in base.records), default=0)
+        path = f"{TOPIC_PATH}{base.topic}/{base.revision}/{newest}"
         transport = StoreTransport(f"http://{address}")
-        result = await transport.fetch(
-            "GET", TOPIC_PATH + topic, frozenset({HTTP_OK}), timeout_s=PULL_TIMEOUT_S
-        )
-        return result.bind(lambda response: self._decode(topic, response.body))
+        result = await transport.fetch("GET", path, frozenset({HTTP_OK}), timeout_s=PULL_TIMEOUT_S)
+        return result.bind(lambda response: self._decode(base, response.body))
 
-    def _decode(self, topic: Topic, body: Any) -> Result[Snapshot, StoreError]:
+    def _decode(self, base: Snapshot, body: bytes) -> Result[Snapshot, StoreError]:
+        own = {record.name: record for record in base.records}
         try:
-            wire = msgspec.msgpack.decode(body, type=_WireSnapshot)
-        except msgspec.DecodeError as exc:
-            return Error(StoreError(StoreErrorCode.UNAVAILABLE, f"malformed topic: {exc}"))
-        decoded = [self._decode_record(topic, raw) for raw in wire.records]
-        records = tuple(record for record in decoded if record is not None)
-        return Ok(Snapshot(topic, wire.revision, records, wire.lapsing))
+            wire = msgspec.msgpack.decode(zlib.decompress(body), type=_WireUpdate)
+            patched = [_patch(own, name, patch) for name, patch in wire.patches.items()]
+            unchanged = [own[name] for name in wire.unchanged]
+        except (zlib.error, msgspec.DecodeError, ValueError, KeyError) as exc:
+            text = f"malformed update of topic {base.topic}: {exc!r}"
+            return Error(StoreError(StoreErrorCode.MALFORMED, text))
+        decoded = [self._decode_record(base.topic, raw) for raw in [*wire.records, *patched]]
+        changed = [record for record in decoded if record is not None]
+        records = (*unchanged, *changed)
+        return Ok(Snapshot(base.topic, wire.revision, records, wire.lapsing))
+
+
+def _patch(own: Mapping[str, Record], name: str, patch: _WirePatch) -> bytes:
+    base = own[name]
+    if base.revision != patch.base:
+        raise ValueError(f"the base of {name} is revision {patch.base}, not {base.revision}")
+    parts: list[Part] = list(patch.parts)
+    return apply_patch(base.raw, parts)
--- a/almondspindle/adapters/platform/base.py
+++ b/almondspindle/adapters/platform/base.py
@@ -17,6 +17,7 @@
     CONFLICT = "conflict"
     TOO_LARGE = "too large"
     UNAVAILABLE = "unavailable"
+    MALFORMED = "malformed"
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -33,7 +33,7 @@
 class GetPeersAhead(ControllerRequest[list[PeerAhead]]):
     """Request the topics on which peers have been ahead for some time, with the peer to pull from.
 
-    `revisions` maps each topic to this host's revision of it.
+    `revisions` maps each topic in question to this host's revision of it.
     """
 
     revisions: Mapping[Topic, int]
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -10,7 +10,12 @@
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.messages import GetFailures, GetLoads
 from almondspindle.controllers.placement.task import PlacementController
-from almondspindle.controllers.view.messages import GetRevisions, IsStoreReachable, SnapshotReceived
+from almondspindle.controllers.view.messages import (
+    GetRevisions,
+    GetSnapshot,
+    IsStoreReachable,
+    SnapshotReceived,
+)
 from almondspindle.controllers.view.task import ViewController
 from almondspindle.core.events import TOPIC_PULLED
 from almondspindle.core.inventory import Snapshot, Topic
@@ -56,6 +61,8 @@
             host=self._cfg.host,
             address=f"{self._cfg.ip}:{self._cfg.peer_port}",
             number=number,
+            zone=self._cfg.zone,
+            link_mbps=self._cfg.link_mbps,
             reaches_store=await self._view.request(IsStoreReachable()),
             revisions={str(topic): revision.last_change for topic, revision in revisions.items()},
             in_flight=dict(loads),
@@ -66,13 +73,20 @@
 class SnapshotClient(Protocol):
     """Client that fetches snapshots of topics from peers."""
 
-    async def fetch(self, address: str, topic: Topic) -> Result[Snapshot, StoreError]:
-        """Return the snapshot of `topic` at the peer with peer address `address`."""
+    async def fetch(self, address: str, base: Snapshot) -> Result[Snapshot, StoreError]:
+        """Return a newer snapshot of the topic of `base` at the peer with peer address `address`.
+
+        `base` is this host's copy of the topic.
+        """
         ...
 
 
 class Puller:
-    """Fetch topics from peers whose revisions have been higher than this host's for some time."""
+    """Fetch topics from peers whose revisions have been higher than this host's for some time.
+
+    Each topic is fetched by a task of its own, so that a large manifest on a slow link doesn't
+    delay the news of a target that is leaving.
+    """
 
     def __init__(
         self, view: ViewController, exchange: ExchangeController, client: SnapshotClient
@@ -80,25 +94,34 @@
         self._view = view
         self._exchange = exchange
         self._client = client
+        self._pulling: set[Topic] = set()
 
     async def run(self) -> None:
         """Check for peers that are ahead every `PULL_CHECK_INTERVAL_S` seconds until cancelled."""
-        while True:
-            await asyncio.sleep(PULL_CHECK_INTERVAL_S)
-            revisions = await self._view.request(GetRevisions())
-            current = {topic: revision.current for topic, revision in revisions.items()}
-            for peer in await self._exchange.request(GetPeersAhead(current)):
-                await self._pull(peer, current[peer.topic])
-
-    async def _pull(self, peer: PeerAhead, revision: int) -> None:
-        result = await self._client.fetch(peer.address, peer.topic)
+        async with asyncio.TaskGroup() as pulls:
+            while True:
+                await asyncio.sleep(PULL_CHECK_INTERVAL_S)
+                revisions = await self._view.request(GetRevisions())
+                current = {
+                    topic: revision.current
+                    for topic, revision in revisions.items()
+                    if topic not in self._pulling
+                }
+                for peer in await self._exchange.request(GetPeersAhead(current)):
+                    self._pulling.add(peer.topic)
+                    pulls.create_task(self._pull(peer))
+
+    async def _pull(self, peer: PeerAhead) -> None:
+        base = await self._view.request(GetSnapshot(peer.topic))
+        result = await self._client.fetch(peer.address, base)
         emit(
             TOPIC_PULLED,
             topic=peer.topic,
             peer=peer.address,
-            revision=revision,
+            revision=base.revision,
             found=result.ok.revision if result.is_ok() else None,
             reason=None if result.is_ok() else result.error.message,
         )
         if result.is_ok():
             self._view.send(SnapshotReceived(result.ok, peer.address))
+        self._pulling.discard(peer.topic)
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -19,7 +19,12 @@
 from almondspindle.core.inventory import Topic
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import HostReport
-from almondspindle.decisions.peer_pull import is_pull_due
+from almondspindle.decisions.peer_pull import (
+    Peer,
+    choose_source,
+    is_pull_due,
+    is_zone_delegate,
+)
 from almondspindle.decisions.topic_watchers import is_topic_watcher
 
 REPORT_FANOUT = 8  # hosts that get each report; in a small fleet that is every other host
@@ -77,21 +82,41 @@
 
     @handle.register
     def _(self, msg: IsTopicWatcher, now: float) -> bool:
-        others = [report.host for report in self._recent_reports(now) if report.reaches_store]
-        return is_topic_watcher(msg.topic, self._cfg.host, others)
+        return self._is_watcher(msg.topic, self._recent_reports(now))
 
     @handle.register
     def _(self, msg: GetPeersAhead, now: float) -> list[PeerAhead]:
-        ahead = []
         reports = self._recent_reports(now)
-        for topic, revision in msg.revisions.items():
-            best = max(reports, key=lambda r: r.revisions.get(topic, 0), default=None)
-            if best is None or best.revisions.get(topic, 0) <= revision:
-                self._behind_since.pop(topic, None)
-                continue
-            if is_pull_due(self._behind_since.setdefault(topic, now), now):
-                ahead.append(PeerAhead(topic, best.address, best.revisions[topic]))
-        return ahead
+        sources = (self._pull_source(t, rev, reports, now) for t, rev in msg.revisions.items())
+        return [source for source in sources if source is not None]
+
+    def _pull_source(
+        self, topic: Topic, revision: int, reports: list[HostReport], now: float
+    ) -> PeerAhead | None:
+        peers = [_to_peer(report, topic) for report in reports]
+        ahead = [peer for peer in peers if peer.revision > revision]
+        if not ahead:
+            self._behind_since.pop(topic, None)
+            return None
+        behind_since = self._behind_since.setdefault(topic, now)
+        if not is_pull_due(behind_since, self._is_watcher(topic, reports), now):
+            return None
+        own = self._own_peer()
+        is_delegate = is_zone_delegate(own, peers)
+        source = choose_source(ahead, own, is_delegate, now - behind_since, self._rng)
+        return PeerAhead(topic, source.address, source.revision) if source else None
+
+    def _is_watcher(self, topic: Topic, reports: list[HostReport]) -> bool:
+        others = [_to_peer(report, topic) for report in reports if report.reaches_store]
+        return is_topic_watcher(topic, self._own_peer(), others)
+
+    def _own_peer(self) -> Peer:
+        return Peer(self._cfg.host, self._own_address, self._cfg.zone, self._cfg.link_mbps)
 
     def _recent_reports(self, now: float) -> list[HostReport]:
         return [report for at, report in self._reports.values() if now - at <= REPORT_TTL_S]
+
+
+def _to_peer(report: HostReport, topic: Topic) -> Peer:
+    revision = report.revisions.get(topic, 0)
+    return Peer(report.host, report.address, report.zone, report.link_mbps, revision)
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -6,11 +6,13 @@
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.identifiers import ZoneName
 from almondspindle.core.inventory import (
+    CopyVersion,
     HostRecord,
     Snapshot,
     TargetRecord,
     Topic,
     TopicChanges,
+    TopicUpdate,
 )
 from almondspindle.core.routes import RouteTable
 
@@ -75,6 +77,14 @@
     topic: Topic
 
 
+@dataclass(frozen=True, slots=True)
+class GetTopicUpdate(ControllerRequest[TopicUpdate]):
+    """Request the changes that a peer with version `since` of a topic needs."""
+
+    topic: Topic
+    since: CopyVersion
+
+
 @dataclass(frozen=True, slots=True)
 class GetRouteTable(ControllerRequest[RouteTable | None]):
     """Request the current route table, or None before the first one is read."""
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -7,12 +7,14 @@
 
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.settings import SettingsChanged
+from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import (
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
     GetRouteTable,
     GetSnapshot,
+    GetTopicUpdate,
     HostsChanged,
     IsStoreReachable,
     Publication,
@@ -34,10 +36,12 @@
 from almondspindle.core.inventory import (
     HostRecord,
     Record,
+    RecordUpdate,
     RecordValue,
     Snapshot,
     TargetRecord,
     Topic,
+    TopicUpdate,
     UnreadableRecord,
     ZoneExclusion,
 )
@@ -66,6 +70,11 @@
     last_change: int = 0
     records: dict[str, Record] = field(default_factory=dict)
     retained_until: dict[str, float] = field(default_factory=dict)
+    history: RecordHistory = field(default_factory=RecordHistory)
+
+    def remaining_retention(self, now: float) -> dict[str, float]:
+        """Return for how many seconds each retained record is still used."""
+        return {name: max(0.0, until - now) for name, until in self.retained_until.items()}
 
 
 class ViewController(Controller):
@@ -171,8 +180,22 @@
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
         # Retained records are included, since the requesting peer may not have seen the outage.
         state = self._topics[msg.topic]
-        retained = {name: max(0.0, until - now) for name, until in state.retained_until.items()}
-        return Snapshot(msg.topic, state.revision, tuple(state.records.values()), retained)
+        records = tuple(state.records.values())
+        return Snapshot(msg.topic, state.revision, records, state.remaining_retention(now))
+
+    @handle.register
+    def _(self, msg: GetTopicUpdate, now: float) -> TopicUpdate:
+        state = self._topics[msg.topic]
+        changed, unchanged = [], []
+        for name, record in state.records.items():
+            # The peer may have removed a record that this host retains.
+            if record.revision <= msg.since.revision and name not in state.retained_until:
+                unchanged.append(name)
+            else:
+                base = state.history.find(name, msg.since.newest)
+                changed.append(RecordUpdate(record, base, msg.since.newest))
+        retained = state.remaining_retention(now)
+        return TopicUpdate(msg.topic, state.revision, tuple(changed), tuple(unchanged), retained)
 
     @handle.register
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
@@ -189,6 +212,7 @@
             emit(RECORD_UNREADABLE, topic=topic, name=record.name, reason=record.value.reason)
         state.retained_until.pop(record.name, None)
         state.records[record.name] = record
+        state.history.add(record)
 
     def _retain_until(self, topic: Topic, now: float) -> float | None:
         if topic is not Topic.TARGETS:
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -201,3 +201,6 @@
 )
 TABLE_APPLIED = event(1712, "table_applied", "A route table is in force.")
 TOPIC_PULLED = event(1713, "topic_pulled", "Newer records were pulled from a peer.")
+PEER_RESPONSE_STALLED = event(
+    1714, "peer_response_stalled", "A peer stopped reading a response; its connection was closed."
+)
--- a/almondspindle/core/inventory.py
+++ b/almondspindle/core/inventory.py
@@ -87,6 +87,46 @@
     retained: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class CopyVersion:
+    """The version of a host's copy of a topic.
+
+    `revision` is the store's revision of the copy, and `newest` the highest revision of any of its
+    records. Both are 0 if the host has no copy.
+    """
+
+    revision: int = 0
+    newest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RecordUpdate:
+    """A record that a peer lacks.
+
+    `base` has the bytes of the version that the peer has, which was written at `base_revision`. It
+    is None if this host doesn't know that version.
+    """
+
+    record: Record
+    base: bytes | None = None
+    base_revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TopicUpdate:
+    """The changes that bring a peer's copy of a topic up to the store's `revision`.
+
+    The peer keeps its records named in `unchanged` and removes all others that are not in
+    `changed`. `retained` has the same meaning as in `Snapshot`.
+    """
+
+    topic: Topic
+    revision: int
+    changed: tuple[RecordUpdate, ...]
+    unchanged: tuple[str, ...] = ()
+    retained: Mapping[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class RecordChange:
     """A record that was written or removed."""
--- a/almondspindle/core/node.py
+++ b/almondspindle/core/node.py
@@ -32,7 +32,8 @@
     """Settings of one host. Addresses have the form "ip:port".
 
     Callers connect to `listen_address`, and readiness is served at `readiness_address`.
-    `other_hosts` are peer addresses.
+    `other_hosts` are peer addresses. `link_mbps` is the bandwidth of the host's own link in Mbit/s,
+    0 if it is unknown.
     """
 
     host: HostName
@@ -46,3 +47,4 @@
     max_descriptors: int
     bounds: Bounds
     other_hosts: tuple[str, ...] = ()
+    link_mbps: float = 0.0
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from almondspindle.core.identifiers import HostName, TargetName
+from almondspindle.core.identifiers import HostName, TargetName, ZoneName
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,12 +20,15 @@
     `number` is the sequence number of the report. `reaches_store` tells whether the host's calls
     to the store succeed. `revisions` maps each topic's name to the store revision of its last
     known change. `in_flight` counts the host's requests at each target, and `failures` has the
-    targets at which attempts failed.
+    targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
+    if it is unknown.
     """
 
     host: HostName
     address: str
     number: int
+    zone: ZoneName
+    link_mbps: float = 0.0
     reaches_store: bool = True
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
--- a/almondspindle/decisions/peer_pull.py
+++ b/almondspindle/decisions/peer_pull.py
@@ -1,13 +1,76 @@
-"""Decide when a host pulls a topic from a peer instead of waiting for the store."""
+"""When a host pulls a topic from a peer instead of waiting for the store, and from which peer.
 
-# The watch on the store normally delivers a change within about 10 ms. After this delay the host
-# pulls it from a peer.
-PEER_PULL_DELAY_S = 0.25
+The load that this answers: a change that all hosts of a large fleet fetch at the same time. Bytes
+between zones are dear and the links of most hosts are slow, so a change crosses the border of a
+zone a few times only and spreads within the zone from every host that has it.
+"""
 
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from random import Random
 
-def is_pull_due(behind_since: float | None, now: float) -> bool:
+from almondspindle.core.identifiers import HostName, ZoneName
+from almondspindle.decisions.hashing import score
+
+# The watch on the store normally delivers a change within about 10 ms. After this delay a host that
+# watches the topic pulls it from a peer.
+WATCHER_PULL_DELAY_S = 0.25
+# Hosts that pull from other zones while no peer in their own zone has the change.
+DELEGATES_PER_ZONE = 2
+# After this delay any host pulls from another zone: the delegates may be unreachable.
+CROSS_ZONE_DELAY_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A host as the decisions on pulls and watches see it.
+
+    `link_mbps` is the bandwidth of its link in Mbit/s, and `revision` that of its last change of
+    the topic in question.
+    """
+
+    host: HostName
+    address: str
+    zone: ZoneName
+    link_mbps: float
+    revision: int = 0
+
+
+def is_pull_due(behind_since: float, is_watcher: bool, now: float) -> bool:
     """Return whether to pull a topic from a peer at `now`.
 
-    `behind_since` is when the topic fell behind, in seconds, None while it is up to date.
+    `behind_since` is when the topic fell behind, in seconds.
+    """
+    return now - behind_since >= (WATCHER_PULL_DELAY_S if is_watcher else 0.0)
+
+
+def is_zone_delegate(own: Peer, others: Collection[Peer]) -> bool:
+    """Return whether the host `own` is one of the delegates of its zone.
+
+    `others` are the other hosts that are up. Those with the fastest links are the delegates.
     """
-    return behind_since is not None and now - behind_since >= PEER_PULL_DELAY_S
+    rank = _delegate_rank(own)
+    ahead = (peer for peer in others if peer.zone == own.zone and _delegate_rank(peer) > rank)
+    return sum(1 for _ in ahead) < DELEGATES_PER_ZONE
+
+
+def choose_source(
+    ahead: Sequence[Peer], own: Peer, is_delegate: bool, behind_s: float, rng: Random
+) -> Peer | None:
+    """Return the peer to pull a topic from, or None to wait for one in the host's own zone.
+
+    `ahead` are the peers with a newer copy, and `behind_s` is for how long there have been any, in
+    seconds. Among the peers with the newest copy the choice is random, so that no peer is asked by
+    all hosts.
+    """
+    in_zone = [peer for peer in ahead if peer.zone == own.zone]
+    may_cross = is_delegate or behind_s >= CROSS_ZONE_DELAY_S
+    candidates = in_zone or (ahead if may_cross else [])
+    if not candidates:
+        return None
+    newest = max(peer.revision for peer in candidates)
+    return rng.choice([peer for peer in candidates if peer.revision == newest])
+
+
+def _delegate_rank(peer: Peer) -> tuple[float, int]:
+    return peer.link_mbps, score("delegate", peer.host)
--- a/almondspindle/platform/settings.py
+++ b/almondspindle/platform/settings.py
@@ -26,6 +26,7 @@
 
 class _Limits(Struct):
     max_fds: int = 1024
+    link_mbps: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _Bounds(Struct):
@@ -99,6 +100,7 @@
             max_descriptors=settings.limits.max_fds,
             bounds=_to_bounds(settings.bounds),
             other_hosts=tuple(seed.rpartition(":")[0] for seed in settings.seeds),
+            link_mbps=settings.limits.link_mbps,
         )
     )
 
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -11,7 +11,7 @@
 
 from almondspindle.adapters.exchange.datagrams import UdpReportTransport
 from almondspindle.adapters.exchange.internal_server import InternalHttpServer, Reply
-from almondspindle.adapters.exchange.topics import TOPIC_PATH, TopicClient, encode_snapshot
+from almondspindle.adapters.exchange.topics import TOPIC_PATH, TopicClient, TopicServer
 from almondspindle.adapters.http1.pool import ConnectionPool
 from almondspindle.adapters.http1.server import HttpServer
 from almondspindle.adapters.http1.target_client import PooledTargetClient
@@ -26,7 +26,7 @@
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
 from almondspindle.controllers.view.messages import (
-    GetSnapshot,
+    GetTopicUpdate,
     HostsChanged,
     Publication,
     RoutesChanged,
@@ -49,13 +49,14 @@
     TABLE_APPLIED,
 )
 from almondspindle.core.exit_codes import EXIT_FAILED, EXIT_OK
-from almondspindle.core.inventory import HostRecord, Topic
+from almondspindle.core.inventory import CopyVersion, HostRecord, Topic, TopicUpdate
 from almondspindle.core.log_writer import BoundedLogWriter
 from almondspindle.core.logs import emit, log_to_stdout
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.registry import MetricRegistry
 from almondspindle.core.reports import HostReport
+from almondspindle.decisions.bulk_transfers import bulk_limit_bytes
 from almondspindle.decisions.readiness import (
     OUT_OF_ROTATION_S,
     ReadinessState,
@@ -193,12 +194,13 @@
 
     def _start(self) -> None:
         cfg = self._cfg
+        topics = TopicServer(self._get_topic_update)
         for responders, address in (
             ({codec.READY_PATH: self._serve_readiness}, cfg.readiness_address),
-            ({TOPIC_PATH: self._serve_topic}, f"{cfg.ip}:{cfg.peer_port}"),
+            ({TOPIC_PATH: topics.respond}, f"{cfg.ip}:{cfg.peer_port}"),
             ({METRICS_PATH: self._serve_metrics}, f"{cfg.ip}:{cfg.metrics_port}"),
         ):
-            server = InternalHttpServer(responders)
+            server = InternalHttpServer(responders, bulk_limit_bytes(cfg.link_mbps))
             server.listen(address)
             self._servers.append(server)
         record = HostRecord(cfg.host, f"{cfg.ip}:{cfg.peer_port}", cfg.zone)
@@ -244,11 +246,8 @@
             return Reply(HTTP_OK, b"ready\n")
         return Reply(HTTP_UNAVAILABLE, f"{reason}\n".encode())
 
-    async def _serve_topic(self, rest: str) -> Reply:
-        if rest not in set(Topic):
-            return Reply(404, b"unknown topic\n")
-        snapshot = await self._view.request(GetSnapshot(Topic(rest)))
-        return Reply(HTTP_OK, encode_snapshot(snapshot), "application/msgpack")
+    async def _get_topic_update(self, topic: Topic, since: CopyVersion) -> TopicUpdate:
+        return await self._view.request(GetTopicUpdate(topic, since))
 
     async def _serve_metrics(self, rest: str) -> Reply:
         return Reply(HTTP_OK, self._metrics.render_prometheus().encode())
--- /dev/null
+++ b/tests/adapters/test_topic_transfer.py
@@ -0,0 +1,158 @@
+"""Transfer of topics between hosts: patches, slow links, and topics that must not wait."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondspindle.adapters.exchange.internal_server import InternalHttpServer
+from almondspindle.adapters.exchange.patches import apply_patch, make_patch
+from almondspindle.adapters.exchange.topics import TOPIC_PATH, TopicClient, TopicServer
+from almondspindle.controllers.exchange.messages import ReportReceived
+from almondspindle.controllers.exchange.runners import Puller
+from almondspindle.controllers.exchange.task import ExchangeController
+from almondspindle.controllers.view.messages import GetSnapshot, GetTopicUpdate, SnapshotReceived
+from almondspindle.controllers.view.task import STORE_SOURCE, ViewController
+from almondspindle.core.clock import ManualClock, SystemClock
+from almondspindle.core.identifiers import HostName, ZoneName
+from almondspindle.core.inventory import CopyVersion, Snapshot, Topic, TopicUpdate
+from almondspindle.core.node import Bounds, NodeCfg
+from almondspindle.core.outcomes import Ok
+from almondspindle.core.reports import HostReport
+from almondspindle.decisions.bulk_transfers import bulk_limit_bytes
+from almondspindle.platform.objects import decode_record
+from tests.standins.node_fleet import wait_until
+from tests.standins.ports import LOOPBACK, free_port
+from tests.standins.slow_link import SlowLink
+
+CFG = NodeCfg(HostName("h0"), ZoneName("a"), "10.0.0.1", "", "", "", 7340, 7341, 99, Bounds())
+LINK_MBPS = 5.0
+ROUTE_COUNT = 1400
+# A manifest must be in force within 2 s of its acknowledgement. Reports and checks take up to 0.6 s
+# of that before the pull starts.
+TRANSFER_BOUND_S = 1.4
+
+
+def manifest(version: int, count: int = ROUTE_COUNT) -> bytes:
+    """Return a stored manifest whose routes are the same in each version, except for the first."""
+    rng = random.Random(5)
+    routes = [
+        {"name": f"r{rng.randrange(10**6)}", "host": f"h{rng.randrange(10**6)}.example",
+         "prefix": f"/p{rng.randrange(10**6)}/", "kind": "stream", "timeout_ms": 12000,
+         "latency_target_ms": 1000, "service": "model", "attempts": 1, "gap_aim_ms": 500,
+         "sticky": True, "resumable": False, "split": []}
+        for _ in range(count)
+    ]  # fmt: skip
+    routes[0]["timeout_ms"] += version
+    document = {
+        "meta": {"name": "main", "rev": version, "finalizers": []},
+        "spec": {"version": version, "routes": routes, "tenants": []},
+    }
+    return json.dumps(document).encode()
+
+
+def make_view(*versions: int) -> ViewController:
+    """Return a view that has read `versions` of the manifest one after the other."""
+    view = ViewController(CFG, ManualClock(), lambda _: None)
+    for version in versions:
+        record = decode_record(Topic.ROUTES, manifest(version))
+        snapshot = Snapshot(Topic.ROUTES, version, (record,))
+        view.handle(SnapshotReceived(snapshot, STORE_SOURCE), 1.0)
+    return view
+
+
+def own_copy(view: ViewController) -> Snapshot:
+    return view.handle(GetSnapshot(Topic.ROUTES), 1.0)
+
+
+def serve_topics(view: ViewController) -> tuple[InternalHttpServer, str]:
+    async def get_update(topic: Topic, since: CopyVersion) -> TopicUpdate:
+        return view.handle(GetTopicUpdate(topic, since), 1.0)
+
+    responders = {TOPIC_PATH: TopicServer(get_update).respond}
+    server = InternalHttpServer(responders, bulk_limit_bytes(LINK_MBPS))
+    address = f"{LOOPBACK}:{free_port()}"
+    server.listen(address)
+    return server, address
+
+
+@given(st.lists(st.binary(max_size=4)), st.lists(st.binary(max_size=4)))
+def test_a_patch_restores_the_new_bytes(base, new):
+    old_bytes, new_bytes = b"{".join(base), b"{".join(new)
+    assert apply_patch(old_bytes, make_patch(old_bytes, new_bytes)) == new_bytes
+
+
+@pytest.mark.parametrize("part", [(0, 9), (-1, 1), (0, 0)])
+def test_a_patch_that_does_not_fit_its_base_is_rejected(part):
+    with pytest.raises(ValueError):
+        apply_patch(b"a{b", [part])
+
+
+def test_hosts_behind_a_slow_link_get_a_large_manifest_in_time():
+    async def check() -> None:
+        server, address = serve_topics(make_view(7))
+        async with SlowLink(address, LINK_MBPS) as link:
+            client = TopicClient(decode_record)
+
+            async def is_served() -> bool:
+                return (await client.fetch(link.address, Snapshot(Topic.ROUTES, 0, ()))).is_ok()
+
+            pulls = [wait_until(is_served, TRANSFER_BOUND_S) for _ in range(8)]
+            await asyncio.gather(*pulls)
+        server.close()
+
+    asyncio.run(check())
+
+
+def test_a_change_of_one_route_is_sent_as_a_patch():
+    async def check() -> None:
+        server, address = serve_topics(make_view(7, 8))
+        async with SlowLink(address, LINK_MBPS) as link:
+            result = await TopicClient(decode_record).fetch(link.address, own_copy(make_view(7)))
+            assert result.ok.records[0].raw == manifest(8)
+            assert link.sent_bytes < 1000
+        server.close()
+
+    asyncio.run(check())
+
+
+def test_a_copy_whose_version_the_peer_never_had_is_replaced_whole():
+    async def check() -> None:
+        server, address = serve_topics(make_view(7, 9))
+        result = await TopicClient(decode_record).fetch(address, own_copy(make_view(8)))
+        assert result.ok.records[0].raw == manifest(9)
+        server.close()
+
+    asyncio.run(check())
+
+
+def test_a_large_manifest_does_not_delay_other_topics():
+    class StalledRoutes:
+        def __init__(self) -> None:
+            self.fetched: list[Topic] = []
+
+        async def fetch(self, address: str, base: Snapshot):
+            self.fetched.append(base.topic)
+            if base.topic is Topic.ROUTES:
+                await asyncio.Event().wait()
+            return Ok(Snapshot(base.topic, 50, ()))
+
+    async def check() -> None:
+        view = ViewController(CFG, SystemClock(), lambda _: None)
+        exchange = ExchangeController(CFG, SystemClock(), random.Random(1))
+        client = StalledRoutes()
+        runners = [view, exchange, Puller(view, exchange, client)]
+        tasks = [asyncio.ensure_future(runner.run()) for runner in runners]
+        ahead = {str(topic): 50 for topic in (Topic.ROUTES, Topic.TARGETS)}
+        peer = HostReport(HostName("h1"), "10.0.0.2:1", 1, ZoneName("a"), revisions=ahead)
+        exchange.send(ReportReceived(peer))
+        await wait_until(lambda: Topic.TARGETS in client.fetched)
+        assert client.fetched.count(Topic.ROUTES) == 1
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(check())
--- a/tests/controllers/test_exchange.py
+++ b/tests/controllers/test_exchange.py
@@ -14,7 +14,7 @@
 from almondspindle.core.inventory import Topic
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import HostReport
-from almondspindle.decisions.peer_pull import PEER_PULL_DELAY_S
+from almondspindle.decisions.peer_pull import WATCHER_PULL_DELAY_S
 
 CFG = NodeCfg(
     HostName("h0"), ZoneName("a"), "10.0.0.1", "", "", "", 7340, 7341, 4200, Bounds(),
@@ -29,7 +29,8 @@
 def receive_report(
     controller: ExchangeController, number: int, now: float, **changes: object
 ) -> None:
-    report = HostReport(HostName(f"h{number}"), f"10.0.1.{number}:7340", 1, **changes)
+    address = f"10.0.1.{number}:7340"
+    report = HostReport(HostName(f"h{number}"), address, 1, ZoneName("a"), **changes)
     controller.handle(ReportReceived(report), now)
 
 
@@ -49,7 +50,7 @@
     revisions = {Topic.ROUTES: 10, Topic.TARGETS: 30}
     receive_report(controller, 1, now=1.0, revisions={"routes": 12, "targets": 20})
     assert controller.handle(GetPeersAhead(revisions), 1.0) == []
-    ahead = controller.handle(GetPeersAhead(revisions), 1.0 + PEER_PULL_DELAY_S)
+    ahead = controller.handle(GetPeersAhead(revisions), 1.0 + WATCHER_PULL_DELAY_S)
     assert [(peer.topic, peer.address, peer.revision) for peer in ahead] == [
         (Topic.ROUTES, "10.0.1.1:7340", 12)
     ]
