Report loads within a zone and exchange sums between zones by delegates

Cause: reports of about a kilobyte went from each host to 8 random hosts of the whole fleet five times a second. At 80 hosts three quarters of those bytes crossed a border between zones, which is the dearest price of the grants deployments, and a host still knew the loads of about half of the others (a report counts for 1.5 s; the chance to hear from a given host in that time is 55%, worked out). Change: above nine hosts, a host reports to hosts of its own zone and always to its zone's two delegates, those with the fastest links. Delegates exchange the zone's sums and pass the loads of the other zones on to their own. One report in five also goes to a random host elsewhere, for when delegates don't reach each other. Watchers of the store are picked a zone, in proportion. Reports are sent as arrays instead of maps. Smaller fleets report to all as before.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -1,25 +1,83 @@
-"""Send and receive host reports as UDP datagrams."""
+"""Send and receive reports of hosts as UDP datagrams.
+
+A datagram is one byte that tells the kind of report, and the report as a MessagePack array.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
 from almondspindle.core.events import DATAGRAM_IGNORED
 from almondspindle.core.logs import emit
-from almondspindle.core.reports import HostReport
+from almondspindle.core.reports import HostReport, OutsideReport, Report, ZoneReport
 from almondspindle.utils.addresses import split_address
 
 MAX_DATAGRAM_BYTES = 60_000
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(HostReport)
+
+
+class _Counts(Struct, array_like=True):
+    attempts: int
+    errors: int
+
+
+class _HostReport(Struct, array_like=True):
+    host: str
+    address: str
+    number: int
+    zone: str
+    link_mbps: float
+    reaches_store: bool
+    revisions: dict[str, int]
+    in_flight: dict[str, int]
+    failures: dict[str, _Counts]
+
+
+class _ZoneReport(Struct, array_like=True):
+    host: str
+    address: str
+    zone: str
+    revisions: dict[str, int]
+    in_flight: dict[str, int]
+    failures: dict[str, _Counts]
+
+
+class _OutsideReport(Struct, array_like=True):
+    sender: _HostReport
+    in_flight: dict[str, int]
+    failures: dict[str, _Counts]
+
+
+_WIRE_TYPES: dict[type[Report], tuple[bytes, type[Struct]]] = {
+    HostReport: (b"h", _HostReport),
+    ZoneReport: (b"z", _ZoneReport),
+    OutsideReport: (b"o", _OutsideReport),
+}
+_TYPES_BY_KIND = {kind: (wire, report) for report, (kind, wire) in _WIRE_TYPES.items()}
+
+
+def encode_report(report: Report) -> bytes:
+    """Return the datagram for `report`."""
+    kind, wire_type = _WIRE_TYPES[type(report)]
+    wire = msgspec.convert(report, wire_type, from_attributes=True)
+    return kind + msgspec.msgpack.encode(wire)
+
+
+def decode_report(data: bytes) -> Report:
+    """Return the report in a datagram. Raise `msgspec.DecodeError` if it is malformed."""
+    if data[:1] not in _TYPES_BY_KIND:
+        raise msgspec.DecodeError(f"unknown kind of report {data[:1]!r}")
+    wire_type, report_type = _TYPES_BY_KIND[data[:1]]
+    wire = msgspec.msgpack.decode(data[1:], type=wire_type)
+    return msgspec.convert(wire, report_type, from_attributes=True)
 
 
 class UdpReportTransport(asyncio.DatagramProtocol):
     """Own the UDP socket of a host: send reports, and pass received ones to `on_report`."""
 
-    def __init__(self, on_report: Callable[[HostReport], None]) -> None:
+    def __init__(self, on_report: Callable[[Report], None]) -> None:
         self._on_report = on_report
         self._transport: Any = None
 
@@ -40,7 +98,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a report and pass it to the callback. Called by asyncio."""
         try:
-            report = _DECODER.decode(data)
+            report = decode_report(data)
         except msgspec.DecodeError as exc:
             emit(DATAGRAM_IGNORED, sender=f"{addr[0]}:{addr[1]}", reason=str(exc))
             return
@@ -49,15 +107,11 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore errors such as an unreachable port: a host that is down sends no reports."""
 
-    def send(self, addresses: list[str], report: HostReport) -> None:
+    def send(self, addresses: Sequence[str], report: Report) -> None:
         """Send `report` to each of `addresses`, unless it is too large for a datagram."""
-        data = _ENCODER.encode(report)
+        data = encode_report(report)
         if len(data) > MAX_DATAGRAM_BYTES:
-            emit(
-                DATAGRAM_IGNORED,
-                sender=report.host,
-                reason=f"report of {len(data)} bytes is too large",
-            )
+            emit(DATAGRAM_IGNORED, reason=f"report of {len(data)} bytes is too large")
             return
         for address in addresses:
             self._transport.sendto(data, split_address(address))
--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -5,7 +5,7 @@
 
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.inventory import Topic
-from almondspindle.core.reports import HostReport
+from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,11 +15,45 @@
     report: HostReport
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneReportReceived:
+    """A report on another zone was received from one of its delegates."""
+
+    report: ZoneReport
+
+
+@dataclass(frozen=True, slots=True)
+class OutsideReportReceived:
+    """A report on all other zones was received from a delegate of this host's zone."""
+
+    report: OutsideReport
+
+
 @dataclass(frozen=True, slots=True)
 class GetReportReceivers(ControllerRequest[list[str]]):
     """Request the peer addresses to which this host's next report is sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneRelay:
+    """What a delegate sends next: to delegates of other zones, and to hosts of its own zone."""
+
+    zone_report: ZoneReport
+    zone_receivers: tuple[str, ...]
+    outside_report: OutsideReport
+    outside_receivers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GetZoneRelay(ControllerRequest[ZoneRelay | None]):
+    """Request what this host sends as delegate of its zone, or None if it isn't one.
+
+    `own` is the host's own latest report.
+    """
+
+    own: HostReport
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAhead:
     """A peer that has a higher revision of `topic` than this host."""
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -1,12 +1,17 @@
 """The tasks that send reports and fetch topics from peers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import count
 from typing import Protocol
 
 from almondspindle.adapters.platform.base import StoreError
-from almondspindle.controllers.exchange.messages import GetPeersAhead, GetReportReceivers, PeerAhead
+from almondspindle.controllers.exchange.messages import (
+    GetPeersAhead,
+    GetReportReceivers,
+    GetZoneRelay,
+    PeerAhead,
+)
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.messages import GetFailures, GetLoads
 from almondspindle.controllers.placement.task import PlacementController
@@ -22,14 +27,21 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Result
-from almondspindle.core.reports import HostReport
+from almondspindle.core.reports import HostReport, Report
 
 REPORT_INTERVAL_S = 0.2  # loads change within the duration of a request, about 0.3 s
 PULL_CHECK_INTERVAL_S = 0.15
 
 
+# A delegate sends the loads of other zones with every second report. Each zone has two delegates.
+OUTSIDE_REPORT_PERIOD = 2
+
+
 class Reporter:
-    """Send this host's report to some other hosts every `REPORT_INTERVAL_S` seconds."""
+    """Send this host's report to some other hosts every `REPORT_INTERVAL_S` seconds.
+
+    A delegate of a zone also sends reports on zones.
+    """
 
     def __init__(
         self,
@@ -37,7 +49,7 @@
         placement: PlacementController,
         view: ViewController,
         exchange: ExchangeController,
-        send: Callable[[list[str], HostReport], None],
+        send: Callable[[Sequence[str], Report], None],
     ) -> None:
         self._cfg = cfg
         self._placement = placement
@@ -50,9 +62,19 @@
         for number in count(1):
             receivers = await self._exchange.request(GetReportReceivers())
             if receivers:
-                self._send(receivers, await self._build_report(number))
+                report = await self._build_report(number)
+                self._send(receivers, report)
+                await self._send_zone_reports(report)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    async def _send_zone_reports(self, own: HostReport) -> None:
+        relay = await self._exchange.request(GetZoneRelay(own))
+        if relay is None:
+            return
+        self._send(relay.zone_receivers, relay.zone_report)
+        if own.number % OUTSIDE_REPORT_PERIOD == 0:
+            self._send(relay.outside_receivers, relay.outside_report)
+
     async def _build_report(self, number: int) -> HostReport:
         revisions = await self._view.request(GetRevisions())
         loads = await self._placement.request(GetLoads())
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -1,36 +1,55 @@
 """The controller that owns the reports of the other hosts."""
 
 import random
+from collections.abc import Callable
 from functools import singledispatchmethod
+from itertools import count
 from typing import Any
 
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.exchange.messages import (
     GetPeersAhead,
     GetReportReceivers,
+    GetZoneRelay,
     IsTopicWatcher,
+    OutsideReportReceived,
     PeerAhead,
     ReportReceived,
+    ZoneRelay,
+    ZoneReportReceived,
 )
+from almondspindle.controllers.placement.messages import PeerLoadsReported
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
-from almondspindle.core.identifiers import HostName
+from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import Topic
 from almondspindle.core.node import NodeCfg
-from almondspindle.core.reports import HostReport
+from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.peer_pull import (
     Peer,
     choose_source,
     is_pull_due,
     is_zone_delegate,
+    zone_delegates,
+)
+from almondspindle.decisions.report_scope import (
+    REPORTS_PER_CROSSING,
+    report_receivers,
+    reports_to_all,
+    sum_failures,
+    sum_in_flight,
+    zone_contact,
 )
 from almondspindle.decisions.topic_watchers import is_topic_watcher
 
-REPORT_FANOUT = 8  # hosts that get each report; in a small fleet that is every other host
 # A host whose last report is older is assumed to be unreachable: nothing is pulled from it, and it
 # isn't counted as a watcher of topics.
 REPORT_TTL_S = 2.0
+# The loads of other zones are passed on while the report on them is not older than this.
+ZONE_REPORT_TTL_S = 1.5
+# Stands for all hosts of other zones in the loads that the placement controller gets.
+OUTSIDE = HostName("(other zones)")
 
 
 class ExchangeController(Controller):
@@ -39,19 +58,32 @@
     The addresses are those of the seeds in the settings until host records arrive. Each change of
     the host records replaces them with the addresses in the records. Senders of reports and the
     seeds in changed settings are added, and stay until the next change of the records.
+
+    `on_loads` gets the loads of other hosts and zones, none of them counted twice.
     """
 
-    def __init__(self, cfg: NodeCfg, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        cfg: NodeCfg,
+        clock: Clock,
+        rng: random.Random,
+        on_loads: Callable[[PeerLoadsReported], None] = lambda loads: None,
+    ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._rng = rng
+        self._on_loads = on_loads
         self._reports: dict[HostName, tuple[float, HostReport]] = {}
+        self._zone_reports: dict[HostName, tuple[float, ZoneReport]] = {}
+        self._hosts: tuple[Peer, ...] = ()
         self._behind_since: dict[Topic, float] = {}
         self._own_address = f"{cfg.ip}:{cfg.peer_port}"
-        self._addresses = self._seed_addresses(cfg)
+        self._zones = self._seed_zones(cfg)  # by the address of the other hosts
+        self._report_numbers = count(1)
 
-    def _seed_addresses(self, cfg: NodeCfg) -> set[str]:
-        return {f"{ip}:{cfg.peer_port}" for ip in cfg.other_hosts} - {self._own_address}
+    def _seed_zones(self, cfg: NodeCfg) -> dict[str, ZoneName]:
+        addresses = {f"{ip}:{cfg.peer_port}" for ip in cfg.other_hosts} - {self._own_address}
+        return dict.fromkeys(addresses, ZoneName(""))
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -60,63 +92,144 @@
 
     @handle.register
     def _(self, msg: SettingsChanged, now: float) -> None:
-        self._addresses |= self._seed_addresses(msg.cfg)
+        self._zones = self._seed_zones(msg.cfg) | self._zones
 
     @handle.register
     def _(self, msg: HostsChanged, now: float) -> None:
-        addresses = {record.address for record in msg.hosts.values()}
-        if addresses:
-            self._addresses = addresses - {self._own_address}
+        records = [r for r in msg.hosts.values() if r.address != self._own_address]
+        self._hosts = tuple(Peer(r.name, r.address, r.zone, r.link_mbps) for r in records)
+        if msg.hosts:
+            self._zones = {peer.address: peer.zone for peer in self._hosts}
 
     @handle.register
     def _(self, msg: ReportReceived, now: float) -> None:
-        if msg.report.host == self._cfg.host:
-            return
-        self._reports[msg.report.host] = (now, msg.report)
-        self._addresses.add(msg.report.address)
+        self._store_report(msg.report, now)
+
+    @handle.register
+    def _(self, msg: ZoneReportReceived, now: float) -> None:
+        if msg.report.zone != self._cfg.zone:
+            self._zone_reports[msg.report.host] = (now, msg.report)
+
+    @handle.register
+    def _(self, msg: OutsideReportReceived, now: float) -> None:
+        if msg.report.sender.zone == self._cfg.zone:
+            self._store_report(msg.report.sender, now)
+            self._on_outside_loads(msg.report)
 
     @handle.register
     def _(self, msg: GetReportReceivers, now: float) -> list[str]:
-        addresses = sorted(self._addresses)
-        return self._rng.sample(addresses, min(REPORT_FANOUT, len(addresses)))
+        is_crossing = next(self._report_numbers) % REPORTS_PER_CROSSING == 0
+        in_zone = [_to_peer(report) for report in self._zone_peers_reports(now)]
+        delegates = [peer.address for peer in zone_delegates(in_zone)]
+        return report_receivers(self._zones, self._cfg.zone, delegates, is_crossing, self._rng)
+
+    @handle.register
+    def _(self, msg: GetZoneRelay, now: float) -> ZoneRelay | None:
+        reports = self._zone_peers_reports(now)
+        own = self._own_peer()
+        if self._reports_to_all() or not is_zone_delegate(own, [_to_peer(r) for r in reports]):
+            return None
+        in_zone = [msg.own, *reports]
+        elsewhere = self._newest_by_zone(now).values()
+        outside = OutsideReport(msg.own, sum_in_flight(elsewhere), sum_failures(elsewhere))
+        self._on_outside_loads(outside)
+        return ZoneRelay(
+            ZoneReport(
+                own.host,
+                own.address,
+                own.zone,
+                msg.own.revisions,
+                sum_in_flight(in_zone),
+                sum_failures(in_zone),
+            ),
+            self._zone_contacts(now),
+            outside,
+            tuple(report.address for report in reports),
+        )
 
     @handle.register
     def _(self, msg: IsTopicWatcher, now: float) -> bool:
-        return self._is_watcher(msg.topic, self._recent_reports(now))
+        return self._is_watcher(msg.topic, now)
 
     @handle.register
     def _(self, msg: GetPeersAhead, now: float) -> list[PeerAhead]:
-        reports = self._recent_reports(now)
-        sources = (self._pull_source(t, rev, reports, now) for t, rev in msg.revisions.items())
+        sources = (self._pull_source(t, revision, now) for t, revision in msg.revisions.items())
         return [source for source in sources if source is not None]
 
-    def _pull_source(
-        self, topic: Topic, revision: int, reports: list[HostReport], now: float
-    ) -> PeerAhead | None:
-        peers = [_to_peer(report, topic) for report in reports]
-        ahead = [peer for peer in peers if peer.revision > revision]
+    def _pull_source(self, topic: Topic, revision: int, now: float) -> PeerAhead | None:
+        reports = self._recent_reports(now)
+        sources: list[HostReport | ZoneReport] = [*reports, *self._recent_zone_reports(now)]
+        ahead = [
+            _to_peer(report, topic)
+            for report in sources
+            if report.revisions.get(topic, 0) > revision
+        ]
         if not ahead:
             self._behind_since.pop(topic, None)
             return None
         behind_since = self._behind_since.setdefault(topic, now)
-        if not is_pull_due(behind_since, self._is_watcher(topic, reports), now):
+        if not is_pull_due(behind_since, self._is_watcher(topic, now), now):
             return None
         own = self._own_peer()
-        is_delegate = is_zone_delegate(own, peers)
+        is_delegate = is_zone_delegate(own, [_to_peer(report) for report in reports])
         source = choose_source(ahead, own, is_delegate, now - behind_since, self._rng)
         return PeerAhead(topic, source.address, source.revision) if source else None
 
-    def _is_watcher(self, topic: Topic, reports: list[HostReport]) -> bool:
-        others = [_to_peer(report, topic) for report in reports if report.reaches_store]
-        return is_topic_watcher(topic, self._own_peer(), others)
+    def _is_watcher(self, topic: Topic, now: float) -> bool:
+        if self._reports_to_all():
+            reports, share = self._recent_reports(now), 1.0
+        else:
+            reports = self._zone_peers_reports(now)
+            in_zone = sum(zone == self._cfg.zone for zone in self._zones.values())
+            share = (in_zone + 1) / (len(self._zones) + 1)
+        others = [_to_peer(report) for report in reports if report.reaches_store]
+        return is_topic_watcher(topic, self._own_peer(), others, share)
+
+    def _store_report(self, report: HostReport, now: float) -> None:
+        if report.host == self._cfg.host:
+            return
+        self._reports[report.host] = (now, report)
+        self._zones[report.address] = report.zone
+        if report.zone == self._cfg.zone or self._reports_to_all():
+            self._on_loads(PeerLoadsReported(report.host, report.in_flight, report.failures))
+
+    def _on_outside_loads(self, report: OutsideReport) -> None:
+        self._on_loads(PeerLoadsReported(OUTSIDE, report.in_flight, report.failures))
+
+    def _zone_contacts(self, now: float) -> tuple[str, ...]:
+        zones = {peer.zone for peer in self._hosts} - {self._cfg.zone}
+        reports = self._recent_zone_reports(now)
+        contacts = (
+            zone_contact(
+                [peer for peer in self._hosts if peer.zone == zone],
+                [report.address for report in reports if report.zone == zone],
+                self._rng,
+            )
+            for zone in sorted(zones)
+        )
+        return tuple(address for address in contacts if address is not None)
+
+    def _newest_by_zone(self, now: float) -> dict[ZoneName, ZoneReport]:
+        recent = sorted(self._zone_reports.values(), key=lambda item: item[0])
+        return {report.zone: report for at, report in recent if now - at <= ZONE_REPORT_TTL_S}
+
+    def _reports_to_all(self) -> bool:
+        return reports_to_all(len(self._zones) + 1)
 
     def _own_peer(self) -> Peer:
         return Peer(self._cfg.host, self._own_address, self._cfg.zone, self._cfg.link_mbps)
 
+    def _zone_peers_reports(self, now: float) -> list[HostReport]:
+        return [r for r in self._recent_reports(now) if r.zone == self._cfg.zone]
+
     def _recent_reports(self, now: float) -> list[HostReport]:
         return [report for at, report in self._reports.values() if now - at <= REPORT_TTL_S]
 
+    def _recent_zone_reports(self, now: float) -> list[ZoneReport]:
+        return [report for at, report in self._zone_reports.values() if now - at <= REPORT_TTL_S]
+
 
-def _to_peer(report: HostReport, topic: Topic) -> Peer:
-    revision = report.revisions.get(topic, 0)
-    return Peer(report.host, report.address, report.zone, report.link_mbps, revision)
+def _to_peer(report: HostReport | ZoneReport, topic: Topic | None = None) -> Peer:
+    revision = report.revisions.get(topic, 0) if topic else 0
+    link_mbps = report.link_mbps if isinstance(report, HostReport) else 0.0
+    return Peer(report.host, report.address, report.zone, link_mbps, revision)
--- a/almondspindle/core/inventory.py
+++ b/almondspindle/core/inventory.py
@@ -45,11 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRecord:
-    """A host of the system. `address` is its peer address, "ip:port"."""
+    """A host of the system. `address` is its peer address, "ip:port".
+
+    `link_mbps` is the bandwidth of its link in Mbit/s, 0 if it is unknown.
+    """
 
     name: HostName
     address: str
     zone: ZoneName
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -1,4 +1,4 @@
-"""Reports that each host sends to some other hosts several times a second."""
+"""Reports that hosts send to each other several times a second."""
 
 from dataclasses import dataclass, field
 
@@ -33,3 +33,33 @@
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReport:
+    """The loads of all hosts of a zone, which its delegate `host` sends to those of other zones.
+
+    `in_flight` and `failures` are sums over the zone's hosts; `revisions` are the delegate's own.
+    """
+
+    host: HostName
+    address: str
+    zone: ZoneName
+    revisions: dict[str, int] = field(default_factory=dict)
+    in_flight: dict[TargetName, int] = field(default_factory=dict)
+    failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class OutsideReport:
+    """The loads of all other zones, which a delegate sends to the hosts of its own zone.
+
+    `sender` is the delegate's own report.
+    """
+
+    sender: HostReport
+    in_flight: dict[TargetName, int] = field(default_factory=dict)
+    failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+
+
+Report = HostReport | ZoneReport | OutsideReport
--- a/almondspindle/decisions/peer_pull.py
+++ b/almondspindle/decisions/peer_pull.py
@@ -5,7 +5,7 @@
 zone a few times only and spreads within the zone from every host that has it.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -44,14 +44,14 @@
     return now - behind_since >= (WATCHER_PULL_DELAY_S if is_watcher else 0.0)
 
 
-def is_zone_delegate(own: Peer, others: Collection[Peer]) -> bool:
-    """Return whether the host `own` is one of the delegates of its zone.
+def zone_delegates(hosts: Iterable[Peer]) -> list[Peer]:
+    """Return the delegates of a zone: those of its `hosts` that have the fastest links."""
+    return sorted(hosts, key=_delegate_rank, reverse=True)[:DELEGATES_PER_ZONE]
 
-    `others` are the other hosts that are up. Those with the fastest links are the delegates.
-    """
-    rank = _delegate_rank(own)
-    ahead = (peer for peer in others if peer.zone == own.zone and _delegate_rank(peer) > rank)
-    return sum(1 for _ in ahead) < DELEGATES_PER_ZONE
+
+def is_zone_delegate(own: Peer, others: Iterable[Peer]) -> bool:
+    """Return whether the host `own` is a delegate of its zone. `others` are hosts that are up."""
+    return own in zone_delegates([own, *(peer for peer in others if peer.zone == own.zone)])
 
 
 def choose_source(
--- a/almondspindle/decisions/topic_watchers.py
+++ b/almondspindle/decisions/topic_watchers.py
@@ -16,11 +16,17 @@
 WATCHERS_PER_TOPIC = {Topic.ROUTES: 6, Topic.TARGETS: 6, Topic.ZONES: 6, Topic.HOSTS: 2}
 
 
-def is_topic_watcher(topic: Topic, own: Peer, others: Collection[Peer]) -> bool:
-    """Return whether the host `own` watches `topic`. `others` are those that reach the store."""
+def is_topic_watcher(
+    topic: Topic, own: Peer, others: Collection[Peer], fleet_share: float = 1.0
+) -> bool:
+    """Return whether the host `own` watches `topic`.
+
+    `others` are the hosts that reach the store, among those whose reports `own` gets. `fleet_share`
+    is the share of all hosts that report to each other so; each such group has its own watchers.
+    """
     rank = _watcher_rank(topic, own)
     ahead = sum(_watcher_rank(topic, other) > rank for other in others)
-    return ahead < WATCHERS_PER_TOPIC[topic]
+    return ahead < max(1, round(WATCHERS_PER_TOPIC[topic] * fleet_share))
 
 
 def _watcher_rank(topic: Topic, peer: Peer) -> tuple[float, int]:
--- a/almondspindle/platform/objects.py
+++ b/almondspindle/platform/objects.py
@@ -127,6 +127,7 @@
 class _Host(Struct):
     address: str
     zone: str
+    link_mbps: float = 0.0
 
 
 def decode_record(topic: Topic, raw: bytes) -> Record | None:
@@ -238,12 +239,12 @@
 
 def _decode_host(name: str, spec: bytes) -> RecordValue:
     host = msgspec.json.decode(spec, type=_Host)
-    return HostRecord(HostName(name), host.address, ZoneName(host.zone))
+    return HostRecord(HostName(name), host.address, ZoneName(host.zone), host.link_mbps)
 
 
 def encode_host(record: HostRecord) -> dict[str, Any]:
     """Return the store object for `record`, from which other hosts find this one."""
-    spec = {"address": record.address, "zone": record.zone}
+    spec = {"address": record.address, "zone": record.zone, "link_mbps": record.link_mbps}
     return {"meta": {"name": record.name, "finalizers": []}, "spec": spec}
 
 
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -19,10 +19,13 @@
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.deliver import DeliverToTarget
 from almondspindle.chain.match import MatchRoute
-from almondspindle.controllers.exchange.messages import ReportReceived
+from almondspindle.controllers.exchange.messages import (
+    OutsideReportReceived,
+    ReportReceived,
+    ZoneReportReceived,
+)
 from almondspindle.controllers.exchange.runners import Puller, Reporter
 from almondspindle.controllers.exchange.task import ExchangeController
-from almondspindle.controllers.placement.messages import PeerLoadsReported
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
 from almondspindle.controllers.view.messages import (
@@ -55,7 +58,7 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.registry import MetricRegistry
-from almondspindle.core.reports import HostReport
+from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.bulk_transfers import bulk_limit_bytes
 from almondspindle.decisions.readiness import (
     OUT_OF_ROTATION_S,
@@ -95,7 +98,9 @@
         self._readiness = ReadinessState()
         self._tasks = TaskSet()
         self._placement = PlacementController(cfg, self._clock)
-        self._exchange = ExchangeController(cfg, self._clock, random.Random(cfg.host))
+        self._exchange = ExchangeController(
+            cfg, self._clock, random.Random(cfg.host), self._placement.send
+        )
         self._view = ViewController(cfg, self._clock, self._publish)
         self._pool = ConnectionPool(self._clock, self._metrics)
         client = PooledTargetClient(self._pool, codec, self._clock, self._metrics)
@@ -110,10 +115,21 @@
         self._report_transport = UdpReportTransport(self._receive_report)
         self._settings = SettingsWatcher(cfg, read_settings, settings_path, self._apply_settings)
 
-    def _receive_report(self, report: HostReport) -> None:
+    @singledispatchmethod
+    def _receive_report(self, report: object) -> None:
+        raise InvariantError(f"unexpected report {type(report).__name__}")
+
+    @_receive_report.register
+    def _(self, report: HostReport) -> None:
         self._exchange.send(ReportReceived(report))
-        if report.host != self._cfg.host:
-            self._placement.send(PeerLoadsReported(report.host, report.in_flight, report.failures))
+
+    @_receive_report.register
+    def _(self, report: ZoneReport) -> None:
+        self._exchange.send(ZoneReportReceived(report))
+
+    @_receive_report.register
+    def _(self, report: OutsideReport) -> None:
+        self._exchange.send(OutsideReportReceived(report))
 
     @singledispatchmethod
     def _publish(self, publication: Publication) -> None:
@@ -203,7 +219,7 @@
             server = InternalHttpServer(responders, bulk_limit_bytes(cfg.link_mbps))
             server.listen(address)
             self._servers.append(server)
-        record = HostRecord(cfg.host, f"{cfg.ip}:{cfg.peer_port}", cfg.zone)
+        record = HostRecord(cfg.host, f"{cfg.ip}:{cfg.peer_port}", cfg.zone, cfg.link_mbps)
         self._tasks.start_all(
             {
                 "view": self._view,
--- a/tests/controllers/test_exchange.py
+++ b/tests/controllers/test_exchange.py
@@ -8,13 +8,14 @@
     IsTopicWatcher,
     ReportReceived,
 )
-from almondspindle.controllers.exchange.task import REPORT_FANOUT, REPORT_TTL_S, ExchangeController
+from almondspindle.controllers.exchange.task import REPORT_TTL_S, ExchangeController
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import Topic
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.peer_pull import WATCHER_PULL_DELAY_S
+from almondspindle.decisions.report_scope import REPORT_FANOUT
 
 CFG = NodeCfg(
     HostName("h0"), ZoneName("a"), "10.0.0.1", "", "", "", 7340, 7341, 4200, Bounds(),
