Bound the bytes that a target's response may take, without an end in sight

Cause: a target may send bytes without end. A head without end (one header, many, a status line, interim responses, trailers) was collected in memory until the caller's deadline: MAX_HEAD_BYTES was defined and never used. A rejection with an endless body was read until the deadline, so its request was neither retried nor answered. Each incomplete response could hold 8 MB, and nothing bounded them together. The connection is reset, and the request is answered as after any broken or rejected attempt. The store's client reads 32 MiB at most instead of 100 MB.

--- a/almondspindle/adapters/http1/response_buffer.py
+++ b/almondspindle/adapters/http1/response_buffer.py
@@ -23,6 +23,11 @@
     scanner: EventScanner = field(default_factory=EventScanner)
     is_stream: bool = False
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return how many bytes of the response are kept in memory."""
+        return len(self.buffered) + self.scanner.pending_bytes
+
     def begin(self, head: ResponseHead, is_stream: bool) -> None:
         """Begin a target's response, and discard what is buffered of an earlier attempt's."""
         if not self.started:
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -20,9 +20,13 @@
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.placements import AttemptEnd, AttemptReport, ResponseMetadata
 from almondspindle.decisions.idle_timeout import IdleTimeouts
+from almondspindle.decisions.response_bounds import (
+    MAX_REJECTION_BYTES,
+    MAX_RESPONSE_BYTES,
+    KeptBytes,
+)
 from almondspindle.utils.idle_timer import IdleTimer
 
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 FIRST_REDIRECT_STATUS = 300
 HTTP_OK = 200
 
@@ -40,6 +44,7 @@
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
+        self._kept = KeptBytes()
 
     def begin_response(self, call: Call, sink: ResponseSink) -> ResponseBuffer:
         """Return a buffer for the response to `call` that is written to `sink`."""
@@ -57,11 +62,12 @@
                 AttemptEnd.NOT_CONNECTED, started=progress.started, detail=leased.error
             )
         connection = leased.ok.connection
-        exchange = _Exchange(call, progress, connection, self._codec, self._clock)
+        exchange = _Exchange(call, progress, connection, self._codec, self._clock, self._kept)
         self._metrics.count(ATTEMPTS)
         try:
             report = await exchange.run(timeouts)
         finally:
+            exchange.account(0)
             if exchange.may_reuse:
                 self._pool.release(
                     call.target, call.target_address, connection, exchange.raw_headers
@@ -87,6 +93,9 @@
     connection: TargetConnection
     codec: HeaderCodec
     clock: Clock
+    kept: KeptBytes
+    kept_here: int = 0  # bytes of this response in `kept`
+    rejected_bytes: int = 0
     may_reuse: bool = False
     raw_headers: tuple[tuple[str, str], ...] = ()
     metadata: ResponseMetadata | None = None
@@ -111,6 +120,11 @@
                 )
         return self.report
 
+    def account(self, size: int) -> None:
+        """Record that `size` bytes of this response are kept in memory."""
+        self.kept.total += size - self.kept_here
+        self.kept_here = size
+
     def _on_idle_timeout(self) -> None:
         self.connection.close()
 
@@ -132,7 +146,7 @@
         if self._is_rejected(metadata):
             return
         is_stream = self.call.work is WorkKind.CHAT and part.status == HTTP_OK
-        if part.length is not None and part.length > MAX_BUFFERED_BYTES:
+        if part.length is not None and part.length > MAX_RESPONSE_BYTES:
             self._finish(
                 AttemptEnd.CONNECTION_BROKEN,
                 f"response of {part.length} bytes is too large to buffer",
@@ -146,13 +160,16 @@
     @process.register
     async def _(self, part: BodyReceived) -> None:
         if self.metadata is not None and self._is_rejected(self.metadata):
+            self.rejected_bytes += len(part.data)
+            if self.rejected_bytes > MAX_REJECTION_BYTES:
+                self._finish_rejected()
             return
         try:
             fault = await self.progress.feed(part.data)
         except EventTooLong:
             fault = "an event of the stream is too long"
-        if fault is None and len(self.progress.buffered) > MAX_BUFFERED_BYTES:
-            fault = f"response exceeds the limit of {MAX_BUFFERED_BYTES} bytes"
+        self.account(self.progress.kept_bytes)
+        fault = fault or self.kept.find_fault(self.kept_here)
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
 
@@ -167,9 +184,7 @@
             self.keep_alive and not self.connection.is_unusable and self.connection.has_sent_all
         )
         if self._is_rejected(metadata):
-            is_misdirected = self.status == self.codec.MISDIRECTED
-            end = AttemptEnd.MISDIRECTED if is_misdirected else AttemptEnd.REJECTED
-            self._finish(end, f"status {self.status}")
+            self._finish_rejected()
             return
         self._finish(AttemptEnd.ANSWERED, "")
 
@@ -195,6 +210,11 @@
             return f"the target did not resume the stream: status {self.status}"
         return None
 
+    def _finish_rejected(self) -> None:
+        is_misdirected = self.status == self.codec.MISDIRECTED
+        end = AttemptEnd.MISDIRECTED if is_misdirected else AttemptEnd.REJECTED
+        self._finish(end, f"status {self.status}")
+
     def _finish(self, end: AttemptEnd, detail: str) -> None:
         if self.report is None:
             self.report = self._report(end, detail)
--- a/almondspindle/adapters/http1/target_connection.py
+++ b/almondspindle/adapters/http1/target_connection.py
@@ -8,9 +8,9 @@
 import httptools
 
 from almondspindle.core.calls import Headers
+from almondspindle.decisions.response_bounds import MAX_OVERHEAD_BYTES
 from almondspindle.utils.sockets import reset_connection
 
-MAX_HEAD_BYTES = 64 * 1024
 MAX_PENDING_BYTES = 256 * 1024  # unread body bytes above which reading pauses, for a slow caller
 FIRST_FINAL_STATUS = 200
 CLOSED_EARLY = "the connection closed before the response was complete"
@@ -63,6 +63,7 @@
         self._transport: Any = None
         self._parts: deque[ParsedPart] = deque()
         self._pending_bytes = 0
+        self._overhead_bytes = 0  # received since the last piece of a body
         self._waiter: asyncio.Future[None] | None = None
         self._parser: Any = None
         self._is_busy = False
@@ -79,6 +80,7 @@
         """Send one complete request. `next_part` returns the parts of its response."""
         self._parts.clear()
         self._pending_bytes = 0
+        self._overhead_bytes = 0
         self._is_busy = True
         self._ends_at_close = False
         self._is_head_request = is_head_request
@@ -122,12 +124,18 @@
         if not self._is_busy:
             self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             if self._is_busy:
                 self._finish(ResponseBroken(f"invalid HTTP: {exc}"))
             self.close()
+            return
+        if self._is_busy and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            reason = f"over {MAX_OVERHEAD_BYTES} bytes received without a piece of the body"
+            self._finish(ResponseBroken(reason))
+            self.close()
 
     def eof_received(self) -> bool:
         """Complete a response that ends when the connection closes. Called by asyncio."""
@@ -178,6 +186,7 @@
         if not self._is_busy:
             return
         self._pending_bytes += len(data)
+        self._overhead_bytes = 0
         self._add_part(BodyReceived(data))
         if self._pending_bytes > MAX_PENDING_BYTES and not self._is_paused:
             self._is_paused = True
--- a/almondspindle/adapters/platform/transport.py
+++ b/almondspindle/adapters/platform/transport.py
@@ -10,6 +10,7 @@
 
 CALL_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 100
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024  # a watch may return several versions of a large object
 
 
 class StoreTransport:
@@ -22,7 +23,9 @@
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CONNECTIONS
+            force_instance=True,
+            max_clients=MAX_CONNECTIONS,
+            max_buffer_size=MAX_RESPONSE_BYTES,
         )
 
     async def fetch(
--- a/almondspindle/adapters/target/events.py
+++ b/almondspindle/adapters/target/events.py
@@ -39,6 +39,11 @@
     def __init__(self) -> None:
         self._pending = b""
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that `data` completes.
 
--- /dev/null
+++ b/tests/programs/test_endless_responses.py
@@ -0,0 +1,152 @@
+"""Targets that send bytes without end, in a head or a body, until the connection is closed."""
+
+import asyncio
+import tracemalloc
+from collections.abc import Callable, Iterable
+from itertools import chain, repeat
+
+import pytest
+
+from almondspindle.decisions.response_bounds import (
+    MAX_KEPT_BYTES,
+    MAX_RESPONSE_BYTES,
+    KeptBytes,
+)
+from tests.standins import replica as r
+from tests.standins.node_fleet import encode_request, running_platform
+
+JUNK = b"x" * 16 * 1024
+MAX_SENT_BYTES = 32 * 1024 * 1024  # the limit of one response, with what sockets buffer
+
+Pieces = Callable[[r.ReceivedRequest], Iterable[bytes]]
+
+
+def head(request: r.ReceivedRequest, status: str = "200 OK", extra: str = "") -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request.request_id}\r\nX-Response-Stamp: s\r\n{extra}"
+    ).encode()
+
+
+def endless_header(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return chain([head(request, extra="X-Junk: ")], repeat(JUNK))
+
+
+def endless_headers(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return chain([head(request)], repeat(b"X-Junk: y\r\n" * 1000))
+
+
+def endless_reason(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return chain([b"HTTP/1.1 200 "], repeat(JUNK))
+
+
+def endless_interim_responses(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return repeat(b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
+
+
+def endless_trailers(request: r.ReceivedRequest) -> Iterable[bytes]:
+    start = head(request, extra="Transfer-Encoding: chunked\r\n\r\n") + b"4\r\nbody\r\n0\r\n"
+    return chain([start], repeat(b"X-Junk: y\r\n" * 1000))
+
+
+def endless_body(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return chain([head(request, extra="\r\n")], repeat(JUNK))
+
+
+def endless_chunked_body(request: r.ReceivedRequest) -> Iterable[bytes]:
+    start = head(request, extra="Transfer-Encoding: chunked\r\n\r\n")
+    return chain([start], repeat(r.chunk(JUNK)))
+
+
+def endless_event(request: r.ReceivedRequest) -> Iterable[bytes]:
+    return chain([r.stream_head(request, is_chunked=False), b"id: 1\ndata: "], repeat(JUNK))
+
+
+def endless_rejection(request: r.ReceivedRequest) -> Iterable[bytes]:
+    start = head(request, "503 Service Unavailable", "X-Not-Run: 1\r\n\r\n")
+    return chain([start], repeat(JUNK))
+
+
+ENDLESS = [endless_header, endless_headers, endless_reason, endless_interim_responses,
+           endless_trailers, endless_body, endless_chunked_body]  # fmt: skip
+
+
+async def check_response(path: str, pieces: Pieces, expected: int) -> None:
+    """Check the status for a request to such a target, and that memory and time are bounded."""
+    sent = 0
+
+    def count(data: bytes) -> bytes:
+        nonlocal sent
+        sent += len(data)
+        return data
+
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        return r.ScriptedResponse(map(count, pieces(request)))  # type: ignore[arg-type]
+
+    async with running_platform(model=behave, plain=behave, replicas=1) as (_, host, _):
+        tracemalloc.start()
+        async with asyncio.timeout(2.0):
+            response = await host.send(encode_request(path, b"x"))
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert response.status == expected
+        assert peak < 3 * MAX_RESPONSE_BYTES
+        seen = sent
+        assert seen < MAX_SENT_BYTES
+        await asyncio.sleep(0.1)
+        assert sent == seen, "the target still sends, so its connection is open"
+
+
+@pytest.mark.parametrize("pieces", ENDLESS)
+def test_an_endless_response_to_a_commit_is_ended_and_reported_as_unknown(pieces):
+    asyncio.run(check_response("/commit/", pieces, 502))
+
+
+@pytest.mark.parametrize("pieces", [*ENDLESS[:4], endless_event])
+def test_an_endless_response_to_a_stream_is_ended(pieces):
+    asyncio.run(check_response("/stream/", pieces, 502))
+
+
+def test_a_rejection_with_an_endless_body_is_still_a_rejection():
+    asyncio.run(check_response("/commit/", endless_rejection, 503))
+
+
+def test_a_read_is_repeated_on_another_target_after_an_endless_response():
+    async def check() -> None:
+        def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            if not requests:
+                requests.append(request)
+                return r.ScriptedResponse(endless_body(request))  # type: ignore[arg-type]
+            return r.complete_response(request)
+
+        requests: list[r.ReceivedRequest] = []
+        async with running_platform(plain=behave) as (_, host, _):
+            response = await host.send(encode_request("/read/", b"x"))
+            assert (response.status, response.body) == (200, b"done")
+
+    asyncio.run(check())
+
+
+def test_many_endless_responses_together_are_bounded():
+    kept = KeptBytes()
+    sizes = [MAX_RESPONSE_BYTES - 1] * (MAX_KEPT_BYTES // MAX_RESPONSE_BYTES)
+    for size in sizes:
+        kept.total += size
+        assert kept.find_fault(size) is None
+    kept.total += MAX_RESPONSE_BYTES
+    assert kept.find_fault(MAX_RESPONSE_BYTES) is not None
+    assert kept.find_fault(4096) is None, "small responses are delivered even then"
+
+
+def test_large_responses_one_after_the_other_are_delivered():
+    body = b"x" * (MAX_RESPONSE_BYTES - 1)
+
+    async def check() -> None:
+        def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            return r.complete_response(request, body)
+
+        async with running_platform(plain=behave) as (_, host, _):
+            for number in range(MAX_KEPT_BYTES // MAX_RESPONSE_BYTES + 2):
+                response = await host.send(encode_request("/commit/", b"x", f"r-{number}"))
+                assert (response.status, len(response.body)) == (200, len(body))
+
+    asyncio.run(check())
