Probe a failing store by a few hosts, one call at a time each

A host whose calls fail is no watcher for the others, so in an outage of the whole store every host became a watcher of every topic and retried each several times a second. While its calls fail, a host makes one call at a time for all topics. A probe is a watch of 50 ms, so its success is known at once and not with the next change.

--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -73,6 +73,11 @@
     revisions: Mapping[Topic, int]
 
 
+@dataclass(frozen=True, slots=True)
+class IsStoreProber(ControllerRequest[bool]):
+    """Request whether this host probes the store often while its calls fail."""
+
+
 @dataclass(frozen=True, slots=True)
 class IsTopicWatcher(ControllerRequest[bool]):
     """Request whether this host is one of those that watch `topic` in the store."""
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -1,5 +1,6 @@
 """The controller that owns the reports of the other hosts."""
 
+import math
 import random
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -11,6 +12,7 @@
     GetPeersAhead,
     GetReportReceivers,
     GetZoneRelay,
+    IsStoreProber,
     IsTopicWatcher,
     OutsideReportReceived,
     PeerAhead,
@@ -41,6 +43,7 @@
     sum_in_flight,
     zone_contact,
 )
+from almondspindle.decisions.store_probing import RECOVERY_PROBE_S, is_store_prober
 from almondspindle.decisions.topic_watchers import is_topic_watcher
 
 # A host whose last report is older is assumed to be unreachable: nothing is pulled from it, and it
@@ -77,6 +80,7 @@
         self._zone_reports: dict[HostName, tuple[float, ZoneReport]] = {}
         self._hosts: tuple[Peer, ...] = ()
         self._behind_since: dict[Topic, float] = {}
+        self._store_regained_at = -math.inf  # by a peer
         self._own_address = f"{cfg.ip}:{cfg.peer_port}"
         self._zones = self._seed_zones(cfg)  # by the address of the other hosts
         self._report_numbers = count(1)
@@ -147,6 +151,13 @@
             tuple(report.address for report in reports),
         )
 
+    @handle.register
+    def _(self, msg: IsStoreProber, now: float) -> bool:
+        if now - self._store_regained_at <= RECOVERY_PROBE_S:
+            return True
+        others = [_to_peer(report) for report in self._group_reports(now)]
+        return is_store_prober(self._own_peer(), others)
+
     @handle.register
     def _(self, msg: IsTopicWatcher, now: float) -> bool:
         return self._is_watcher(msg.topic, now)
@@ -176,18 +187,19 @@
         return PeerAhead(topic, source.address, source.revision) if source else None
 
     def _is_watcher(self, topic: Topic, now: float) -> bool:
-        if self._reports_to_all():
-            reports, share = self._recent_reports(now), 1.0
-        else:
-            reports = self._zone_peers_reports(now)
+        share = 1.0
+        if not self._reports_to_all():
             in_zone = sum(zone == self._cfg.zone for zone in self._zones.values())
             share = (in_zone + 1) / (len(self._zones) + 1)
-        others = [_to_peer(report) for report in reports if report.reaches_store]
+        others = [_to_peer(report) for report in self._group_reports(now) if report.reaches_store]
         return is_topic_watcher(topic, self._own_peer(), others, share)
 
     def _store_report(self, report: HostReport, now: float) -> None:
         if report.host == self._cfg.host:
             return
+        _, previous = self._reports.get(report.host, (now, report))
+        if report.reaches_store and not previous.reaches_store:
+            self._store_regained_at = now
         self._reports[report.host] = (now, report)
         self._zones[report.address] = report.zone
         if report.zone == self._cfg.zone or self._reports_to_all():
@@ -219,6 +231,12 @@
     def _own_peer(self) -> Peer:
         return Peer(self._cfg.host, self._own_address, self._cfg.zone, self._cfg.link_mbps)
 
+    def _group_reports(self, now: float) -> list[HostReport]:
+        """Return the reports of the hosts that report to each other with this one."""
+        return (
+            self._recent_reports(now) if self._reports_to_all() else self._zone_peers_reports(now)
+        )
+
     def _zone_peers_reports(self, now: float) -> list[HostReport]:
         return [r for r in self._recent_reports(now) if r.zone == self._cfg.zone]
 
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -70,6 +70,17 @@
     """Query whether the last call to the store succeeded; true before the first call."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReserveStoreCall(ControllerRequest[float]):
+    """Ask to call the store now. The result is 0, or the seconds after which to ask again.
+
+    While calls fail, one call at a time is allowed. `is_prober` says that this host probes a
+    failing store often.
+    """
+
+    is_prober: bool
+
+
 @dataclass(frozen=True, slots=True)
 class GetSnapshot(ControllerRequest[Snapshot]):
     """Request all records of a topic, including retained ones."""
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -1,5 +1,6 @@
 """The controller that owns this host's copy of the platform's records."""
 
+import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -18,6 +19,7 @@
     HostsChanged,
     IsStoreReachable,
     Publication,
+    ReserveStoreCall,
     RoutesChanged,
     SnapshotReceived,
     StoreCallFailed,
@@ -54,8 +56,13 @@
     after_success,
     retain_until,
 )
+from almondspindle.decisions.store_probing import retry_delay_s
 
 STORE_SOURCE = "store"
+# While the store fails, waiting tasks ask again after this time at most, so that they go on soon
+# after its return.
+MAX_TURN_WAIT_S = 0.1
+PROBE_DURATION_S = 1.2  # after which a call that has not been reported is taken as failed
 
 
 @dataclass(slots=True)
@@ -91,6 +98,9 @@
         self._topics = {topic: _TopicState() for topic in Topic}
         self._availability = StoreAvailability()
         self._revision_at_recovery = 0
+        self._failures = 0  # of calls to the store, in a row
+        self._is_prober = True
+        self._next_call_at = 0.0
         self._route_table: RouteTable | None = None
 
     @singledispatchmethod
@@ -152,6 +162,8 @@
         if self._availability.failing_since is None:
             emit(STORE_LOST, topic=msg.topic, reason=msg.reason)
         self._availability = after_failure(self._availability, now)
+        self._failures += 1
+        self._next_call_at = now + retry_delay_s(self._is_prober, self._failures, random.random())
 
     @handle.register
     def _(self, msg: ExpireRetainedRecords, now: float) -> None:
@@ -176,6 +188,19 @@
     def _(self, msg: IsStoreReachable, now: float) -> bool:
         return self._availability.failing_since is None
 
+    @handle.register
+    def _(self, msg: ReserveStoreCall, now: float) -> float:
+        if self._availability.failing_since is None:
+            return 0.0
+        if msg.is_prober is not self._is_prober:
+            self._is_prober = msg.is_prober
+            delay_s = retry_delay_s(msg.is_prober, self._failures, random.random())
+            self._next_call_at = now + delay_s
+        if now < self._next_call_at:
+            return min(MAX_TURN_WAIT_S, self._next_call_at - now)
+        self._next_call_at = now + PROBE_DURATION_S
+        return 0.0
+
     @handle.register
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
         # Retained records are included, since the requesting peer may not have seen the outage.
@@ -206,6 +231,7 @@
             emit(STORE_BACK, after_s=round(now - self._availability.failing_since, 3))
             self._revision_at_recovery = revision
         self._availability = after_success(self._availability, now)
+        self._failures = 0
 
     def _set_record(self, state: _TopicState, topic: Topic, record: Record) -> None:
         if isinstance(record.value, UnreadableRecord):
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -5,12 +5,14 @@
 from typing import Protocol
 
 from almondspindle.adapters.platform.base import StoreError
-from almondspindle.controllers.exchange.messages import IsTopicWatcher
+from almondspindle.controllers.exchange.messages import IsStoreProber, IsTopicWatcher
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
+    IsStoreReachable,
+    ReserveStoreCall,
     SnapshotReceived,
     StoreCallFailed,
 )
@@ -23,7 +25,7 @@
     TopicChanges,
 )
 from almondspindle.core.outcomes import Result
-from almondspindle.decisions.jitter import full_jitter
+from almondspindle.decisions.store_probing import retry_delay_s
 
 # Bounds on how long a watch waits for changes. Hosts wait for different times, so that one of them
 # soon notices if their connections have become unresponsive. The other hosts learn of the changes
@@ -31,8 +33,7 @@
 MIN_WATCH_S = 3.0
 MAX_WATCH_S = 10.0
 ROLE_CHECK_INTERVAL_S = 0.5  # a host that stops watching is replaced within this time
-RETRY_BASE_S = 0.1
-RETRY_CAP_S = 0.5  # a new configuration must be applied within two seconds
+PROBE_WATCH_S = 0.05  # a watch that finds out whether the store responds again
 RETENTION_CHECK_INTERVAL_S = 0.25
 DELAY_BEFORE_REREAD_S = 0.05
 # Changes in quick succession are read with one call. A change must be applied within two seconds.
@@ -57,6 +58,23 @@
         ...
 
 
+class StoreTurns:
+    """Wait until this host may call the store."""
+
+    def __init__(self, view: ViewController, exchange: ExchangeController) -> None:
+        self._view = view
+        self._exchange = exchange
+
+    async def wait(self) -> None:
+        """Return at once while the store responds, and otherwise at this host's next turn."""
+        while True:
+            is_prober = await self._exchange.request(IsStoreProber())
+            delay_s = await self._view.request(ReserveStoreCall(is_prober))
+            if delay_s <= 0:
+                return
+            await asyncio.sleep(delay_s)
+
+
 class TopicWatcher:
     """Keep one topic of the view up to date with the store.
 
@@ -75,6 +93,7 @@
         self._store = store
         self._view = view
         self._exchange = exchange
+        self._turns = StoreTurns(view, exchange)
         self._failures = 0
 
     async def run(self) -> None:
@@ -91,6 +110,7 @@
 
     async def _read_topic(self) -> None:
         while True:
+            await self._turns.wait()
             result = await self._store.read(self._topic)
             if result.is_ok():
                 self._failures = 0
@@ -106,8 +126,10 @@
         if not await self._exchange.request(IsTopicWatcher(self._topic)):
             await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
             return True
+        await self._turns.wait()
         revisions = await self._view.request(GetRevisions())
-        wait_s = random.uniform(MIN_WATCH_S, MAX_WATCH_S)
+        is_probe = not await self._view.request(IsStoreReachable())
+        wait_s = PROBE_WATCH_S if is_probe else random.uniform(MIN_WATCH_S, MAX_WATCH_S)
         result = await self._store.watch(self._topic, revisions[self._topic].current, wait_s)
         if result.is_error():
             await self._back_off(result.error)
@@ -124,23 +146,24 @@
     async def _back_off(self, error: StoreError) -> None:
         self._failures += 1
         self._view.send(StoreCallFailed(self._topic, error.message))
-        wait_s = full_jitter(self._failures, RETRY_BASE_S, RETRY_CAP_S, random.random())
-        await asyncio.sleep(max(RETRY_BASE_S, wait_s))
+        await asyncio.sleep(retry_delay_s(True, self._failures, random.random()))
 
 
 class Announcer:
     """Write this host's record to the store."""
 
-    def __init__(self, record: HostRecord, store: StoreClient) -> None:
+    def __init__(self, record: HostRecord, store: StoreClient, turns: StoreTurns) -> None:
         self._record = record
         self._store = store
+        self._turns = turns
 
     async def run(self) -> None:
         """Write the host's record, with retries until the store has accepted it."""
         failures = 0
         while (await self._store.announce(self._record)).is_error():
             failures += 1
-            await asyncio.sleep(full_jitter(failures, RETRY_BASE_S, RETRY_CAP_S, random.random()))
+            await asyncio.sleep(retry_delay_s(True, failures, random.random()))
+            await self._turns.wait()
 
 
 class RetentionTimer:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -37,7 +37,12 @@
     ZonesChanged,
 )
 from almondspindle.controllers.view.task import ViewController
-from almondspindle.controllers.view.watcher import Announcer, RetentionTimer, TopicWatcher
+from almondspindle.controllers.view.watcher import (
+    Announcer,
+    RetentionTimer,
+    StoreTurns,
+    TopicWatcher,
+)
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.events import (
     DELIVERED,
@@ -228,7 +233,7 @@
                 "pool": self._pool,
                 "front": self._http_server,
                 "settings": self._settings,
-                "announcer": Announcer(record, self._store),
+                "announcer": Announcer(record, self._store, StoreTurns(self._view, self._exchange)),
                 "lapses": RetentionTimer(self._view),
                 "puller": Puller(self._view, self._exchange, TopicClient(decode_record)),
                 "reporter": Reporter(
