Expire records that a peer retains also at hosts that the store refuses

Cause: a host whose calls to the store fail removed no retained record, since in an outage of the whole store records can't be written again. A host that the store refused alone kept a target that its peers had dropped until it reached the store itself (named as not proved in docs/internals/platform-rules.md); with rarer calls to a failing store that would take seconds longer. Change: a peer that reaches the store says so with the retention times that it sends; these hold at the receiver, whatever its own calls do. Result: tests/controllers/test_view.py: the record goes at the peer's time; it stays where the peer doesn't reach the store either.

--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -39,7 +39,7 @@
 
     `records` has the bytes of whole records as stored, and `patches` the patches of others by name.
     They include records that the sending host could not decode itself. `lapsing` is
-    `TopicUpdate.retained`.
+    `TopicUpdate.retained`, and `lapsing_is_final` is `TopicUpdate.retention_is_final`.
     """
 
     revision: int
@@ -47,6 +47,7 @@
     patches: dict[str, _WirePatch] = {}
     unchanged: list[str] = []
     lapsing: dict[str, float] = {}
+    lapsing_is_final: bool = False
 
 
 def encode_update(update: TopicUpdate) -> bytes:
@@ -60,7 +61,12 @@
         if change.base is not None
     }
     wire = _WireUpdate(
-        update.revision, whole, patches, list(update.unchanged), dict(update.retained)
+        update.revision,
+        whole,
+        patches,
+        list(update.unchanged),
+        dict(update.retained),
+        update.retention_is_final,
     )
     return zlib.compress(msgspec.msgpack.encode(wire), COMPRESSION_LEVEL)
 
@@ -134,7 +140,7 @@
         decoded = [self._decode_record(base.topic, raw) for raw in [*wire.records, *patched]]
         changed = [record for record in decoded if record is not None]
         records = (*unchanged, *changed)
-        return Ok(Snapshot(base.topic, wire.revision, records, wire.lapsing))
+        return Ok(Snapshot(base.topic, wire.revision, records, wire.lapsing, wire.lapsing_is_final))
 
 
 def _patch(own: Mapping[str, Record], name: str, patch: _WirePatch) -> bytes:
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -70,13 +70,15 @@
     """The records of one topic, and the store revisions of this copy and its last change.
 
     `retained_until` maps the names of records that are missing from the store to the time, in
-    seconds on the monotonic clock, until which they are still used.
+    seconds on the monotonic clock, until which they are still used. For those in `final` a peer
+    that reaches the store has decided the time.
     """
 
     revision: int = 0
     last_change: int = 0
     records: dict[str, Record] = field(default_factory=dict)
     retained_until: dict[str, float] = field(default_factory=dict)
+    final: set[str] = field(default_factory=set)
     history: RecordHistory = field(default_factory=RecordHistory)
 
     def remaining_retention(self, now: float) -> dict[str, float]:
@@ -134,6 +136,7 @@
             self._set_record(state, snapshot.topic, record)
         for name, remaining_s in snapshot.retained.items():
             state.retained_until[name] = now + remaining_s
+        state.final = set(snapshot.retained) if snapshot.retention_is_final else set()
         state.revision = snapshot.revision
         if last_change > state.last_change or is_first:
             state.last_change = max(last_change, state.last_change)
@@ -169,11 +172,14 @@
     def _(self, msg: ExpireRetainedRecords, now: float) -> None:
         for topic, state in self._topics.items():
             expired = [name for name, until in state.retained_until.items() if now >= until]
-            # During an outage, records can't be written again, so none is removed.
-            if not expired or self._availability.failing_since is not None:
+            if self._availability.failing_since is not None:
+                # Records can't be written again during an outage, so this host removes none.
+                expired = [name for name in expired if name in state.final]
+            if not expired:
                 continue
             for name in expired:
                 state.retained_until.pop(name)
+                state.final.discard(name)
                 state.records.pop(name, None)
             state.last_change = state.revision
             self._publish_topic(topic, state, STORE_SOURCE)
@@ -220,7 +226,10 @@
                 base = state.history.find(name, msg.since.newest)
                 changed.append(RecordUpdate(record, base, msg.since.newest))
         retained = state.remaining_retention(now)
-        return TopicUpdate(msg.topic, state.revision, tuple(changed), tuple(unchanged), retained)
+        is_final = self._availability.failing_since is None
+        return TopicUpdate(
+            msg.topic, state.revision, tuple(changed), tuple(unchanged), retained, is_final
+        )
 
     @handle.register
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
--- a/almondspindle/core/inventory.py
+++ b/almondspindle/core/inventory.py
@@ -82,13 +82,15 @@
 
     `retained` has the records that are missing from the store after an outage but may return. It
     maps their names to the seconds for which they are still used. Only snapshots sent by a host
-    have such records.
+    have such records. `retention_is_final` is set if that host reaches the store: the records are
+    gone after those seconds even if the receiver doesn't reach it.
     """
 
     topic: Topic
     revision: int
     records: tuple[Record, ...]
     retained: Mapping[str, float] = field(default_factory=dict)
+    retention_is_final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +123,7 @@
     """The changes that bring a peer's copy of a topic up to the store's `revision`.
 
     The peer keeps its records named in `unchanged` and removes all others that are not in
-    `changed`. `retained` has the same meaning as in `Snapshot`.
+    `changed`. `retained` and `retention_is_final` have the same meaning as in `Snapshot`.
     """
 
     topic: Topic
@@ -129,6 +131,7 @@
     changed: tuple[RecordUpdate, ...]
     unchanged: tuple[str, ...] = ()
     retained: Mapping[str, float] = field(default_factory=dict)
+    retention_is_final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -1,9 +1,12 @@
 """Test a host's copy of the platform's records."""
 
+import pytest
+
 from almondspindle.controllers.view.messages import (
     ChangesReceived,
     ExpireRetainedRecords,
     GetSnapshot,
+    GetTopicUpdate,
     Publication,
     SnapshotReceived,
     StoreCallFailed,
@@ -13,6 +16,7 @@
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
 from almondspindle.core.inventory import (
+    CopyVersion,
     Record,
     RecordChange,
     Snapshot,
@@ -90,3 +94,26 @@
     assert target_names(published) == {"t0", "t1"}
     view.handle(ExpireRetainedRecords(), 8.6 + REREGISTRATION_S)
     assert target_names(published) == {"t1"}
+
+
+@pytest.mark.parametrize(
+    ("peer_reaches_store", "expected"), [(True, {"t1"}), (False, {"t0", "t1"})]
+)
+def test_a_record_that_a_peer_retains_expires_at_a_host_that_the_store_refuses(
+    peer_reaches_store, expected
+):
+    peer, _ = make_view("t0", "t1")
+    peer.handle(StoreCallFailed(Topic.TARGETS, "down"), 5.0)
+    peer.handle(removal("t0", 12), 8.0)
+    if not peer_reaches_store:
+        peer.handle(StoreCallFailed(Topic.TARGETS, "down"), 8.0)
+    update = peer.handle(GetTopicUpdate(Topic.TARGETS, CopyVersion()), 8.1)
+    view, published = make_view("t0", "t1")
+    view.handle(StoreCallFailed(Topic.TARGETS, "refused"), 5.0)
+    records = tuple(change.record for change in update.changed)
+    snapshot = Snapshot(
+        Topic.TARGETS, update.revision, records, update.retained, update.retention_is_final
+    )
+    view.handle(SnapshotReceived(snapshot, PEER), 8.1)
+    view.handle(ExpireRetainedRecords(), 8.0 + REREGISTRATION_S + 0.1)
+    assert target_names(published) == expected
