Attribute rejections to their request by its id

Cause: a response that says "not run" was accepted whatever request it named. A late second copy of a rejection, received on a reused connection in place of the next response, made the host report a commit as not run (503) or send it to another target while the first was running it: one of the failures that operators told of. Change: a rejection must name this request, as any other response. One that names none counts only on a connection that has carried no other request. The stand-ins' rejections now name their request, as the platform's do.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -62,7 +62,9 @@
                 AttemptEnd.NOT_CONNECTED, started=progress.started, detail=leased.error
             )
         connection = leased.ok.connection
-        exchange = _Exchange(call, progress, connection, self._codec, self._clock, self._kept)
+        exchange = _Exchange(
+            call, progress, connection, leased.ok.is_reused, self._codec, self._clock, self._kept
+        )
         self._metrics.count(ATTEMPTS)
         try:
             report = await exchange.run(timeouts)
@@ -91,6 +93,7 @@
     call: Call
     progress: ResponseBuffer
     connection: TargetConnection
+    is_reused: bool  # whether the connection has carried requests before
     codec: HeaderCodec
     clock: Clock
     kept: KeptBytes
@@ -195,12 +198,22 @@
     def _is_rejected(self, metadata: ResponseMetadata) -> bool:
         return metadata.is_not_run and not self.progress.started
 
+    def _is_own(self, metadata: ResponseMetadata) -> bool:
+        """Return whether the response is to this request, and not a late copy of an earlier one.
+
+        A target that could not read the request rejects it without naming it. On a connection that
+        has carried other requests, such a response may be to one of those.
+        """
+        if metadata.request_id is None:
+            return metadata.is_not_run and not self.is_reused
+        return metadata.request_id == self.call.request_id
+
     def _find_fault(self, metadata: ResponseMetadata) -> str | None:
         """Return why the response must not be forwarded, or None.
 
         It may not be the target's own response to this request, or not the rest of its stream.
         """
-        if metadata.request_id != self.call.request_id and not metadata.is_not_run:
+        if not self._is_own(metadata):
             return f"the response belongs to request {metadata.request_id}"
         if HTTP_OK <= self.status < FIRST_REDIRECT_STATUS and not metadata.is_stamped:
             return "successful response without the target's stamp"
--- a/tests/programs/test_node_responses.py
+++ b/tests/programs/test_node_responses.py
@@ -10,8 +10,10 @@
 from tests.standins import replica as r
 from tests.standins.node_fleet import (
     API_KEY,
+    PLAIN_SERVICE,
     encode_request,
     read_response,
+    replica_record,
     running_platform,
     wait_until,
 )
@@ -198,7 +200,12 @@
     run(check)
 
 
-@pytest.mark.parametrize("refusal", [r.rejected, r.misdirected])
+def rejected_without_id(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    head = b"HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    return r.ScriptedResponse((head,))
+
+
+@pytest.mark.parametrize("refusal", [r.rejected, r.misdirected, rejected_without_id])
 def test_a_commit_that_a_replica_rejects_is_sent_to_another(refusal):
     async def check() -> None:
         request_ids: list[str] = []
@@ -214,6 +221,34 @@
     run(check)
 
 
+@pytest.mark.parametrize("has_id", [True, False])
+def test_a_late_copy_of_a_rejection_does_not_reject_the_next_commit(has_id):
+    """The next commit may be running by then, and must not be sent to another target."""
+
+    async def check() -> None:
+        late_copies: list[bytes] = []
+
+        def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            if late_copies:
+                return r.ScriptedResponse(tuple(late_copies), "hold")
+            rejection = r.rejected(request)
+            copy = rejection.pieces[0]
+            if not has_id:
+                copy = copy.replace(f"X-Request-Id: {request.request_id}\r\n".encode(), b"")
+            late_copies.append(copy)
+            return rejection
+
+        async with running_platform(plain=behave, replicas=1) as (store, host, groups):
+            assert (await host.send(encode_request("/commit/", b"x", "r-1"))).status == 503
+            async with r.Replica(r.complete_response) as other:
+                await store.put("servers", "other", replica_record(other, PLAIN_SERVICE, zone="b"))
+                response = await host.send(encode_request("/commit/", b"x", "r-2"))
+                assert groups["plain"][0].connections == 1
+                assert (response.status, other.requests) == (502, [])
+
+    run(check)
+
+
 def test_a_commit_that_every_replica_rejects_is_refused_with_retry_after():
     async def check() -> None:
         async with running_platform(plain=r.rejected) as (_, host, _):
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -53,14 +53,17 @@
 
 def rejected(request: ReceivedRequest) -> ScriptedResponse:
     """Return the response of a replica that has not run the request."""
-    head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-    return ScriptedResponse((head.encode(),))
+    return ScriptedResponse((_empty_response(request, "503 Service Unavailable", "X-Not-Run: 1"),))
 
 
 def misdirected(request: ReceivedRequest) -> ScriptedResponse:
     """Return the response of another replica at the same address."""
-    head = "HTTP/1.1 421 Misdirected\r\nX-Instance: other\r\nContent-Length: 0\r\n\r\n"
-    return ScriptedResponse((head.encode(),))
+    return ScriptedResponse((_empty_response(request, "421 Misdirected", "X-Instance: other"),))
+
+
+def _empty_response(request: ReceivedRequest, status: str, header: str) -> bytes:
+    ids = f"X-Request-Id: {request.request_id}\r\n{header}\r\n"
+    return f"HTTP/1.1 {status}\r\n{ids}Content-Length: 0\r\n\r\n".encode()
 
 
 def event(number: int) -> bytes:
