Import less before a node's first response

Cause: after a loss of power callers wait for a node's imports. The node loaded the claims, the roster and the idempotency keys, which it never uses, and collected garbage during its imports. Change: responses that are replayed have a module of their own (core/recorded_responses.py); the platform's interface names the roster for type checks only; the collector is off until the node runs.

--- a/almondspindle/adapters/platform/base.py
+++ b/almondspindle/adapters/platform/base.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from almondspindle.core.outcomes import Result
-from almondspindle.core.roster import Roster
+
+if TYPE_CHECKING:  # the program of a node doesn't use it, and must start quickly
+    from almondspindle.core.roster import Roster
 
 MAX_OBJECT_BYTES = 1024 * 1024
 ABSENT_VERSION = 0  # version of an object that does not exist
@@ -68,6 +70,6 @@
         """Return the versions of the objects whose names start with `prefix`, by name."""
         ...
 
-    async def roster(self) -> Result[Roster, StoreError]:
+    async def roster(self) -> "Result[Roster, StoreError]":
         """Return the platform's list of hosts and targets, which may be out of date."""
         ...
--- a/almondspindle/adapters/platform/claim_codec.py
+++ b/almondspindle/adapters/platform/claim_codec.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from almondspindle.core.calls import Headers
-from almondspindle.core.claims import ClaimRecord, ClaimState, RecordedResponse
+from almondspindle.core.claims import ClaimRecord, ClaimState
 from almondspindle.core.identifiers import HostName, TargetName
 from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.core.recorded_responses import RecordedResponse
 from almondspindle.decisions.claims import PartRecords, record_bytes
 
 FORMAT_NUMBER = 1
--- a/almondspindle/chain/base.py
+++ b/almondspindle/chain/base.py
@@ -13,9 +13,9 @@
     ResponseHead,
     ResponseSink,
 )
-from almondspindle.core.claims import ReplayedResponse
 from almondspindle.core.clock import Clock
 from almondspindle.core.outcomes import InvariantError, Refusal, Result
+from almondspindle.core.recorded_responses import ReplayedResponse
 from almondspindle.decisions.idempotency_keys import qualify_run_state
 
 REPLAY_HEADER = ("Idempotent-Replayed", "true")
--- a/almondspindle/chain/claim.py
+++ b/almondspindle/chain/claim.py
@@ -18,7 +18,6 @@
     CommitAttempt,
     CommitOutcome,
     KeyScope,
-    ReplayedResponse,
     SettleRequest,
 )
 from almondspindle.core.clock import Clock
@@ -27,6 +26,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import CLAIM_TIME, MetricSender
 from almondspindle.core.outcomes import Error, Ok, Refusal, RefusalCode, Result, RunState
+from almondspindle.core.recorded_responses import ReplayedResponse
 from almondspindle.decisions.claim_keys import KeyAge, fingerprint, key_age
 
 NONCE_BYTES = 12
--- a/almondspindle/chain/settle.py
+++ b/almondspindle/chain/settle.py
@@ -18,9 +18,10 @@
     ResponsePart,
     ResponseSink,
 )
-from almondspindle.core.claims import CommitOutcome, RecordedResponse, SettleRequest
+from almondspindle.core.claims import CommitOutcome, SettleRequest
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.outcomes import InvariantError
+from almondspindle.core.recorded_responses import RecordedResponse
 from almondspindle.decisions.claims import response_bytes
 from almondspindle.decisions.retry import Stage, stage_of
 
--- a/almondspindle/core/claims.py
+++ b/almondspindle/core/claims.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from almondspindle.core.calls import Headers
-from almondspindle.core.identifiers import HostName, ServiceName, TargetName, TeamName
+from almondspindle.core.identifiers import HostName, ServiceName, TeamName
+from almondspindle.core.recorded_responses import RecordedResponse
 
 
 class ClaimState(StrEnum):
@@ -50,16 +50,6 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class RecordedResponse:
-    """The complete response to a commit. `body` is None if there was no room to store it."""
-
-    status: int
-    target: TargetName
-    headers: Headers = ()
-    body: bytes | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class CommitAttempt:
     """One attempt at a commit.
@@ -137,10 +127,3 @@
     decision: ClaimDecision
     record: ClaimRecord | None = None
     reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class ReplayedResponse:
-    """A recorded response that the chain returns instead of making a new attempt."""
-
-    response: RecordedResponse
--- a/almondspindle/decisions/claims.py
+++ b/almondspindle/decisions/claims.py
@@ -13,10 +13,10 @@
     CommitAttempt,
     CommitOutcome,
     LookupRequest,
-    RecordedResponse,
     SettleRequest,
 )
 from almondspindle.core.outcomes import InvariantError
+from almondspindle.core.recorded_responses import RecordedResponse
 from almondspindle.decisions.claim_keys import MAX_RETENTION_S, KeyAge, key_age, key_digest
 
 MS_PER_S = 1000.0
--- a/almondspindle/programs/node.py
+++ b/almondspindle/programs/node.py
@@ -3,6 +3,7 @@
 It passes requests of callers to targets.
 """
 
+import gc
 import os
 import signal
 import sys
@@ -13,6 +14,8 @@
 def main() -> int:
     """Run the node until it stops; return the exit status."""
     _install_early_handlers()
+    # Collections during the imports find nothing to free. They are on again once the node runs.
+    gc.disable()
     # Most modules are imported late. Importing all of them takes a third of a second, and by then
     # signal handlers must be installed and the listening socket must be open.
     from almondspindle.platform.settings import read_settings
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -293,4 +293,5 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, node.reload_settings)
     # Objects created so far live as long as the process. Excluding them shortens each collection.
     gc.freeze()
+    gc.enable()
     return await node.run(stop.event)
--- a/bench/bench_claims.py
+++ b/bench/bench_claims.py
@@ -22,9 +22,9 @@
     CommitAttempt,
     CommitOutcome,
     KeyScope,
-    RecordedResponse,
     SettleRequest,
 )
+from almondspindle.core.recorded_responses import RecordedResponse
 from almondspindle.decisions.claims import ClaimOperation, PartRecords, merge
 from bench.output import percentile, print_figure
 from tests.standins.claim_faults import FAULT_CASES, run_case
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -16,9 +16,9 @@
     CommitOutcome,
     KeyScope,
     LookupRequest,
-    RecordedResponse,
     SettleRequest,
 )
+from almondspindle.core.recorded_responses import RecordedResponse
 from almondspindle.decisions.claim_keys import (
     MAX_RETENTION_S,
     MAX_SKEW_S,
