--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -35,6 +35,7 @@
     pieces: tuple[bytes, ...]
     then: str = "keep"
     gate: asyncio.Event | None = None  # the last piece is sent once this is set
+    pause_s: float = 0.0  # before each piece
 
 
 Behaviour = Callable[[ReceivedRequest], ScriptedResponse]
@@ -140,6 +141,7 @@
         for number, piece in enumerate(script.pieces, start=1):
             if script.gate is not None and number == len(script.pieces):
                 await script.gate.wait()
+            await asyncio.sleep(script.pause_s)
             writer.write(piece)
             await writer.drain()
         if script.then == "reset":
