Retain no removed target after an outage that only this host had

Change: a host reports for how long no call of its own to the store has failed, and how old the last response is. A host that regains the store and finds a peer that had it all the time, with a response since, drops removed records at once. Result: tests/controllers/test_view.py, three cases, the first of which failed before.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -23,6 +23,11 @@
     errors: int
 
 
+class _Contact(Struct, array_like=True):
+    unbroken_s: float
+    response_age_s: float
+
+
 class _HostReport(Struct, array_like=True):
     host: str
     address: str
@@ -30,6 +35,7 @@
     zone: str
     link_mbps: float
     reaches_store: bool
+    contact: _Contact | None
     revisions: dict[str, int]
     in_flight: dict[str, int]
     failures: dict[str, _Counts]
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -18,6 +18,7 @@
 from almondspindle.controllers.view.messages import (
     GetRevisions,
     GetSnapshot,
+    GetStoreContact,
     IsStoreReachable,
     SnapshotReceived,
 )
@@ -86,6 +87,7 @@
             zone=self._cfg.zone,
             link_mbps=self._cfg.link_mbps,
             reaches_store=await self._view.request(IsStoreReachable()),
+            contact=await self._view.request(GetStoreContact()),
             revisions={str(topic): revision.last_change for topic, revision in revisions.items()},
             in_flight=dict(loads),
             failures=dict(failures),
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -22,7 +22,7 @@
 )
 from almondspindle.controllers.placement.messages import PeerLoadsReported
 from almondspindle.controllers.settings import SettingsChanged
-from almondspindle.controllers.view.messages import HostsChanged
+from almondspindle.controllers.view.messages import HostsChanged, PeerContactReported
 from almondspindle.core.clock import Clock
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import Topic
@@ -62,7 +62,8 @@
     the host records replaces them with the addresses in the records. Senders of reports and the
     seeds in changed settings are added, and stay until the next change of the records.
 
-    `on_loads` gets the loads of other hosts and zones, none of them counted twice.
+    `on_loads` gets the loads of other hosts and zones, none of them counted twice, and `on_contact`
+    the contact of other hosts with the store.
     """
 
     def __init__(
@@ -71,11 +72,13 @@
         clock: Clock,
         rng: random.Random,
         on_loads: Callable[[PeerLoadsReported], None] = lambda loads: None,
+        on_contact: Callable[[PeerContactReported], None] = lambda contact: None,
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._rng = rng
         self._on_loads = on_loads
+        self._on_contact = on_contact
         self._reports: dict[HostName, tuple[float, HostReport]] = {}
         self._zone_reports: dict[HostName, tuple[float, ZoneReport]] = {}
         self._hosts: tuple[Peer, ...] = ()
@@ -202,6 +205,8 @@
             self._store_regained_at = now
         self._reports[report.host] = (now, report)
         self._zones[report.address] = report.zone
+        if report.contact is not None:
+            self._on_contact(PeerContactReported(report.host, report.contact))
         if report.zone == self._cfg.zone or self._reports_to_all():
             self._on_loads(PeerLoadsReported(report.host, report.in_flight, report.failures))
 
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import ControllerRequest
-from almondspindle.core.identifiers import ZoneName
+from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import (
     CopyVersion,
     HostRecord,
@@ -14,6 +14,7 @@
     TopicChanges,
     TopicUpdate,
 )
+from almondspindle.core.reports import StoreContact
 from almondspindle.core.routes import RouteTable
 
 
@@ -70,6 +71,19 @@
     """Query whether the last call to the store succeeded; true before the first call."""
 
 
+@dataclass(frozen=True, slots=True)
+class GetStoreContact(ControllerRequest[StoreContact | None]):
+    """Request this host's contact with the store, None while its calls fail or before the first."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerContactReported:
+    """A peer reported its contact with the store."""
+
+    host: HostName
+    contact: StoreContact
+
+
 @dataclass(frozen=True, slots=True)
 class ReserveStoreCall(ControllerRequest[float]):
     """Ask to call the store now. The result is 0, or the seconds after which to ask again.
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -15,9 +15,11 @@
     GetRevisions,
     GetRouteTable,
     GetSnapshot,
+    GetStoreContact,
     GetTopicUpdate,
     HostsChanged,
     IsStoreReachable,
+    PeerContactReported,
     Publication,
     ReserveStoreCall,
     RoutesChanged,
@@ -35,6 +37,7 @@
     STORE_LOST,
     VIEW_CHANGED,
 )
+from almondspindle.core.identifiers import HostName
 from almondspindle.core.inventory import (
     HostRecord,
     Record,
@@ -49,8 +52,10 @@
 )
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
+from almondspindle.core.reports import StoreContact
 from almondspindle.core.routes import RouteTable
 from almondspindle.decisions.record_retention import (
+    PeerContact,
     StoreAvailability,
     after_failure,
     after_success,
@@ -99,6 +104,9 @@
         self._publish = publish
         self._topics = {topic: _TopicState() for topic in Topic}
         self._availability = StoreAvailability()
+        self._contact_since: float | None = None  # since when no call to the store has failed
+        self._responded_at = 0.0
+        self._peer_contacts: dict[HostName, PeerContact] = {}
         self._revision_at_recovery = 0
         self._failures = 0  # of calls to the store, in a row
         self._is_prober = True
@@ -165,6 +173,7 @@
         if self._availability.failing_since is None:
             emit(STORE_LOST, topic=msg.topic, reason=msg.reason)
         self._availability = after_failure(self._availability, now)
+        self._contact_since = None
         self._failures += 1
         self._next_call_at = now + retry_delay_s(self._is_prober, self._failures, random.random())
 
@@ -194,6 +203,19 @@
     def _(self, msg: IsStoreReachable, now: float) -> bool:
         return self._availability.failing_since is None
 
+    @handle.register
+    def _(self, msg: GetStoreContact, now: float) -> StoreContact | None:
+        if self._contact_since is None:
+            return None
+        return StoreContact(now - self._contact_since, now - self._responded_at)
+
+    @handle.register
+    def _(self, msg: PeerContactReported, now: float) -> None:
+        contact = msg.contact
+        self._peer_contacts[msg.host] = PeerContact(
+            now, now - contact.unbroken_s, now - contact.response_age_s
+        )
+
     @handle.register
     def _(self, msg: ReserveStoreCall, now: float) -> float:
         if self._availability.failing_since is None:
@@ -239,7 +261,10 @@
         if self._availability.failing_since is not None:
             emit(STORE_BACK, after_s=round(now - self._availability.failing_since, 3))
             self._revision_at_recovery = revision
-        self._availability = after_success(self._availability, now)
+        self._availability = after_success(self._availability, now, self._peer_contacts.values())
+        if self._contact_since is None:
+            self._contact_since = now
+        self._responded_at = now
         self._failures = 0
 
     def _set_record(self, state: _TopicState, topic: Topic, record: Record) -> None:
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -13,6 +13,14 @@
     errors: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreContact:
+    """The time in which no call to the store failed, and the age of its last response, in s."""
+
+    unbroken_s: float
+    response_age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class HostReport:
     """The state of the host at peer address `address`.
@@ -21,7 +29,7 @@
     to the store succeed. `revisions` maps each topic's name to the store revision of its last
     known change. `in_flight` counts the host's requests at each target, and `failures` has the
     targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
-    if it is unknown.
+    if it is unknown. `contact` describes the host's contact with the store, None without any.
     """
 
     host: HostName
@@ -30,6 +38,7 @@
     zone: ZoneName
     link_mbps: float = 0.0
     reaches_store: bool = True
+    contact: StoreContact | None = None
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
--- a/almondspindle/decisions/record_retention.py
+++ b/almondspindle/decisions/record_retention.py
@@ -2,8 +2,12 @@
 
 The store removes records whose writers have not contacted it for a while. This may also happen
 while the store itself is down. Live writers register again soon after the store recovers.
+
+A host may also lose the store alone. Records that are removed meanwhile are then gone: the store
+was up, and their writers could write.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 REREGISTRATION_S = 2.3  # the platform documents about two seconds after the store's recovery
@@ -15,12 +19,32 @@
 RECONNECT_S = 0.3
 
 
+PEER_CONTACT_TTL_S = 2.0  # reports on peers' contact with the store arrive several times a second
+
+
 @dataclass(frozen=True, slots=True)
 class StoreAvailability:
-    """When calls to the store began to fail, and when they began to succeed again."""
+    """When calls to the store began to fail, and when they began to succeed again.
+
+    `was_local` is set if the store served peers during the last outage.
+    """
 
     failing_since: float | None = None
     recovered_at: float | None = None
+    was_local: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PeerContact:
+    """A peer's contact with the store, as reported at `reported_at`.
+
+    No call of the peer has failed since `since`, and the store last responded to it at
+    `responded_at`. Times are in seconds on this host's monotonic clock.
+    """
+
+    reported_at: float
+    since: float
+    responded_at: float
 
 
 def after_failure(availability: StoreAvailability, now: float) -> StoreAvailability:
@@ -30,11 +54,22 @@
     return StoreAvailability(failing_since=now, recovered_at=availability.recovered_at)
 
 
-def after_success(availability: StoreAvailability, now: float) -> StoreAvailability:
-    """Return the availability after a call that succeeded."""
-    if availability.failing_since is None:
+def after_success(
+    availability: StoreAvailability, now: float, contacts: Iterable[PeerContact] = ()
+) -> StoreAvailability:
+    """Return the availability after a call that succeeded.
+
+    `contacts` are those of peers with the store, as they reported them.
+    """
+    failing_since = availability.failing_since
+    if failing_since is None:
         return availability
-    return StoreAvailability(failing_since=None, recovered_at=now)
+    was_local = any(
+        contact.since <= failing_since < contact.responded_at
+        and now - contact.reported_at <= PEER_CONTACT_TTL_S
+        for contact in contacts
+    )
+    return StoreAvailability(failing_since=None, recovered_at=now, was_local=was_local)
 
 
 def retain_until(
@@ -48,7 +83,9 @@
     """
     if availability.failing_since is not None:
         return now + REREGISTRATION_S
-    if availability.recovered_at is None or now >= availability.recovered_at + REREGISTRATION_S:
+    if availability.was_local or availability.recovered_at is None:
+        return None
+    if now >= availability.recovered_at + REREGISTRATION_S:
         return None
     until = availability.recovered_at + REREGISTRATION_S
     if existed_at_recovery or now > availability.recovered_at + RECONNECT_S:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -103,10 +103,10 @@
         self._readiness = ReadinessState()
         self._tasks = TaskSet()
         self._placement = PlacementController(cfg, self._clock)
+        self._view = ViewController(cfg, self._clock, self._publish)
         self._exchange = ExchangeController(
-            cfg, self._clock, random.Random(cfg.host), self._placement.send
+            cfg, self._clock, random.Random(cfg.host), self._placement.send, self._view.send
         )
-        self._view = ViewController(cfg, self._clock, self._publish)
         self._pool = ConnectionPool(self._clock, self._metrics)
         client = PooledTargetClient(self._pool, codec, self._clock, self._metrics)
         chain = Chain(
--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -6,7 +6,9 @@
     ChangesReceived,
     ExpireRetainedRecords,
     GetSnapshot,
+    GetStoreContact,
     GetTopicUpdate,
+    PeerContactReported,
     Publication,
     SnapshotReceived,
     StoreCallFailed,
@@ -25,6 +27,7 @@
     TopicChanges,
 )
 from almondspindle.core.node import Bounds, NodeCfg
+from almondspindle.core.reports import StoreContact
 from almondspindle.decisions.record_retention import REREGISTRATION_S
 
 CFG = NodeCfg(HostName("h0"), ZoneName("a"), "", "", "", "", 1, 2, 100, Bounds(drain_s=2.0))
@@ -117,3 +120,30 @@
     view.handle(SnapshotReceived(snapshot, PEER), 8.1)
     view.handle(ExpireRetainedRecords(), 8.0 + REREGISTRATION_S + 0.1)
     assert target_names(published) == expected
+
+
+@pytest.mark.parametrize(
+    ("unbroken_s", "response_age_s", "expected"),
+    [
+        (30.0, 0.5, {"t1"}),  # the store served the peer all the time
+        (30.0, 5.0, {"t0", "t1"}),  # it has not responded to the peer since this host lost it
+        (2.0, 0.5, {"t0", "t1"}),  # the peer had lost it, too
+    ],
+)
+def test_a_target_removed_while_only_this_host_lacked_the_store_is_not_retained(
+    unbroken_s, response_age_s, expected
+):
+    view, published = make_view("t0", "t1")
+    view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 5.0)
+    contact = StoreContact(unbroken_s, response_age_s)
+    view.handle(PeerContactReported(HostName("h1"), contact), 8.9)
+    view.handle(removal("t0", 13), 9.0)
+    assert target_names(published) == expected
+
+
+def test_the_contact_with_the_store_is_reported_and_ends_with_a_failed_call():
+    view, _ = make_view("t0")
+    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, 12, ())), 4.0)
+    assert view.handle(GetStoreContact(), 6.0) == StoreContact(5.0, 2.0)
+    view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 7.0)
+    assert view.handle(GetStoreContact(), 7.0) is None
