Read a topic at once after its history is dropped during failures

Hosts that were no probers waited for seconds, too, even when only a few watchers had failed. Change: a 410 releases the call that was reserved. Probers are picked among the hosts whose calls fail, so the watchers of a zone whose watches are cut all go on at once.

--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -158,8 +158,9 @@
     def _(self, msg: IsStoreProber, now: float) -> bool:
         if now - self._store_regained_at <= RECOVERY_PROBE_S:
             return True
-        others = [_to_peer(report) for report in self._group_reports(now)]
-        return is_store_prober(self._own_peer(), others)
+        reports = self._group_reports(now)
+        failing = [_to_peer(report) for report in reports if not report.reaches_store]
+        return is_store_prober(self._own_peer(), failing)
 
     @handle.register
     def _(self, msg: IsTopicWatcher, now: float) -> bool:
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -95,6 +95,11 @@
     is_prober: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCallReleased:
+    """A reserved call got a response that tells nothing new; the next call may follow at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class GetSnapshot(ControllerRequest[Snapshot]):
     """Request all records of a topic, including retained ones."""
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -25,6 +25,7 @@
     RoutesChanged,
     SnapshotReceived,
     StoreCallFailed,
+    StoreCallReleased,
     TargetsChanged,
     TopicRevision,
     ZonesChanged,
@@ -229,6 +230,10 @@
         self._next_call_at = now + PROBE_DURATION_S
         return 0.0
 
+    @handle.register
+    def _(self, msg: StoreCallReleased, now: float) -> None:
+        self._next_call_at = now
+
     @handle.register
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
         # Retained records are included, since the requesting peer may not have seen the outage.
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -15,6 +15,7 @@
     ReserveStoreCall,
     SnapshotReceived,
     StoreCallFailed,
+    StoreCallReleased,
 )
 from almondspindle.controllers.view.task import STORE_SOURCE, ViewController
 from almondspindle.core.inventory import (
@@ -136,6 +137,7 @@
             return True
         self._failures = 0
         if isinstance(result.ok, HistoryUnavailable):
+            self._view.send(StoreCallReleased())
             await asyncio.sleep(DELAY_BEFORE_REREAD_S)
             return False
         self._view.send(ChangesReceived(result.ok))
--- a/almondspindle/decisions/store_probing.py
+++ b/almondspindle/decisions/store_probing.py
@@ -22,9 +22,9 @@
 
 
 def is_store_prober(own: Peer, others: Iterable[Peer]) -> bool:
-    """Return whether the host `own` probes a failing store often.
+    """Return whether the host `own`, whose calls to the store fail, probes it often.
 
-    `others` are the other hosts of its group that are up.
+    `others` are the other hosts of its group whose calls fail.
     """
     rank = score("store prober", own.host)
     return sum(score("store prober", peer.host) > rank for peer in others) < PROBERS_PER_GROUP
--- a/tests/controllers/test_zone_reports.py
+++ b/tests/controllers/test_zone_reports.py
@@ -72,6 +72,7 @@
         self.now = 0.0
         self.ticks = 0
         self.crossing_bytes = 0
+        self.reaches_store = True
 
     def run(self, seconds: float) -> None:
         """Let every host send reports, one of its own requests in flight, for some seconds."""
@@ -87,7 +88,7 @@
     def _report(self, host: SimulatedHost) -> None:
         own = HostReport(
             host.cfg.host, host.address, self.ticks, host.cfg.zone, host.cfg.link_mbps,
-            revisions={"routes": host.routes_revision}, in_flight={TARGET: 1},
+            self.reaches_store, revisions={"routes": host.routes_revision}, in_flight={TARGET: 1},
         )  # fmt: skip
         self._send(host, host.exchange.handle(GetReportReceivers(), self.now), own)
         relay = host.exchange.handle(GetZoneRelay(own), self.now)
--- a/tests/decisions/test_store_probing.py
+++ b/tests/decisions/test_store_probing.py
@@ -43,6 +43,7 @@
 def test_calls_of_a_whole_fleet_in_an_outage_are_few():
     random.seed(3)
     fleet = SimulatedFleet(80, "abcd")
+    fleet.reaches_store = False
     fleet.run(2.0)
     probers = [h for h in fleet.hosts if h.exchange.handle(IsStoreProber(), fleet.now)]
     assert len(probers) == 4 * PROBERS_PER_GROUP
@@ -51,6 +52,13 @@
     assert min(calls_during_outage(is_prober=True) for _ in range(5)) > 2 * OUTAGE_S
 
 
+def test_every_watcher_that_fails_probes_while_its_zone_reaches_the_store():
+    """Their watches may all be cut at once, and none of them may wait for its turn then."""
+    fleet = SimulatedFleet(80, "abcd")
+    fleet.run(2.0)
+    assert all(host.exchange.handle(IsStoreProber(), fleet.now) for host in fleet.hosts)
+
+
 def test_every_topic_goes_on_at_once_after_the_store_responds():
     view = failing_view()
     assert view.handle(ReserveStoreCall(is_prober=False), 0.1) > 0
@@ -68,6 +76,7 @@
 @pytest.mark.parametrize(("after_s", "expected"), [(0.1, True), (RECOVERY_PROBE_S + 0.1, False)])
 def test_every_host_probes_for_a_while_after_a_peer_regained_the_store(after_s, expected):
     fleet = SimulatedFleet(80, "abcd")
+    fleet.reaches_store = False
     fleet.run(2.0)
     host = next(h for h in fleet.hosts if not h.exchange.handle(IsStoreProber(), fleet.now))
     for number, reaches_store in enumerate((False, True)):
--- a/tests/programs/test_node_store.py
+++ b/tests/programs/test_node_store.py
@@ -225,6 +225,26 @@
     run(check)
 
 
+def test_a_snapshot_is_read_soon_after_watches_are_cut_and_the_history_is_dropped():
+    """Watches may hear nothing for a second before, and a manifest has two seconds in all."""
+
+    async def check() -> None:
+        async with running_platform(plain=r.complete_response) as (store, host, _):
+            for version in range(11, 15):
+                await store.fail_calls(503)
+                await notice_outage(store)
+                await store.put("config", "main", manifest(version, routes=ROUTES[:1]))
+                store.forget_history()
+                store.error_status = 0
+                reads = store.calls.count("GET /-/objects/config")
+                await wait_until(
+                    lambda n=reads: store.calls.count("GET /-/objects/config") > n, timeout_s=0.9
+                )
+                assert await status(host) == 404
+
+    run(check)
+
+
 def test_a_host_that_can_not_reach_the_store_reads_from_its_peers():
     async def check() -> None:
         async with AsyncExitStack() as stack:
