Name the zones by address for what they map

Cause: the read-through of the diff. Change: _zones is _zone_by_address, and the docstring says whose zones are unknown.

--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -58,9 +58,10 @@
 class ExchangeController(Controller):
     """Own the latest report of each other host, and the addresses that reports are sent to.
 
-    The addresses are those of the seeds in the settings until host records arrive. Each change of
-    the host records replaces them with the addresses in the records. Senders of reports and the
-    seeds in changed settings are added, and stay until the next change of the records.
+    Until host records arrive, the addresses are those of the seeds in the settings, whose zones are
+    unknown. Each change of the host records replaces them with the addresses in the records.
+    Senders of reports and the seeds in changed settings are added, and stay until the next change
+    of the records.
 
     `on_loads` gets the loads of other hosts and zones, none of them counted twice, and `on_contact`
     the contact of other hosts with the store.
@@ -85,10 +86,10 @@
         self._behind_since: dict[Topic, float] = {}
         self._store_regained_at = -math.inf  # by a peer
         self._own_address = f"{cfg.ip}:{cfg.peer_port}"
-        self._zones = self._seed_zones(cfg)  # by the address of the other hosts
+        self._zone_by_address = self._zones_of_seeds(cfg)
         self._report_numbers = count(1)
 
-    def _seed_zones(self, cfg: NodeCfg) -> dict[str, ZoneName]:
+    def _zones_of_seeds(self, cfg: NodeCfg) -> dict[str, ZoneName]:
         addresses = {f"{ip}:{cfg.peer_port}" for ip in cfg.other_hosts} - {self._own_address}
         return dict.fromkeys(addresses, ZoneName(""))
 
@@ -99,14 +100,14 @@
 
     @handle.register
     def _(self, msg: SettingsChanged, now: float) -> None:
-        self._zones = self._seed_zones(msg.cfg) | self._zones
+        self._zone_by_address = self._zones_of_seeds(msg.cfg) | self._zone_by_address
 
     @handle.register
     def _(self, msg: HostsChanged, now: float) -> None:
         records = [r for r in msg.hosts.values() if r.address != self._own_address]
         self._hosts = tuple(Peer(r.name, r.address, r.zone, r.link_mbps) for r in records)
         if msg.hosts:
-            self._zones = {peer.address: peer.zone for peer in self._hosts}
+            self._zone_by_address = {peer.address: peer.zone for peer in self._hosts}
 
     @handle.register
     def _(self, msg: ReportReceived, now: float) -> None:
@@ -128,7 +129,9 @@
         is_crossing = next(self._report_numbers) % REPORTS_PER_CROSSING == 0
         in_zone = [_to_peer(report) for report in self._zone_peers_reports(now)]
         delegates = [peer.address for peer in zone_delegates(in_zone)]
-        return report_receivers(self._zones, self._cfg.zone, delegates, is_crossing, self._rng)
+        return report_receivers(
+            self._zone_by_address, self._cfg.zone, delegates, is_crossing, self._rng
+        )
 
     @handle.register
     def _(self, msg: GetZoneRelay, now: float) -> ZoneRelay | None:
@@ -193,8 +196,8 @@
     def _is_watcher(self, topic: Topic, now: float) -> bool:
         share = 1.0
         if not self._reports_to_all():
-            in_zone = sum(zone == self._cfg.zone for zone in self._zones.values())
-            share = (in_zone + 1) / (len(self._zones) + 1)
+            in_zone = sum(zone == self._cfg.zone for zone in self._zone_by_address.values())
+            share = (in_zone + 1) / (len(self._zone_by_address) + 1)
         others = [_to_peer(report) for report in self._group_reports(now) if report.reaches_store]
         return is_topic_watcher(topic, self._own_peer(), others, share)
 
@@ -205,7 +208,7 @@
         if report.reaches_store and not previous.reaches_store:
             self._store_regained_at = now
         self._reports[report.host] = (now, report)
-        self._zones[report.address] = report.zone
+        self._zone_by_address[report.address] = report.zone
         if report.contact is not None:
             self._on_contact(PeerContactReported(report.host, report.contact))
         if report.zone == self._cfg.zone or self._reports_to_all():
@@ -232,13 +235,13 @@
         return {report.zone: report for at, report in recent if now - at <= ZONE_REPORT_TTL_S}
 
     def _reports_to_all(self) -> bool:
-        return reports_to_all(len(self._zones) + 1)
+        return reports_to_all(len(self._zone_by_address) + 1)
 
     def _own_peer(self) -> Peer:
         return Peer(self._cfg.host, self._own_address, self._cfg.zone, self._cfg.link_mbps)
 
     def _group_reports(self, now: float) -> list[HostReport]:
-        """Return the reports of the hosts that report to each other with this one."""
+        """Return the reports of this host's group: its zone, or a small fleet as a whole."""
         return (
             self._recent_reports(now) if self._reports_to_all() else self._zone_peers_reports(now)
         )
