Name the size up to which a response is never ended for the total

Cause: the read-through; the bound of a rejection's body was used for it. Change: a constant of its own with the same value. Result: no behaviour changes; linter passes.

--- a/almondspindle/decisions/response_bounds.py
+++ b/almondspindle/decisions/response_bounds.py
@@ -12,6 +12,7 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024  # kept of one response until it is complete
 MAX_REJECTION_BYTES = 64 * 1024  # read of the body of a response that is not forwarded
 MAX_KEPT_BYTES = 32 * 1024 * 1024  # kept of all responses of a host
+SMALL_RESPONSE_BYTES = 64 * 1024  # up to this size a response goes on whatever the others keep
 
 
 @dataclass(slots=True)
@@ -27,6 +28,6 @@
         """
         if size > MAX_RESPONSE_BYTES:
             return f"response exceeds the limit of {MAX_RESPONSE_BYTES} bytes"
-        if self.total > MAX_KEPT_BYTES and size > MAX_REJECTION_BYTES:
+        if self.total > MAX_KEPT_BYTES and size > SMALL_RESPONSE_BYTES:
             return f"incomplete responses exceed the limit of {MAX_KEPT_BYTES} bytes in all"
         return None
