--- a/almondspindle/decisions/bulk_transfers.py
+++ b/almondspindle/decisions/bulk_transfers.py
@@ -10,7 +10,7 @@
 # Longest time for which bulk responses may occupy the link, in seconds.
 MAX_LINK_TIME_S = 0.1
 DEFAULT_LIMIT_BYTES = 256 * 1024  # if the link's bandwidth is unknown
-BULK_REPLY_BYTES = 8 * 1024  # smaller responses are not counted
+BULK_REPLY_BYTES = 8 * 1024  # smaller responses are never turned away
 
 
 def bulk_limit_bytes(link_mbps: float) -> int:
@@ -23,7 +23,7 @@
 def may_send_bulk(size: int, in_flight: int, limit: int) -> bool:
     """Return whether a response of `size` bytes may be sent now.
 
-    `in_flight` is the number of bytes of bulk responses that are being sent. One response is
-    always allowed, whatever its size.
+    `in_flight` is the number of bytes of all responses that are being sent. One response is always
+    allowed, whatever its size.
     """
     return size < BULK_REPLY_BYTES or in_flight == 0 or in_flight + size <= limit
