Log the crash of a target and the prompt parts of the attempt that met it

Change: after a connection that broke before a part of the body arrived, the client asks once whether the target refuses another connection (an accepted one is kept for the next request).

--- a/almondspindle/adapters/http1/pool.py
+++ b/almondspindle/adapters/http1/pool.py
@@ -43,18 +43,32 @@
             if not connection.is_unusable and now - connection.idle_since < connection.idle_limit_s:
                 return Ok(Lease(connection, is_reused=True))
             connection.close()
-        return await self._open(address)
-
-    async def _open(self, address: str) -> Result[Lease, str]:
+        opened = await self._open(address)
+        return opened.map(lambda connection: Lease(connection, is_reused=False)).map_error(
+            lambda exc: f"cannot connect to {address}: {exc!r}"
+        )
+
+    async def refuses_connections(self, target: TargetName, address: str) -> bool:
+        """Return whether `target` refuses a new connection, since it is down.
+
+        A connection that it accepts is kept for the next request.
+        """
+        opened = await self._open(address)
+        if opened.is_error():
+            return isinstance(opened.error, ConnectionRefusedError)
+        self.release(target, address, opened.ok, ())
+        return False
+
+    async def _open(self, address: str) -> Result[TargetConnection, OSError]:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         self._metrics.count(CONNECTIONS)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(TargetConnection, host, port)
-        except (OSError, TimeoutError) as exc:
-            return Error(f"cannot connect to {address}: {exc!r}")
-        return Ok(Lease(connection, is_reused=False))
+        except OSError as exc:
+            return Error(exc)
+        return Ok(connection)
 
     def release(
         self, target: TargetName, address: str, connection: TargetConnection, headers: Headers
--- a/almondspindle/adapters/http1/response_buffer.py
+++ b/almondspindle/adapters/http1/response_buffer.py
@@ -12,7 +12,8 @@
 
     A response other than an event stream is buffered until it is complete, so that the request
     can be retried on another target if the response breaks. `last_event` is the number of the
-    last event forwarded.
+    last event forwarded. `has_body` tells whether a part of the body was received in the current
+    attempt; of a stream, a complete event.
     """
 
     sink: ResponseSink
@@ -22,6 +23,7 @@
     buffered: bytearray = field(default_factory=bytearray)
     scanner: EventScanner = field(default_factory=EventScanner)
     is_stream: bool = False
+    has_body: bool = False
 
     @property
     def kept_bytes(self) -> int:
@@ -40,6 +42,7 @@
         """Process a piece of the body. Return a description of its fault, or None."""
         if not self.is_stream:
             self.buffered += data
+            self.has_body = self.has_body or bool(data)
             return None
         complete = []
         for event in self.scanner.feed(data):
@@ -50,6 +53,7 @@
                 self.last_event = number
             complete.append(event.raw)
         if complete:
+            self.has_body = True
             await self._forward(b"".join(complete))
         return None
 
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -76,6 +76,9 @@
                 )
             else:
                 connection.close()
+        if report.end is AttemptEnd.CONNECTION_BROKEN and call.prompt and not report.wrote_body:
+            is_down = await self._pool.refuses_connections(call.target, call.target_address)
+            report = replace(report, target_is_down=is_down)
         return _with_reuse_note(report, leased.ok)
 
 
@@ -108,6 +111,7 @@
 
     async def run(self, timeouts: IdleTimeouts) -> AttemptReport:
         """Send the request, process its response, and return the report of the attempt."""
+        self.progress.has_body = False
         headers = self.codec.request_headers(self.call, self.clock.monotonic())
         head = encode_head(f"{self.call.method} {self.call.path} HTTP/1.1", headers)
         self.connection.send(head + self.call.body, self.call.method == "HEAD")
@@ -238,5 +242,6 @@
             status=self.status,
             started=self.progress.started,
             detail=detail,
+            wrote_body=self.progress.has_body,
             cold_left_s=self.metadata.cold_left_s if self.metadata else None,
         )
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -10,7 +10,7 @@
 from almondspindle.core.events import ATTEMPT_ENDED, ROUTED
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
-from almondspindle.core.metrics import LATER_ATTEMPTS, MetricSender
+from almondspindle.core.metrics import CRASHES, LATER_ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
 from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement
 from almondspindle.core.routes import Route
@@ -97,6 +97,8 @@
                 await sink.write(ResponseEnd())
                 return Completion(started=True)
             self._log_failure(call, selected.ok, last, step)
+            if last.target_is_down:
+                self._metrics.count(CRASHES)
             if step is AttemptStep.GIVE_UP:
                 return Completion(progress.started, self._refusal(attempts, last))
             self._metrics.count(LATER_ATTEMPTS)
@@ -154,5 +156,8 @@
             status=report.status,
             started=report.started,
             detail=report.detail,
+            wrote_body=report.wrote_body,
+            target_is_down=report.target_is_down,
+            parts=call.prompt.shared_parts if call.prompt else (),
             next=step,
         )
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -38,6 +38,12 @@
 LATER_ATTEMPTS = metric("repeats", "counter", "attempts", "Attempts after the first of a request.")
 ATTEMPTS = metric("attempts", "counter", "attempts", "Requests sent to targets.")
 CONNECTIONS = metric("connections", "counter", "connections", "New connections to targets.")
+CRASHES = metric(
+    "crashes",
+    "counter",
+    "attempts",
+    "Attempts whose target went down before it sent a part of the body.",
+)
 RESPONSE_TIME = metric(
     "whole_time", "timer", "ms", "Time from a request to the end of its response."
 )
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -77,12 +77,17 @@
 class AttemptReport:
     """The result of an attempt.
 
-    `started` tells whether a response head was passed on. `cold_left_s` is how long the target
-    stays cold, in seconds, if it reported that.
+    `started` tells whether a response head was passed on, in this attempt or an earlier one.
+    `wrote_body` tells whether the target sent a part of the body in this attempt; of a stream, at
+    least one event. `target_is_down` is set if the connection broke before that and the target
+    refused another one right after. `cold_left_s` is how long the target stays cold, in seconds, if
+    it reported that.
     """
 
     end: AttemptEnd
     status: int = 0
     started: bool = False
     detail: str = ""
+    wrote_body: bool = False
+    target_is_down: bool = False
     cold_left_s: float | None = None
--- a/almondspindle/core/prompts.py
+++ b/almondspindle/core/prompts.py
@@ -24,6 +24,11 @@
     tokens_out: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def shared_key(self) -> str:
         """Return the id of the last part that other requests may share, or "" without parts."""
