Reproduce: requests whose prompt crashes targets reach target after target

Callers saw: a request with a part that crashes targets cuts the streams of all others at its target, and each further one does so again. Evidence: the test fails on this code, "assert 16 <= 8": three hosts send all 16 requests with the part to a target. The bound is the rule's: the fifth crash and three more. Result: no code is changed.

--- a/tests/programs/test_crashing_prompts.py
+++ b/tests/programs/test_crashing_prompts.py
@@ -1,12 +1,14 @@
-"""Prompts that crash targets: what a host logs and counts of a crash."""
+"""Prompts that crash targets: what hosts log of a crash, and that the prompts are refused."""
 
 import asyncio
+import gc
+from contextlib import AsyncExitStack
 
 import pytest
 from eliot import add_destinations, remove_destination
 
 from tests.standins import replica as r
-from tests.standins.crashing_replica import CrashingReplica
+from tests.standins.crashing_replica import CrashingReplica, prompt_parts
 from tests.standins.node_fleet import (
     MODEL_SERVICE,
     encode_request,
@@ -15,8 +17,12 @@
     running_store,
     wait_until,
 )
+from tests.standins.object_store import ObjectStore
 
 FATAL_PART = "dead"
+MAX_FATAL_ARRIVALS = 5 + 3  # the fifth crash, and three more requests
+FATAL_REQUESTS = 16
+SECONDS_BETWEEN_REQUESTS = 0.35
 
 
 def prompt_request(number: int, *parts: str, path: str = "/stream/") -> bytes:
@@ -53,3 +59,52 @@
     assert [(line["target_is_down"], line["wrote_body"], line["parts"]) for line in ended] == [
         (True, False, ("first", FATAL_PART))
     ]
+
+
+def test_requests_whose_prompt_crashes_targets_stop_reaching_targets():
+    async def play() -> tuple[int, list[bool], int]:
+        async with AsyncExitStack() as stack:
+            store, _ = await stack.enter_async_context(running_store())
+            replicas = [
+                await stack.enter_async_context(CrashingReplica(r.stream, FATAL_PART))
+                for _ in range(FATAL_REQUESTS + 2)
+            ]
+            for number, replica in enumerate(replicas):
+                record = replica_record(replica, MODEL_SERVICE)
+                await store.put("servers", f"model-{number}", record)
+            hosts = [
+                await stack.enter_async_context(running_host(store.address, number))
+                for number in (1, 2, 3)
+            ]
+            for host in hosts:
+                await wait_until(host.is_ready)
+            served: list[bool] = []
+            for number in range(FATAL_REQUESTS):
+                parts = ("first", f"m{number}", FATAL_PART)
+                await hosts[number % len(hosts)].send(prompt_request(number, *parts))
+                await remove_crashed(store, replicas)
+                for index, host in enumerate(hosts):
+                    sound = prompt_request(1000 * number + index, "first", f"m{number}")
+                    served.append((await host.send(sound)).is_complete)
+                await asyncio.sleep(SECONDS_BETWEEN_REQUESTS)
+            arrived = [
+                request
+                for replica in replicas
+                for request in replica.requests
+                if FATAL_PART in prompt_parts(request)
+            ]
+            last = await hosts[0].send(prompt_request(999, "first", FATAL_PART))
+            return len(arrived), served, last.status
+
+    arrivals, served, last_status = asyncio.run(play())
+    gc.collect()
+    assert arrivals <= MAX_FATAL_ARRIVALS
+    assert sum(served) >= 0.9 * len(served)
+    assert last_status == 503
+
+
+async def remove_crashed(store: ObjectStore, replicas: list[CrashingReplica]) -> None:
+    """Remove the records of replicas that have crashed, as the platform does."""
+    for number, replica in enumerate(replicas):
+        if replica.has_crashed and f"model-{number}" in store.objects["servers"]:
+            await store.remove("servers", f"model-{number}")
--- a/tests/standins/crashing_replica.py
+++ b/tests/standins/crashing_replica.py
@@ -31,8 +31,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        await super()._serve(reader, writer)
-        self._writers.discard(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
 
     async def _respond(self, script, reader, writer) -> bool:
         request = self.requests[-1]
