Quarantine prompt parts that crash targets, in all hosts

Cause: a failed attempt was recorded for its target only, never for the content of the request. The target was ejected, and the next request with that content was sent to the next healthy target. Class: a request that crashes what serves it ("query of death"), with no limit on how many targets one content may reach. Change: a controller keeps the crashes, with the parts of the prompts that met them, and when each part was last answered; a part with three crashes in sequence, at two targets or more and without an answer since, is quarantined. Requests with it get 503 in a filter, before a target is chosen, and after a second crash a request isn't sent to another target. Hosts pass on crashes, answers and quarantines in their reports, through the delegates of zones in a large fleet; a host that restarts learns them from the next report. A failure of many targets at once, of one target, or of a whole service doesn't count against a part; parts that always come together are refused together until one is answered; one host sends a request on trial after two minutes. Why it works: a fatal part is never answered, whatever shares its crashes is. The object store's stand-in closes the connections of watches that the end of a test cancels; they were left to the collector.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -28,6 +28,25 @@
     response_age_s: float
 
 
+class _Crash(Struct, array_like=True):
+    request_id: str
+    address: str
+    parts: tuple[str, ...]
+    sent_age_s: float
+    crash_age_s: float
+
+
+class _Quarantine(Struct, array_like=True):
+    parts: tuple[str, ...]
+    crash_age_s: float
+
+
+class _CrashNews(Struct, array_like=True):
+    crashes: tuple[_Crash, ...]
+    answered: dict[str, float] | None
+    quarantined: tuple[_Quarantine, ...]
+
+
 class _HostReport(Struct, array_like=True):
     host: str
     address: str
@@ -39,6 +58,7 @@
     revisions: dict[str, int]
     in_flight: dict[str, int]
     failures: dict[str, _Counts]
+    crashes: _CrashNews | None = None
 
 
 class _ZoneReport(Struct, array_like=True):
@@ -48,6 +68,7 @@
     revisions: dict[str, int]
     in_flight: dict[str, int]
     failures: dict[str, _Counts]
+    crashes: _CrashNews | None = None
 
 
 class _OutsideReport(Struct, array_like=True):
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -5,8 +5,11 @@
 
 from almondspindle.controllers.placement.messages import AttemptEnded, SelectTarget
 from almondspindle.controllers.placement.task import PlacementController
+from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
+from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call, Completion, ResponseEnd, ResponseSink
 from almondspindle.core.clock import Clock
+from almondspindle.core.crashes import PartIds
 from almondspindle.core.events import ATTEMPT_ENDED, ROUTED
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
@@ -64,11 +67,13 @@
     def __init__(
         self,
         placement: PlacementController,
+        quarantine: QuarantineController,
         client: AttemptClient[P],
         clock: Clock,
         metrics: MetricSender,
     ) -> None:
         self._placement = placement
+        self._quarantine = quarantine
         self._client = client
         self._clock = clock
         self._metrics = metrics
@@ -101,6 +106,8 @@
                 self._metrics.count(CRASHES)
             if step is AttemptStep.GIVE_UP:
                 return Completion(progress.started, self._refusal(attempts, last))
+            if not await self._may_retry(call, attempts):
+                return Completion(progress.started, self._refusal(attempts, last))
             self._metrics.count(LATER_ATTEMPTS)
 
     def _placement_request(
@@ -112,6 +119,14 @@
         key = call.prompt.shared_key if call.prompt else ""
         return SelectTarget(call.service, key, call.request_id, tried, is_retry=is_retry)
 
+    async def _may_retry(self, call: Call, attempts: RequestAttempts) -> bool:
+        """Return whether the prompt isn't suspected to crash the next target, too."""
+        parts = _shared_parts(call)
+        if not parts:
+            return True
+        check = CheckPrompt(parts, is_retry=attempts.may_have_run > 0)
+        return (await self._quarantine.request(check)).is_ok()
+
     async def _attempt(
         self, call: Call, route: Route, placement: Placement, progress: P
     ) -> AttemptReport:
@@ -131,6 +146,7 @@
             copy_from=placement.copy_from,
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
+        parts, sent_at = _shared_parts(call), self._clock.monotonic()
         try:
             async with asyncio.timeout(call.deadline_at - self._clock.monotonic()):
                 report = await self._client.attempt(attempt_call, progress, idle_timeouts(route))
@@ -138,6 +154,10 @@
             report = AttemptReport(AttemptEnd.TIMED_OUT, started=progress.started)
         finally:
             self._placement.send(AttemptEnded(placement.ticket, report))
+            if parts:
+                self._quarantine.send(
+                    PromptAttemptEnded(call.request_id, parts, placement.address, sent_at, report)
+                )
         return report
 
     def _refusal(self, attempts: RequestAttempts, last: AttemptReport) -> Refusal:
@@ -161,3 +181,7 @@
             parts=call.prompt.shared_parts if call.prompt else (),
             next=step,
         )
+
+
+def _shared_parts(call: Call) -> PartIds:
+    return frozenset(call.prompt.shared_parts) if call.prompt else frozenset()
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -15,6 +15,8 @@
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.messages import GetFailures, GetLoads
 from almondspindle.controllers.placement.task import PlacementController
+from almondspindle.controllers.quarantine.messages import GetCrashNews
+from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.controllers.view.messages import (
     GetRevisions,
     GetSnapshot,
@@ -48,12 +50,14 @@
         self,
         cfg: NodeCfg,
         placement: PlacementController,
+        quarantine: QuarantineController,
         view: ViewController,
         exchange: ExchangeController,
         send: Callable[[Sequence[str], Report], None],
     ) -> None:
         self._cfg = cfg
         self._placement = placement
+        self._quarantine = quarantine
         self._view = view
         self._exchange = exchange
         self._send = send
@@ -91,6 +95,7 @@
             revisions={str(topic): revision.last_change for topic, revision in revisions.items()},
             in_flight=dict(loads),
             failures=dict(failures),
+            crashes=await self._quarantine.request(GetCrashNews()),
         )
 
 
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -21,6 +21,7 @@
     ZoneReportReceived,
 )
 from almondspindle.controllers.placement.messages import PeerLoadsReported
+from almondspindle.controllers.quarantine.messages import CrashNewsReceived
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged, PeerContactReported
 from almondspindle.core.clock import Clock
@@ -63,8 +64,8 @@
     Senders of reports and the seeds in changed settings are added, and stay until the next change
     of the records.
 
-    `on_loads` gets the loads of other hosts and zones, none of them counted twice, and `on_contact`
-    the contact of other hosts with the store.
+    `on_loads` gets the loads of other hosts and zones, none of them counted twice, `on_contact` the
+    contact of other hosts with the store, and `on_crashes` what they know of crashes of targets.
     """
 
     def __init__(
@@ -74,12 +75,14 @@
         rng: random.Random,
         on_loads: Callable[[PeerLoadsReported], None] = lambda loads: None,
         on_contact: Callable[[PeerContactReported], None] = lambda contact: None,
+        on_crashes: Callable[[CrashNewsReceived], None] = lambda news: None,
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._rng = rng
         self._on_loads = on_loads
         self._on_contact = on_contact
+        self._on_crashes = on_crashes
         self._reports: dict[HostName, tuple[float, HostReport]] = {}
         self._zone_reports: dict[HostName, tuple[float, ZoneReport]] = {}
         self._hosts: tuple[Peer, ...] = ()
@@ -117,6 +120,7 @@
     def _(self, msg: ZoneReportReceived, now: float) -> None:
         if msg.report.zone != self._cfg.zone:
             self._zone_reports[msg.report.host] = (now, msg.report)
+            self._pass_crashes(msg.report)
 
     @handle.register
     def _(self, msg: OutsideReportReceived, now: float) -> None:
@@ -151,6 +155,7 @@
                 msg.own.revisions,
                 sum_in_flight(in_zone),
                 sum_failures(in_zone),
+                msg.own.crashes,
             ),
             self._zone_contacts(now),
             outside,
@@ -209,11 +214,16 @@
             self._store_regained_at = now
         self._reports[report.host] = (now, report)
         self._zone_by_address[report.address] = report.zone
+        self._pass_crashes(report)
         if report.contact is not None:
             self._on_contact(PeerContactReported(report.host, report.contact))
         if report.zone == self._cfg.zone or self._reports_to_all():
             self._on_loads(PeerLoadsReported(report.host, report.in_flight, report.failures))
 
+    def _pass_crashes(self, report: HostReport | ZoneReport) -> None:
+        if report.crashes is not None:
+            self._on_crashes(CrashNewsReceived(report.crashes))
+
     def _on_outside_loads(self, report: OutsideReport) -> None:
         self._on_loads(PeerLoadsReported(OUTSIDE, report.in_flight, report.failures))
 
--- /dev/null
+++ b/almondspindle/controllers/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Refuse requests whose prompts crash targets."""
--- /dev/null
+++ b/almondspindle/controllers/quarantine/task.py
@@ -0,0 +1,243 @@
+"""The controller that keeps prompts which crash targets away from them."""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from almondspindle.controllers.base import Controller
+from almondspindle.controllers.quarantine.messages import (
+    CheckPrompt,
+    CrashNewsReceived,
+    GetCrashNews,
+    PromptAttemptEnded,
+)
+from almondspindle.controllers.view.messages import HostsChanged
+from almondspindle.core.clock import Clock
+from almondspindle.core.crashes import Crash, CrashNews, CrashReport, PartIds, QuarantineReport
+from almondspindle.core.events import PROMPT_QUARANTINED, PROMPT_RELEASED, PROMPT_TRIED
+from almondspindle.core.identifiers import RequestId
+from almondspindle.core.logs import emit
+from almondspindle.core.node import NodeCfg
+from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
+from almondspindle.core.placements import AttemptEnd, AttemptReport
+from almondspindle.decisions.prompt_quarantine import (
+    CRASH_TTL_S,
+    TRIAL_INTERVAL_S,
+    fatal_parts,
+    is_explained,
+    is_suspect,
+    is_trial_due,
+)
+
+MAX_PARTS = 4096  # whose last response is remembered
+MAX_CRASHES = 256
+MAX_QUARANTINED = 64
+# Each host passes on what it learns for this long; its reports reach all hosts of its zone in it.
+NEWS_S = 1.5
+HTTP_OK = 200
+FIRST_REDIRECT_STATUS = 300
+MAX_CRASHES_REPORTED = 32  # 3 KB
+
+
+@dataclass(slots=True)
+class _Quarantine:
+    """When the parts last caused a crash, and when a request was last sent on trial."""
+
+    last_crash_at: float
+    last_trial_at: float = -math.inf
+
+
+class QuarantineController(Controller):
+    """Own the recent crashes of targets, of all hosts, and the prompt parts in quarantine.
+
+    Each crash is known by its request and target, and the first report of it counts, so reports
+    may arrive by several ways and more than once.
+    """
+
+    def __init__(self, cfg: NodeCfg, clock: Clock) -> None:
+        super().__init__(clock)
+        self._host = cfg.host
+        self._hosts: frozenset[str] = frozenset({cfg.host})
+        self._crashes: OrderedDict[tuple[RequestId, str], tuple[float, Crash]] = OrderedDict()
+        self._quarantined: dict[PartIds, _Quarantine] = {}
+        self._suspected: dict[str, float] = {}  # the last crash of each part, of `_crashes`
+        self._answered: OrderedDict[str, float] = OrderedDict()
+        self._answers_reported: dict[str, float] = {}  # until when a part's answer is reported
+        self._last_response_at = -math.inf
+
+    @singledispatchmethod
+    def handle(self, msg: object, now: float) -> Any:
+        """Handle a message from `quarantine.messages`, or a change of the hosts."""
+        return super().handle(msg, now)
+
+    @handle.register
+    def _(self, msg: HostsChanged, now: float) -> None:
+        self._hosts = frozenset({self._host, *msg.hosts})
+
+    @handle.register
+    def _(self, msg: CheckPrompt, now: float) -> Outcome[None]:
+        for parts, quarantine in self._quarantined.items():
+            if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
+                return _refused(parts, quarantine, now)
+        if msg.is_retry:
+            crashes = self._recent_crashes(now)
+            for part in msg.parts:
+                if is_suspect(part, crashes, self._answered.get(part, -math.inf)):
+                    text = f"prompt part {part} may have crashed several targets"
+                    return refused(RefusalCode.PROMPT_QUARANTINED, text)
+        return Ok(None)
+
+    @handle.register
+    def _(self, msg: PromptAttemptEnded, now: float) -> None:
+        report = msg.report
+        if _is_answer(report):
+            self._last_response_at = now
+            for part in msg.parts:
+                self._note_answer(part, now, now)
+        elif report.target_is_down:
+            key = (msg.request_id, msg.address)
+            crash = Crash(*key, msg.parts, msg.sent_at, now, self._last_response_at)
+            self._add_crash(key, crash, now)
+
+    @handle.register
+    def _(self, msg: CrashNewsReceived, now: float) -> None:
+        for report in msg.news.crashes:
+            key = (report.request_id, report.address)
+            sent_at, crashed_at = now - report.sent_age_s, now - report.crash_age_s
+            parts = frozenset(report.parts)
+            crash = Crash(*key, parts, sent_at, crashed_at, self._last_response_at)
+            self._add_crash(key, crash, now)
+        for part, age_s in (msg.news.answered or {}).items():
+            if self._is_news(part, now - age_s):
+                self._note_answer(part, now - age_s, now)
+        for quarantine in msg.news.quarantined:
+            self._add_reported(frozenset(quarantine.parts), now - quarantine.crash_age_s, now)
+
+    @handle.register
+    def _(self, msg: GetCrashNews, now: float) -> CrashNews | None:
+        crashes = [crash for at, crash in self._crashes.values() if now - at <= NEWS_S]
+        self._answers_reported = {
+            part: until for part, until in self._answers_reported.items() if now < until
+        }
+        news = CrashNews(
+            tuple(_to_report(crash, now) for crash in crashes[-MAX_CRASHES_REPORTED:]),
+            {part: now - self._answered[part] for part in self._answers_reported},
+            tuple(
+                QuarantineReport(tuple(sorted(parts)), now - quarantine.last_crash_at)
+                for parts, quarantine in self._quarantined.items()
+            ),
+        )
+        return news if news.crashes or news.answered or news.quarantined else None
+
+    def _starts_trial(
+        self, parts: PartIds, quarantine: _Quarantine, msg: CheckPrompt, now: float
+    ) -> bool:
+        last_used_at = max(quarantine.last_crash_at, quarantine.last_trial_at)
+        is_due = is_trial_due(parts, last_used_at, self._hosts, self._host, now)
+        if msg.is_retry or not is_due:
+            return False
+        quarantine.last_trial_at = now
+        emit(PROMPT_TRIED, parts=sorted(parts))
+        return True
+
+    def _recent_crashes(self, now: float) -> list[Crash]:
+        return [c for _, c in self._crashes.values() if now - c.crashed_at <= CRASH_TTL_S]
+
+    def _add_crash(self, key: tuple[RequestId, str], crash: Crash, now: float) -> None:
+        if key in self._crashes:
+            return
+        self._crashes[key] = (now, crash)
+        if len(self._crashes) > MAX_CRASHES:
+            self._crashes.popitem(last=False)
+        self._suspected = {
+            part: known.crashed_at for _, known in self._crashes.values() for part in known.parts
+        }
+        for part in crash.parts & self._answered.keys():
+            self._report_answer(part, now)
+        for parts, quarantine in self._quarantined.items():
+            if is_explained(crash, [parts]):
+                quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
+        fatal = fatal_parts(
+            crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
+        )
+        if fatal:
+            self._quarantine(fatal, crash.crashed_at)
+
+    def _quarantine(self, parts: PartIds, crashed_at: float) -> None:
+        if len(self._quarantined) >= MAX_QUARANTINED:
+            oldest = min(self._quarantined, key=lambda p: self._quarantined[p].last_crash_at)
+            del self._quarantined[oldest]
+        self._quarantined[parts] = _Quarantine(crashed_at)
+        addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
+        emit(PROMPT_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
+
+    def _add_reported(self, parts: PartIds, crashed_at: float, now: float) -> None:
+        """Adopt the quarantine of another host, less the parts that were answered since."""
+        for part in parts:
+            if self._answered.get(part, -math.inf) > crashed_at:
+                self._report_answer(part, now)
+                parts = parts - {part}
+        if not parts or any(known <= parts for known in self._quarantined):
+            return
+        for known in [known for known in self._quarantined if parts < known]:
+            del self._quarantined[known]
+        self._quarantine(parts, crashed_at)
+
+    def _is_news(self, part: str, answered_at: float) -> bool:
+        """Return whether an answer that another host reports changes what is suspected here.
+
+        Anything else is ignored: the times of reports that are passed on in a circle grow.
+        """
+        known = self._answered.get(part)
+        suspected_at = [c.crashed_at for _, c in self._crashes.values() if part in c.parts]
+        suspected_at += [q.last_crash_at for parts, q in self._quarantined.items() if part in parts]
+        return known is None or any(known < at < answered_at for at in suspected_at)
+
+    def _note_answer(self, part: str, answered_at: float, now: float) -> None:
+        known = self._answered.get(part, -math.inf)
+        self._answered[part] = max(known, answered_at)
+        self._answered.move_to_end(part)
+        if len(self._answered) > MAX_PARTS:
+            forgotten, _ = self._answered.popitem(last=False)
+            self._answers_reported.pop(forgotten, None)
+        if known < self._suspected.get(part, -math.inf) <= answered_at:
+            self._report_answer(part, now)
+        self._exonerate(part, answered_at, now)
+
+    def _exonerate(self, part: str, answered_at: float, now: float) -> None:
+        """Remove `part` from the quarantines whose last crash was before the answer."""
+        for parts, quarantine in list(self._quarantined.items()):
+            if part not in parts or answered_at <= quarantine.last_crash_at:
+                continue
+            del self._quarantined[parts]
+            self._report_answer(part, now)
+            emit(PROMPT_RELEASED, part=part, parts=sorted(parts))
+            rest = parts - {part}
+            if rest:
+                self._add_reported(rest, quarantine.last_crash_at, now)
+
+    def _report_answer(self, part: str, now: float) -> None:
+        self._answers_reported[part] = now + NEWS_S
+
+
+def _is_answer(report: AttemptReport) -> bool:
+    is_success = HTTP_OK <= report.status < FIRST_REDIRECT_STATUS
+    return report.end is AttemptEnd.ANSWERED and is_success and report.wrote_body
+
+
+def _refused(parts: PartIds, quarantine: _Quarantine, now: float) -> Outcome[None]:
+    retry_after_s = max(1.0, quarantine.last_crash_at + TRIAL_INTERVAL_S - now)
+    text = f"prompts with {', '.join(sorted(parts))} crash targets"
+    return refused(RefusalCode.PROMPT_QUARANTINED, text, retry_after_s=retry_after_s)
+
+
+def _to_report(crash: Crash, now: float) -> CrashReport:
+    return CrashReport(
+        crash.request_id,
+        crash.address,
+        tuple(sorted(crash.parts)),
+        now - crash.sent_at,
+        now - crash.crashed_at,
+    )
--- /dev/null
+++ b/almondspindle/core/crashes.py
@@ -0,0 +1,60 @@
+"""Crashes of targets, and the prompt parts that are suspected to cause them."""
+
+from dataclasses import dataclass
+
+from almondspindle.core.identifiers import RequestId
+
+PartIds = frozenset[str]  # ids of prompt parts
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """An attempt whose target went down before it sent a part of the response's body.
+
+    `address` is the target's, and `parts` are the shared parts of the request's prompt. Times are
+    in seconds on the monotonic clock of this host: when the request was sent, when the target went
+    down, and when this host had last seen a response to any request with a prompt.
+    """
+
+    request_id: RequestId
+    address: str
+    parts: PartIds
+    sent_at: float
+    crashed_at: float
+    last_response_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A crash as hosts report it to each other: the times as ages in seconds."""
+
+    request_id: RequestId
+    address: str
+    parts: tuple[str, ...]
+    sent_age_s: float
+    crash_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReport:
+    """Parts of prompts that crash targets. It is the age of the last crash that they caused, in s.
+
+    A request is refused if it has all of `parts`. They are more than one as long as it isn't known
+    which of them is the cause.
+    """
+
+    parts: tuple[str, ...]
+    crash_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """What a host reports of crashes: recent ones, and all prompt parts in quarantine.
+
+    `answered` has the age in seconds of the last complete response to a request with a suspected
+    part, by the id of the part.
+    """
+
+    crashes: tuple[CrashReport, ...] = ()
+    answered: dict[str, float] | None = None
+    quarantined: tuple[QuarantineReport, ...] = ()
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -199,6 +199,17 @@
 TARGET_REINSTATED = event(
     1711, "target_trusted", "An ejected target responded again and was reinstated."
 )
+PROMPT_QUARANTINED = event(
+    1715,
+    "prompt_quarantined",
+    "Prompts with these parts crash targets; requests with all of them are refused.",
+)
+PROMPT_RELEASED = event(
+    1716, "prompt_released", "A prompt part in quarantine was answered; it isn't refused any more."
+)
+PROMPT_TRIED = event(
+    1717, "prompt_tried", "A request with prompt parts in quarantine is sent to a target on trial."
+)
 TABLE_APPLIED = event(1712, "table_applied", "A route table is in force.")
 TOPIC_PULLED = event(1713, "topic_pulled", "Newer records were pulled from a peer.")
 PEER_RESPONSE_STALLED = event(
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -44,6 +44,9 @@
     "attempts",
     "Attempts whose target went down before it sent a part of the body.",
 )
+QUARANTINED = metric(
+    "quarantined", "counter", "requests", "Requests refused because their prompts crash targets."
+)
 RESPONSE_TIME = metric(
     "whole_time", "timer", "ms", "Time from a request to the end of its response."
 )
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -50,6 +50,7 @@
     TARGET_UNREACHABLE = "target_unreachable"
     RESPONSE_BROKEN = "answer_broken"
     RESUME_REFUSED = "resume_refused"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     STORE_UNAVAILABLE = "store_unavailable"
 
 
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from almondspindle.core.crashes import CrashNews
 from almondspindle.core.identifiers import HostName, TargetName, ZoneName
 
 
@@ -30,6 +31,7 @@
     known change. `in_flight` counts the host's requests at each target, and `failures` has the
     targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
     if it is unknown. `contact` describes the host's contact with the store, None without any.
+    `crashes` is what the host knows of crashes of targets, its own and those of other hosts.
     """
 
     host: HostName
@@ -42,13 +44,15 @@
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+    crashes: CrashNews | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class ZoneReport:
     """The loads of all hosts of a zone, which its delegate `host` sends to those of other zones.
 
-    `in_flight` and `failures` are sums over the zone's hosts; `revisions` are the delegate's own.
+    `in_flight` and `failures` are sums over the zone's hosts; `revisions` and `crashes` are the
+    delegate's own.
     """
 
     host: HostName
@@ -57,6 +61,7 @@
     revisions: dict[str, int] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+    crashes: CrashNews | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -19,6 +19,7 @@
 from almondspindle.chain.deadline import CheckDeadline
 from almondspindle.chain.deliver import DeliverToTarget
 from almondspindle.chain.match import MatchRoute
+from almondspindle.chain.quarantine import RejectQuarantined
 from almondspindle.controllers.exchange.messages import (
     OutsideReportReceived,
     ReportReceived,
@@ -27,6 +28,7 @@
 from almondspindle.controllers.exchange.runners import Puller, Reporter
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.task import PlacementController
+from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
 from almondspindle.controllers.view.messages import (
     GetTopicUpdate,
@@ -104,14 +106,26 @@
         self._tasks = TaskSet()
         self._placement = PlacementController(cfg, self._clock)
         self._view = ViewController(cfg, self._clock, self._publish)
+        self._quarantine = QuarantineController(cfg, self._clock)
         self._exchange = ExchangeController(
-            cfg, self._clock, random.Random(cfg.host), self._placement.send, self._view.send
+            cfg,
+            self._clock,
+            random.Random(cfg.host),
+            self._placement.send,
+            self._view.send,
+            self._quarantine.send,
         )
         self._pool = ConnectionPool(self._clock, self._metrics)
         client = PooledTargetClient(self._pool, codec, self._clock, self._metrics)
         chain = Chain(
-            filters=(MatchRoute(self._view), CheckDeadline()),
-            terminal=DeliverToTarget(self._placement, client, self._clock, self._metrics),
+            filters=(
+                MatchRoute(self._view),
+                RejectQuarantined(self._quarantine, self._metrics),
+                CheckDeadline(),
+            ),
+            terminal=DeliverToTarget(
+                self._placement, self._quarantine, client, self._clock, self._metrics
+            ),
             clock=self._clock,
         )
         self._http_server = HttpServer(chain, codec, self._clock, self._metrics)
@@ -160,6 +174,7 @@
     @_publish.register
     def _(self, change: HostsChanged) -> None:
         self._placement.send(change)
+        self._quarantine.send(change)
         self._exchange.send(change)
 
     def _update_readiness(self, state: ReadinessState) -> None:
@@ -229,6 +244,7 @@
             {
                 "view": self._view,
                 "placement": self._placement,
+                "quarantine": self._quarantine,
                 "exchange": self._exchange,
                 "pool": self._pool,
                 "front": self._http_server,
@@ -237,7 +253,12 @@
                 "lapses": RetentionTimer(self._view),
                 "puller": Puller(self._view, self._exchange, TopicClient(decode_record)),
                 "reporter": Reporter(
-                    cfg, self._placement, self._view, self._exchange, self._report_transport.send
+                    cfg,
+                    self._placement,
+                    self._quarantine,
+                    self._view,
+                    self._exchange,
+                    self._report_transport.send,
                 ),
                 **{f"watch {topic}": self._make_watcher(topic) for topic in Topic},
             }
--- /dev/null
+++ b/tests/controllers/test_quarantine.py
@@ -0,0 +1,152 @@
+"""Prompt parts that crash targets are kept from them by all hosts, and only those parts."""
+
+import random
+
+import pytest
+
+from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
+from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
+from almondspindle.core.placements import AttemptEnd, AttemptReport
+from almondspindle.decisions.prompt_quarantine import MIN_CRASHES, TRIAL_INTERVAL_S
+from tests.standins.simulated_fleet import SimulatedFleet, SimulatedHost
+
+FIRST, SUBJECT, FATAL = "first", "subject", "fatal"
+STABLE_WINDOW_S = 4.0
+MAX_LATE_ARRIVALS = 3
+CRASHED = AttemptReport(AttemptEnd.CONNECTION_BROKEN, 200, target_is_down=True)
+ANSWERED = AttemptReport(AttemptEnd.ANSWERED, 200, started=True, wrote_body=True)
+
+
+class PromptLoad:
+    """Requests to a simulated fleet, and when those with the fatal part reached a target."""
+
+    def __init__(self, count: int, zones: str, targets: int = 20) -> None:
+        self.fleet = SimulatedFleet(count, zones)
+        self.rng = random.Random(count)
+        self.targets = targets
+        self.numbers = iter(range(10**9))
+        self.arrivals: list[float] = []
+        self.fleet.run(2.0)
+
+    def check(self, host: SimulatedHost, *parts: str) -> bool:
+        return host.quarantine.handle(CheckPrompt(frozenset(parts)), self.fleet.now).is_ok()
+
+    def send(self, *parts: str) -> bool:
+        """Send a request to a host, and return whether it was passed on to a target."""
+        host = self.rng.choice([host for host in self.fleet.hosts if host.is_up])
+        if not self.check(host, *parts):
+            return False
+        if FATAL in parts:
+            self.arrivals.append(self.fleet.now)
+        self.end(host, parts, CRASHED if FATAL in parts else ANSWERED)
+        return True
+
+    def end(self, host: SimulatedHost, parts, report: AttemptReport, target: int = -1) -> None:
+        address = f"10.9.0.{self.rng.randrange(self.targets) if target < 0 else target}:1"
+        now = self.fleet.now
+        request_id = f"r-{next(self.numbers)}"
+        host.quarantine.handle(
+            PromptAttemptEnded(request_id, frozenset(parts), address, now - 0.1, report), now
+        )
+
+    def play(self, seconds: float, fatal_per_s: float, sound_per_s: float = 20.0) -> None:
+        """Play requests with the fatal part, and sound ones with the other parts."""
+        for _ in range(round(seconds / REPORT_INTERVAL_S)):
+            for rate, parts in (
+                (fatal_per_s, (FIRST, SUBJECT, FATAL)),
+                (sound_per_s, (FIRST, f"s{self.rng.randrange(9)}")),
+                (sound_per_s / 20, (FIRST, SUBJECT)),
+            ):
+                count = int(rate * REPORT_INTERVAL_S + self.rng.random())
+                for _ in range(count):
+                    self.send(*parts)
+            self.fleet.run(REPORT_INTERVAL_S)
+
+    def late_arrivals(self) -> int:
+        """Return how many requests reached targets too late after the fifth crash."""
+        if len(self.arrivals) < 5:
+            return 0
+        return sum(at > self.arrivals[4] + STABLE_WINDOW_S for at in self.arrivals)
+
+
+@pytest.mark.parametrize(
+    ("count", "zones", "fatal_per_s", "seconds"),
+    [(8, "abcd", 0.5, 24), (8, "abcd", 8.0, 12), (80, "abcd", 2.0, 12), (195, "abcdef", 8.0, 9)],
+)
+def test_all_hosts_refuse_a_part_that_crashes_targets(count, zones, fatal_per_s, seconds):
+    load = PromptLoad(count, zones)
+    load.play(seconds, fatal_per_s)
+    assert len(load.arrivals) >= MIN_CRASHES
+    assert load.late_arrivals() <= MAX_LATE_ARRIVALS
+    assert not any(load.check(host, FATAL) for host in load.fleet.hosts)
+    assert all(load.check(host, FIRST, SUBJECT) for host in load.fleet.hosts)
+
+
+def test_a_host_that_restarts_refuses_the_part_again():
+    load = PromptLoad(80, "abcd")
+    load.play(12.0, 2.0)
+    load.fleet.hosts[40].restart()
+    load.fleet.run(1.0)
+    assert not load.check(load.fleet.hosts[40], FIRST, FATAL)
+
+
+def test_parts_that_were_in_use_when_many_targets_failed_at_once_are_not_refused():
+    load = PromptLoad(8, "abcd")
+    load.play(2.0, 0.0)
+    for number, host in enumerate(load.fleet.hosts):
+        load.end(host, ("rare", "other"), CRASHED, target=number)
+    load.fleet.run(2.0)
+    assert all(load.check(host, "rare", "other") for host in load.fleet.hosts)
+
+
+def test_parts_are_not_refused_while_no_request_is_answered():
+    load = PromptLoad(8, "abcd")
+    for number in range(12):
+        load.end(load.fleet.hosts[number % 8], ("rare", f"p{number}"), CRASHED, target=number)
+        load.fleet.run(1.0)
+    assert all(load.check(host, "rare") for host in load.fleet.hosts)
+
+
+def test_the_crashes_of_one_target_do_not_count_against_a_part():
+    load = PromptLoad(8, "abcd")
+    for _ in range(6):
+        load.end(load.fleet.hosts[0], ("rare",), CRASHED, target=3)
+        load.play(1.0, 0.0)
+    assert all(load.check(host, "rare") for host in load.fleet.hosts)
+
+
+def test_parts_that_always_come_together_are_refused_together_until_one_is_answered():
+    load = PromptLoad(8, "abcd")
+    for number in range(4):
+        load.end(load.fleet.hosts[number], ("a", "b"), CRASHED, target=number)
+        load.play(1.0, 0.0)
+    assert not any(load.check(host, "a", "b") for host in load.fleet.hosts)
+    assert all(load.check(host, "a") for host in load.fleet.hosts)
+    load.end(load.fleet.hosts[5], ("a",), ANSWERED)
+    load.fleet.run(1.0)
+    assert not any(load.check(host, "b") for host in load.fleet.hosts)
+    assert all(load.check(host, "a", "c") for host in load.fleet.hosts)
+
+
+def test_one_host_tries_a_part_after_a_long_time_and_its_answer_releases_the_part_everywhere():
+    load = PromptLoad(8, "abcd")
+    load.play(10.0, 2.0)
+    load.fleet.run(TRIAL_INTERVAL_S)
+    trying = [host for host in load.fleet.hosts if load.check(host, FATAL)]
+    assert len(trying) == 1
+    assert not any(load.check(host, FATAL) for host in load.fleet.hosts)
+    load.end(trying[0], (FATAL,), ANSWERED)
+    load.fleet.run(1.0)
+    assert all(load.check(host, FATAL) for host in load.fleet.hosts)
+
+
+def test_a_request_that_met_a_second_crash_of_its_part_is_not_sent_to_another_target():
+    load = PromptLoad(8, "abcd")
+    host = load.fleet.hosts[0]
+    retry = CheckPrompt(frozenset({FATAL}), is_retry=True)
+    load.end(host, (FATAL,), CRASHED, target=1)
+    assert host.quarantine.handle(retry, load.fleet.now).is_ok()
+    load.play(1.0, 0.0)
+    load.end(host, (FATAL,), CRASHED, target=2)
+    assert host.quarantine.handle(retry, load.fleet.now).is_error()
+    assert load.check(host, FATAL)
--- a/tests/controllers/test_zone_reports.py
+++ b/tests/controllers/test_zone_reports.py
@@ -1,119 +1,12 @@
 """Loads and changes that reach all hosts of a large fleet through the delegates of its zones."""
 
-import random
-from collections import defaultdict
-
 import pytest
 
-from almondspindle.adapters.exchange.datagrams import decode_report, encode_report
-from almondspindle.controllers.exchange.messages import (
-    GetPeersAhead,
-    GetReportReceivers,
-    GetZoneRelay,
-    IsTopicWatcher,
-    OutsideReportReceived,
-    ReportReceived,
-    ZoneReportReceived,
-)
-from almondspindle.controllers.exchange.runners import OUTSIDE_REPORT_PERIOD, REPORT_INTERVAL_S
-from almondspindle.controllers.exchange.task import ExchangeController
-from almondspindle.controllers.placement.messages import PeerLoadsReported
-from almondspindle.controllers.placement.targets import PeerReportTable
-from almondspindle.controllers.view.messages import HostsChanged
-from almondspindle.core.clock import ManualClock
-from almondspindle.core.identifiers import HostName, TargetName, ZoneName
-from almondspindle.core.inventory import HostRecord, Topic
-from almondspindle.core.node import Bounds, NodeCfg
-from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
+from almondspindle.controllers.exchange.messages import GetPeersAhead
+from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
+from almondspindle.core.inventory import Topic
 from almondspindle.decisions.topic_watchers import WATCHERS_PER_TOPIC
-
-TARGET = TargetName("t")
-MESSAGES = {
-    HostReport: ReportReceived,
-    ZoneReport: ZoneReportReceived,
-    OutsideReport: OutsideReportReceived,
-}
-
-
-class SimulatedHost:
-    """The exchange controller of one host, and the loads that it passes on to the placement."""
-
-    def __init__(self, number: int, zone: str) -> None:
-        link_mbps = 100.0 if number < 8 else 5.0
-        self.cfg = NodeCfg(
-            HostName(f"h{number}"), ZoneName(zone), f"10.0.{number // 200}.{number % 200}", "", "",
-            "", 7340, 7341, 99, Bounds(), link_mbps=link_mbps,
-        )  # fmt: skip
-        self.address = f"{self.cfg.ip}:7340"
-        self.loads = PeerReportTable()
-        self.is_up = True
-        self.now = 0.0
-        self.exchange = ExchangeController(
-            self.cfg, ManualClock(), random.Random(number), self._on_loads
-        )
-        self.routes_revision = 1
-
-    def _on_loads(self, loads: PeerLoadsReported) -> None:
-        self.loads.replace(loads, self.now)
-
-    def record(self) -> HostRecord:
-        return HostRecord(self.cfg.host, self.address, self.cfg.zone, self.cfg.link_mbps)
-
-
-class SimulatedFleet:
-    """Hosts in `zones` that send each other reports, as their reporters do, in simulated time."""
-
-    def __init__(self, count: int, zones: str) -> None:
-        self.hosts = [SimulatedHost(n, zones[n % len(zones)]) for n in range(count)]
-        self.by_address = {host.address: host for host in self.hosts}
-        records = {host.cfg.host: host.record() for host in self.hosts}
-        for host in self.hosts:
-            host.exchange.handle(HostsChanged(records), 0.0)
-        self.now = 0.0
-        self.ticks = 0
-        self.crossing_bytes = 0
-        self.reaches_store = True
-
-    def run(self, seconds: float) -> None:
-        """Let every host send reports, one of its own requests in flight, for some seconds."""
-        for _ in range(round(seconds / REPORT_INTERVAL_S)):
-            self.now += REPORT_INTERVAL_S
-            self.ticks += 1
-            for host in self.hosts:
-                host.now = self.now
-            for host in self.hosts:
-                if host.is_up:
-                    self._report(host)
-
-    def _report(self, host: SimulatedHost) -> None:
-        own = HostReport(
-            host.cfg.host, host.address, self.ticks, host.cfg.zone, host.cfg.link_mbps,
-            self.reaches_store, revisions={"routes": host.routes_revision}, in_flight={TARGET: 1},
-        )  # fmt: skip
-        self._send(host, host.exchange.handle(GetReportReceivers(), self.now), own)
-        relay = host.exchange.handle(GetZoneRelay(own), self.now)
-        if relay is not None:
-            self._send(host, relay.zone_receivers, relay.zone_report)
-            if self.ticks % OUTSIDE_REPORT_PERIOD == 0:
-                self._send(host, relay.outside_receivers, relay.outside_report)
-
-    def _send(self, sender: SimulatedHost, addresses, report) -> None:
-        data = encode_report(report)
-        for address in addresses:
-            receiver = self.by_address[address]
-            if receiver.cfg.zone != sender.cfg.zone:
-                self.crossing_bytes += len(data)
-            if receiver.is_up:
-                message = MESSAGES[type(report)](decode_report(data))
-                receiver.exchange.handle(message, self.now)
-
-    def watchers(self, topic: Topic) -> dict[str, int]:
-        """Return the number of hosts in each zone that watch `topic`."""
-        counts: dict[str, int] = defaultdict(int)
-        for host in self.hosts:
-            if host.is_up and host.exchange.handle(IsTopicWatcher(topic), self.now):
-                counts[host.cfg.zone] += 1
-        return counts
+from tests.standins.simulated_fleet import TARGET, SimulatedFleet
 
 
 @pytest.mark.parametrize(("count", "zones"), [(8, "abcd"), (80, "abcd"), (195, "abcdef")])
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -77,6 +77,7 @@
         try:
             head = await reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
             return
         lines = head.decode().split("\r\n")
         method, target, _ = lines[0].split(" ")
@@ -95,6 +96,7 @@
             )
         except asyncio.CancelledError:
             # The test has ended. asyncio would log the cancellation as an error.
+            writer.close()
             return
         status, content = response
         if not (self.lose_responses and method != "GET"):
