Treat a stream that ends inside an event as broken off

Callers saw: a stream whose last event is missing, ended as if it were complete (ORDER); where the stream may be resumed, it wasn't. Cause: the end of the HTTP message was taken for the end of the stream. The bytes of an event that was not complete were dropped, and a connection that closed before the first event gave an empty stream. Evidence: five of the tests fail before the change: close inside an event, chunks that end inside an event, both on a resumable route, and close before the first event. A commit's response that breaks off at any byte already gave 502; the test for it passed before. Change: at the end of a body the buffer is asked whether the stream is whole. A stream that is ended only by its connection needs at least one event, since a target that crashes closes the connection as well. Result: all nine tests pass, and so do the files on responses, timing and endless bytes. Elsewhere: the product's router requires the end mark of a stream; other bodies without a length end with an orderly close and can't be told from cut ones.

--- a/almondspindle/adapters/http1/response_buffer.py
+++ b/almondspindle/adapters/http1/response_buffer.py
@@ -57,6 +57,18 @@
             await self._forward(b"".join(complete))
         return None
 
+    def find_fault_at_end(self, ends_at_close: bool) -> str | None:
+        """Return why a body that is complete by its framing is not the whole response, or None.
+
+        A target that goes down closes the connection too. So a stream that ends by that is broken
+        if it ends inside an event or has none.
+        """
+        if self.is_stream and self.scanner.is_inside_event:
+            return "the stream ended inside an event"
+        if self.is_stream and ends_at_close and not self.has_body:
+            return "the connection closed before the first event"
+        return None
+
     async def flush(self) -> None:
         """Forward the head, if it has not been forwarded, and the buffered body."""
         rest = bytes(self.buffered)
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -107,6 +107,7 @@
     metadata: ResponseMetadata | None = None
     status: int = 0
     keep_alive: bool = False
+    ends_at_close: bool = False
     report: AttemptReport | None = None
 
     async def run(self, timeouts: IdleTimeouts) -> AttemptReport:
@@ -145,6 +146,7 @@
         self.raw_headers = part.headers
         self.status = part.status
         self.keep_alive = part.keep_alive
+        self.ends_at_close = part.ends_at_close
         self.metadata = metadata = self.codec.read_response_head(part.status, part.headers)
         fault = self._find_fault(metadata)
         if fault is not None:
@@ -185,12 +187,17 @@
         metadata = self.metadata
         if metadata is None:
             raise InvariantError("a response ended before its head")
+        is_rejected = self._is_rejected(metadata)
+        fault = None if is_rejected else self.progress.find_fault_at_end(self.ends_at_close)
+        if fault is not None:
+            self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
+            return
         # Bytes of the request that are still unsent would be read by the target as the beginning of
         # the next request.
         self.may_reuse = (
             self.keep_alive and not self.connection.is_unusable and self.connection.has_sent_all
         )
-        if self._is_rejected(metadata):
+        if is_rejected:
             self._finish_rejected()
             return
         self._finish(AttemptEnd.ANSWERED, "")
--- a/almondspindle/adapters/http1/target_connection.py
+++ b/almondspindle/adapters/http1/target_connection.py
@@ -18,12 +18,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HeadReceived:
-    """The head of the response. `length` is the body's length in bytes, None if not stated."""
+    """The head of the response. `length` is the body's length in bytes, None if not stated.
+
+    `ends_at_close` is set if the body has neither a length nor chunks, so that only the end of the
+    connection ends it.
+    """
 
     status: int
     headers: Headers
     length: int | None
     keep_alive: bool
+    ends_at_close: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,7 +180,7 @@
         self._ends_at_close = has_body and length is None and not is_chunked
         keep_alive = self._parser.should_keep_alive() and not self._ends_at_close
         size = int(length) if length is not None and has_body else (None if has_body else 0)
-        self._add_part(HeadReceived(status, headers, size, keep_alive))
+        self._add_part(HeadReceived(status, headers, size, keep_alive, self._ends_at_close))
         if self._is_head_request:
             self._finish(ResponseComplete())
             # The parser does not know that a response to HEAD has no body, and may wait for one.
--- a/almondspindle/adapters/target/events.py
+++ b/almondspindle/adapters/target/events.py
@@ -44,6 +44,11 @@
         """Return the size of the incomplete event."""
         return len(self._pending)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the bytes received so far end inside an event."""
+        return bool(self._pending.strip())
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that `data` completes.
 
