Continue a stream only with numbered events of the same media type

Cause: the response that continues a stream was checked for its id, stamp and status only. An error that came with status 200 was forwarded if it ended in a blank line, and so was an event without a number. Evidence: two of the seven cases of the test fail before the change, [failed_in_200] and [failed_as_event]; status 500, rejections, 421, a cut head and a close passed. Change: the head must have the media type of the stream that has begun; after a numbered event one without a number breaks the response.

--- a/almondspindle/adapters/http1/response_buffer.py
+++ b/almondspindle/adapters/http1/response_buffer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from almondspindle.adapters.target.events import EventScanner
+from almondspindle.adapters.target.events import EventScanner, StreamEvent
 from almondspindle.core.calls import ResponseChunk, ResponseHead, ResponseSink
 
 
@@ -47,6 +47,8 @@
         complete = []
         for event in self.scanner.feed(data):
             number = event.info.number if event.info else None
+            if _lacks_number(event) and self.last_event is not None:
+                return f"an event without a number received after event {self.last_event}"
             if number is not None:
                 if self.last_event is not None and number != self.last_event + 1:
                     return f"event {number} received after event {self.last_event}"
@@ -83,3 +85,8 @@
             await self.sink.write(self.head)
         if data:
             await self.sink.write(ResponseChunk(data, self.last_event))
+
+
+def _lacks_number(event: StreamEvent) -> bool:
+    info = event.info
+    return info is not None and info.number is None and not info.is_end
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -82,6 +82,11 @@
         return _with_reuse_note(report, leased.ok)
 
 
+def _media_type(head: ResponseMetadata | ResponseHead) -> str:
+    values = (value for name, value in head.headers if name.lower() == "content-type")
+    return next(values, "").partition(";")[0].strip().lower()
+
+
 def _with_reuse_note(report: AttemptReport, lease: Lease) -> AttemptReport:
     """Return `report`, with a note in its detail if a reused connection broke."""
     if report.end is AttemptEnd.CONNECTION_BROKEN and lease.is_reused:
@@ -232,6 +237,9 @@
             return "the body has a content encoding"
         if self.progress.started and self.status != HTTP_OK:
             return f"the target did not resume the stream: status {self.status}"
+        first = self.progress.head
+        if self.progress.started and first and _media_type(metadata) != _media_type(first):
+            return f"the target did not resume the stream: {_media_type(metadata)}"
         return None
 
     def _finish_rejected(self) -> None:
--- a/tests/programs/test_broken_streams.py
+++ b/tests/programs/test_broken_streams.py
@@ -1,4 +1,4 @@
-"""Responses that break off: in a head, or inside an event."""
+"""Responses that break off: in a head, inside an event, or at the replica that continues them."""
 
 import asyncio
 
@@ -8,6 +8,7 @@
 from tests.standins.node_fleet import encode_request, running_platform
 
 CUT_EVENT = r.event(2)[:-5]
+ERROR_TEXT = b"upstream failed"
 
 
 def run(check) -> None:
@@ -94,3 +95,42 @@
             assert (await host.send(request)).body == b"x" * 20
 
     run(check)
+
+
+def failed(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    return r.complete_response(request, ERROR_TEXT, "500 Internal Server Error")
+
+
+def failed_in_200(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    return r.complete_response(request, ERROR_TEXT + b"\n\n", extra="Content-Type: text/plain\r\n")
+
+
+def failed_as_event(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    event = b"data: " + ERROR_TEXT + b"\n\n"
+    return r.ScriptedResponse((r.stream_head(request), r.chunk(event), b"0\r\n\r\n"))
+
+
+def closed_at_once(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    return r.ScriptedResponse((r.stream_head(request, is_chunked=False),), "close")
+
+
+def cut_head(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    return r.ScriptedResponse((r.stream_head(request)[:40],), "close")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [failed, failed_in_200, failed_as_event, closed_at_once, cut_head, r.rejected, r.misdirected],
+)
+def test_the_error_of_the_next_replica_does_not_enter_a_stream_that_has_begun(answer):
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        if "last-event-id" in request.headers:
+            return answer(request)
+        return r.ScriptedResponse((r.stream_head(request), r.chunk(r.event(1))), "reset")
+
+    async def check() -> None:
+        async with running_platform(model=behave) as (_, host, _):
+            response = await host.send(encode_request("/resumable/", b"x"))
+            assert (response.is_complete, response.body) == (False, r.event(1))
+
+    run(check)
