Stop sending a request at the entry after two targets failed under it

Cause: the entry took each target that closed its connection without a response for a failure of the target, and sent a chat or read on to the next of up to six candidates. One chat that crashes targets could take all of them down. Evidence: the case [DOWN, DOWN, COMPLETE] of chain/test_relay.py made three attempts before the change. Change: after two such ends the entry gives up with target_unreachable, outcome unknown. Refusals, connections that could not be opened, and owners that can't be reached count as before, so the loss of a zone changes nothing.

--- a/almondspindle/chain/relay.py
+++ b/almondspindle/chain/relay.py
@@ -17,12 +17,14 @@
 from almondspindle.decisions.jitter import full_jitter
 from almondspindle.decisions.retry import (
     FULL_RETRY_AFTER_S,
+    MAX_TARGETS_LOST,
     RETRY_BASE_S,
     RETRY_CAP_S,
     ROUND_BASE_S,
     ROUND_CAP_S,
     NextStep,
     Stage,
+    is_target_lost,
     next_step,
     should_start_round,
     stage_of,
@@ -42,13 +44,15 @@
     """The state of the attempts at one call. No attempt follows once `result` is set.
 
     `round_codes` holds the refusal codes of the current round over the candidates. `maybe_sent`
-    is set if an attempt may have reached its target.
+    is set if an attempt may have reached its target. `targets_lost` counts the attempts in which
+    the target closed its connection without a response.
     """
 
     last: Completion | None = None
     result: Completion | None = None
     retries: int = 0
     maybe_sent: bool = False
+    targets_lost: int = 0
     round_codes: set[RefusalCode] = field(default_factory=set)
 
 
@@ -113,6 +117,9 @@
         step = next_step(call.work, state.last)
         if stage_of(state.last) is not Stage.NOT_SENT:
             state.maybe_sent = True
+        state.targets_lost += is_target_lost(state.last)
+        if state.targets_lost >= MAX_TARGETS_LOST:
+            return False
         if step is NextStep.GIVE_UP:
             return False
         if step is NextStep.REDIRECT:
--- a/almondspindle/decisions/retry.py
+++ b/almondspindle/decisions/retry.py
@@ -11,6 +11,7 @@
 RETRY_BASE_S = 0.02
 RETRY_CAP_S = 0.25
 FULL_RETRY_AFTER_S = 1.0
+MAX_TARGETS_LOST = 2  # under one request: it may be what they fail of
 
 
 class NextStep(StrEnum):
@@ -63,6 +64,13 @@
     return STEP_BY_STAGE[work, stage_of(finished)]
 
 
+def is_target_lost(finished: Completion) -> bool:
+    """Return whether the target closed its connection without a response to the request."""
+    refusal = finished.refusal
+    is_unreachable = refusal is not None and refusal.code is RefusalCode.TARGET_UNREACHABLE
+    return is_unreachable and stage_of(finished) is Stage.MAYBE_SENT
+
+
 def should_start_round(codes: set[RefusalCode], rounds_made: int) -> bool:
     """Return whether to try all candidates again after a round that failed with `codes`."""
     return rounds_made < MAX_ROUNDS and bool(codes & TRANSIENT_REFUSALS)
--- a/tests/chain/test_relay.py
+++ b/tests/chain/test_relay.py
@@ -31,6 +31,7 @@
 
 FULL, STARTING = refusal("full"), refusal("starting")
 LOST = refusal("peer_unreachable", RunState.UNKNOWN)
+DOWN = refusal("target_unreachable", RunState.UNKNOWN)
 BROKEN = refusal("answer_broken", RunState.UNKNOWN, started=True)
 CHAT, READ, COMMIT = WorkKind.CHAT, WorkKind.READ, WorkKind.COMMIT
 
@@ -47,6 +48,9 @@
     (COMMIT, [LOST], 1, "peer_unreachable", RunState.UNKNOWN),
     (CHAT, [BROKEN], 1, "answer_broken", RunState.UNKNOWN),
     (READ, [LOST], 3, "peer_unreachable", RunState.UNKNOWN),
+    (CHAT, [DOWN, COMPLETE], 2, None, None),
+    (CHAT, [DOWN, DOWN, COMPLETE], 2, "target_unreachable", RunState.UNKNOWN),
+    (READ, [DOWN, FULL, DOWN, COMPLETE], 3, "target_unreachable", RunState.UNKNOWN),
 ]
 
 
