--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -43,7 +43,7 @@
 
 class _CrashNews(Struct, array_like=True):
     crashes: tuple[_Crash, ...]
-    answered: dict[str, float] | None
+    answered: dict[str, float]
     quarantined: tuple[_Quarantine, ...]
 
 
--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -109,11 +109,11 @@
             parts = frozenset(report.parts)
             crash = Crash(*key, parts, sent_at, crashed_at, self._last_response_at)
             self._add_crash(key, crash, now)
-        for part, age_s in (msg.news.answered or {}).items():
+        for part, age_s in msg.news.answered.items():
             if self._is_news(part, now - age_s):
                 self._note_answer(part, now - age_s, now)
         for quarantine in msg.news.quarantined:
-            self._add_reported(frozenset(quarantine.parts), now - quarantine.crash_age_s, now)
+            self._adopt(frozenset(quarantine.parts), now - quarantine.crash_age_s, now)
 
     @handle.register
     def _(self, msg: GetCrashNews, now: float) -> CrashNews | None:
@@ -173,8 +173,8 @@
         addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
         emit(PROMPT_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
 
-    def _add_reported(self, parts: PartIds, crashed_at: float, now: float) -> None:
-        """Adopt the quarantine of another host, less the parts that were answered since."""
+    def _adopt(self, parts: PartIds, crashed_at: float, now: float) -> None:
+        """Quarantine the `parts` not answered since, unless some of them already are."""
         for part in parts:
             if self._answered.get(part, -math.inf) > crashed_at:
                 self._report_answer(part, now)
@@ -216,7 +216,7 @@
             emit(PROMPT_RELEASED, part=part, parts=sorted(parts))
             rest = parts - {part}
             if rest:
-                self._add_reported(rest, quarantine.last_crash_at, now)
+                self._adopt(rest, quarantine.last_crash_at, now)
 
     def _report_answer(self, part: str, now: float) -> None:
         self._answers_reported[part] = now + NEWS_S
--- a/almondspindle/core/crashes.py
+++ b/almondspindle/core/crashes.py
@@ -1,6 +1,6 @@
 """Crashes of targets, and the prompt parts that are suspected to cause them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from almondspindle.core.identifiers import RequestId
 
@@ -56,5 +56,5 @@
     """
 
     crashes: tuple[CrashReport, ...] = ()
-    answered: dict[str, float] | None = None
+    answered: dict[str, float] = field(default_factory=dict)
     quarantined: tuple[QuarantineReport, ...] = ()
