Don't quarantine sound parts whose requests wait at targets that crash

Cause: the records of one crash were judged one by one. A first part or a frequent part that had been answered before, but not between three crashes within seconds, was quarantined, since its own record doesn't hold the fatal part. Refused from then on, it could not be answered. Change: a part that was ever answered needs six crashes in sequence instead of three (four instead of two for a retry); crashes that a quarantined part explains are recognised by target and time, also from another request's record. A retry counts as sent after the crash of its own first attempt without allowance, and the allowance for the delay of reports is 0.1 s.

--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -26,7 +26,6 @@
     CRASH_TTL_S,
     TRIAL_INTERVAL_S,
     fatal_parts,
-    is_explained,
     is_suspect,
     is_trial_due,
 )
@@ -84,7 +83,7 @@
         if msg.is_retry:
             crashes = self._recent_crashes(now)
             for part in msg.parts:
-                if is_suspect(part, crashes, self._answered.get(part, -math.inf)):
+                if is_suspect(part, crashes, self._answered):
                     text = f"prompt part {part} may have crashed several targets"
                     return refused(RefusalCode.PROMPT_QUARANTINED, text)
         return Ok(None)
@@ -157,7 +156,7 @@
         for part in crash.parts & self._answered.keys():
             self._report_answer(part, now)
         for parts, quarantine in self._quarantined.items():
-            if is_explained(crash, [parts]):
+            if parts <= crash.parts:
                 quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
         fatal = fatal_parts(
             crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/prompt_quarantine.py
@@ -4,30 +4,44 @@
 begins to respond to it. Without a memory of the parts, the next such request goes to the next
 target, and the crash cuts the responses of all other requests there.
 
-A part is quarantined after `MIN_CRASHES` crashes in sequence at more than one target, if no request
-with it has been answered since the first of them. Each request of the sequence was sent after the
-crash before, so one failure of many targets counts once. Other requests were answered in between,
-so a failure of the whole service doesn't count.
+A part is quarantined after some crashes in sequence at more than one target, if no request with it
+has been answered since the first of them. Each request of the sequence was sent after the crash
+before, so one failure of many targets counts once. Other requests were answered in between, so a
+failure of the whole service doesn't count. Sound requests wait at a target when it crashes, too: a
+part that was ever answered needs twice as many crashes, and crashes that a part in quarantine
+explains don't count against others.
 """
 
 import math
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+from itertools import chain
 
 from almondspindle.core.crashes import Crash, PartIds
 from almondspindle.decisions.hashing import score
 
-MIN_CRASHES = 3
 MIN_TARGETS = 2
-# After this many crashes in sequence, a request with the part isn't sent to another target.
-MIN_CRASHES_FOR_RETRY = 2
 # Times that other hosts report are wrong by the delay of the report.
-REPORT_DELAY_S = 0.25
+REPORT_DELAY_S = 0.1
+SAME_CRASH_S = 0.5  # between the ends of attempts that the crash of one target cut
 CRASH_TTL_S = 300.0
 # A quarantined part may have become harmless, for example by a new version of the targets. One
 # request at a time is sent on trial after this time.
 TRIAL_INTERVAL_S = 120.0
 
 
+@dataclass(frozen=True, slots=True)
+class CrashLimits:
+    """Crashes in sequence after which a part is quarantined, or no request with it is retried."""
+
+    quarantine: int
+    retry: int
+
+
+# By whether a request with the part was ever answered.
+LIMITS = {False: CrashLimits(quarantine=3, retry=2), True: CrashLimits(quarantine=6, retry=4)}
+
+
 def crash_sequence(crashes: Iterable[Crash], answered_at: float) -> list[Crash]:
     """Return the longest sequence of `crashes` after `answered_at` that a part may have caused."""
     sequence: list[Crash] = []
@@ -38,51 +52,63 @@
 
 
 def _follows(crash: Crash, earlier: Crash) -> bool:
-    was_sent_later = crash.sent_at > earlier.crashed_at + REPORT_DELAY_S
+    is_retry = crash.request_id == earlier.request_id
+    delay_s = 0.0 if is_retry else REPORT_DELAY_S
+    was_sent_later = crash.sent_at > earlier.crashed_at + delay_s
     return was_sent_later and crash.last_response_at > earlier.crashed_at
 
 
-def is_fatal(sequence: Collection[Crash]) -> bool:
-    """Return whether a part with this sequence of crashes is the cause of them."""
+def is_fatal(sequence: Collection[Crash], was_answered: bool) -> bool:
+    """Return whether a part with this sequence of crashes is the cause of them.
+
+    `was_answered` tells whether a request with the part was ever answered.
+    """
     addresses = {crash.address for crash in sequence}
-    return len(sequence) >= MIN_CRASHES and len(addresses) >= MIN_TARGETS
+    return len(sequence) >= LIMITS[was_answered].quarantine and len(addresses) >= MIN_TARGETS
 
 
 def fatal_parts(
     crash: Crash,
     crashes: Collection[Crash],
     answered: Mapping[str, float],
-    quarantined: Collection[PartIds],
+    quarantined: Iterable[PartIds],
 ) -> PartIds:
     """Return the parts of the newest `crash` that are its cause, or nothing if it isn't known.
 
     `answered` has the time of the last response by part, and `quarantined` the parts in quarantine.
-    Crashes that those explain don't count against other parts. Of several possible causes, those
-    that have never been answered are returned.
+    Of several possible causes, those that have never been answered are returned.
     """
-    if is_explained(crash, quarantined):
+    explained = {
+        parts: [known for known in crashes if parts <= known.parts] for parts in quarantined
+    }
+    if _is_same_as_any(crash, chain.from_iterable(explained.values())):
         return frozenset()
     fatal = set()
     for part in crash.parts:
-        others = [parts for parts in quarantined if part not in parts]
-        own = [c for c in crashes if part in c.parts and not is_explained(c, others)]
-        if is_fatal(crash_sequence(own, answered.get(part, -math.inf))):
+        others = [known for parts, all_ in explained.items() if part not in parts for known in all_]
+        own = [c for c in crashes if part in c.parts and not _is_same_as_any(c, others)]
+        sequence = crash_sequence(own, answered.get(part, -math.inf))
+        if is_fatal(sequence, part in answered):
             fatal.add(part)
     return frozenset(fatal - answered.keys() or fatal)
 
 
-def is_explained(crash: Crash, quarantined: Iterable[PartIds]) -> bool:
-    """Return whether parts in quarantine are a cause of `crash`."""
-    return any(parts <= crash.parts for parts in quarantined)
+def _is_same_as_any(crash: Crash, others: Iterable[Crash]) -> bool:
+    """Return whether one of the attempts `others` ended by the same crash of a target."""
+    return any(
+        crash.address == other.address and abs(crash.crashed_at - other.crashed_at) <= SAME_CRASH_S
+        for other in others
+    )
 
 
-def is_suspect(part: str, crashes: Iterable[Crash], answered_at: float) -> bool:
+def is_suspect(part: str, crashes: Iterable[Crash], answered: Mapping[str, float]) -> bool:
     """Return whether a request with `part` that met a crash should not be sent to another target.
 
-    `answered_at` is when a request with the part was last answered.
+    `answered` has the time of the last response by part.
     """
     own = [crash for crash in crashes if part in crash.parts]
-    return len(crash_sequence(own, answered_at)) >= MIN_CRASHES_FOR_RETRY
+    sequence = crash_sequence(own, answered.get(part, -math.inf))
+    return len(sequence) >= LIMITS[part in answered].retry
 
 
 def is_trial_due(
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -7,7 +7,7 @@
 from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
 from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
 from almondspindle.core.placements import AttemptEnd, AttemptReport
-from almondspindle.decisions.prompt_quarantine import MIN_CRASHES, TRIAL_INTERVAL_S
+from almondspindle.decisions.prompt_quarantine import LIMITS, TRIAL_INTERVAL_S
 from tests.standins.simulated_fleet import SimulatedFleet, SimulatedHost
 
 FIRST, SUBJECT, FATAL = "first", "subject", "fatal"
@@ -76,7 +76,7 @@
 def test_all_hosts_refuse_a_part_that_crashes_targets(count, zones, fatal_per_s, seconds):
     load = PromptLoad(count, zones)
     load.play(seconds, fatal_per_s)
-    assert len(load.arrivals) >= MIN_CRASHES
+    assert len(load.arrivals) >= LIMITS[False].quarantine
     assert load.late_arrivals() <= MAX_LATE_ARRIVALS
     assert not any(load.check(host, FATAL) for host in load.fleet.hosts)
     assert all(load.check(host, FIRST, SUBJECT) for host in load.fleet.hosts)
@@ -99,6 +99,22 @@
     assert all(load.check(host, "rare", "other") for host in load.fleet.hosts)
 
 
+def test_a_sound_part_whose_requests_were_at_the_crashing_targets_is_not_refused():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    load.end(hosts[7], ("popular",), ANSWERED)
+    load.fleet.run(1.0)
+    for number in range(5):
+        load.end(hosts[number], ("popular", f"p{number}"), CRASHED, target=number)
+        load.end(hosts[number + 1], (FIRST, FATAL), CRASHED, target=number)
+        load.end(hosts[6], ("other",), ANSWERED)
+        load.fleet.run(1.0)
+        for host in hosts:
+            load.end(host, ("other",), ANSWERED)
+    assert not any(load.check(host, FIRST, FATAL) for host in hosts)
+    assert all(load.check(host, "popular", "p9") for host in hosts)
+
+
 def test_parts_are_not_refused_while_no_request_is_answered():
     load = PromptLoad(8, "abcd")
     for number in range(12):
