Judge a crash by all requests that it cut, once other hosts have reported them

Change: a crash is judged 0.4 s after it is known. The parts that were at the target in each crash of the sequence, of all requests cut there, are quarantined together, less those that were ever answered; a request with only some of them is sent and shows which it is. Result: the tests of the quarantine pass, the new one among them.

--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -1,7 +1,7 @@
 """The controller that keeps prompts which crash targets away from them."""
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
@@ -24,6 +24,7 @@
 from almondspindle.core.placements import AttemptEnd, AttemptReport
 from almondspindle.decisions.prompt_quarantine import (
     CRASH_TTL_S,
+    SETTLE_S,
     TRIAL_INTERVAL_S,
     fatal_parts,
     is_suspect,
@@ -61,6 +62,7 @@
         self._hosts: frozenset[str] = frozenset({cfg.host})
         self._crashes: OrderedDict[tuple[RequestId, str], tuple[float, Crash]] = OrderedDict()
         self._quarantined: dict[PartIds, _Quarantine] = {}
+        self._unjudged: deque[tuple[float, Crash]] = deque()
         self._suspected: dict[str, float] = {}  # the last crash of each part, of `_crashes`
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._answers_reported: dict[str, float] = {}  # until when a part's answer is reported
@@ -77,6 +79,7 @@
 
     @handle.register
     def _(self, msg: CheckPrompt, now: float) -> Outcome[None]:
+        self._judge_crashes(now)
         for parts, quarantine in self._quarantined.items():
             if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
                 return _refused(parts, quarantine, now)
@@ -116,6 +119,7 @@
 
     @handle.register
     def _(self, msg: GetCrashNews, now: float) -> CrashNews | None:
+        self._judge_crashes(now)
         crashes = [crash for at, crash in self._crashes.values() if now - at <= NEWS_S]
         self._answers_reported = {
             part: until for part, until in self._answers_reported.items() if now < until
@@ -158,11 +162,16 @@
         for parts, quarantine in self._quarantined.items():
             if parts <= crash.parts:
                 quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
-        fatal = fatal_parts(
-            crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
-        )
-        if fatal:
-            self._quarantine(fatal, crash.crashed_at)
+        self._unjudged.append((now, crash))
+
+    def _judge_crashes(self, now: float) -> None:
+        while self._unjudged and now - self._unjudged[0][0] >= SETTLE_S:
+            _, crash = self._unjudged.popleft()
+            fatal = fatal_parts(
+                crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
+            )
+            if fatal:
+                self._quarantine(fatal, crash.crashed_at)
 
     def _quarantine(self, parts: PartIds, crashed_at: float) -> None:
         if len(self._quarantined) >= MAX_QUARANTINED:
--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/prompt_quarantine.py
@@ -15,6 +15,7 @@
 import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
+from functools import reduce
 from itertools import chain
 
 from almondspindle.core.crashes import Crash, PartIds
@@ -23,6 +24,8 @@
 MIN_TARGETS = 2
 # Times that other hosts report are wrong by the delay of the report.
 REPORT_DELAY_S = 0.1
+# A crash is judged after this time, when other hosts have reported the requests that it cut there.
+SETTLE_S = 0.4
 SAME_CRASH_S = 0.5  # between the ends of attempts that the crash of one target cut
 CRASH_TTL_S = 300.0
 # A quarantined part may have become harmless, for example by a new version of the targets. One
@@ -73,24 +76,38 @@
     answered: Mapping[str, float],
     quarantined: Iterable[PartIds],
 ) -> PartIds:
-    """Return the parts of the newest `crash` that are its cause, or nothing if it isn't known.
+    """Return the parts that caused `crash` and others before it, or nothing if it isn't known.
 
     `answered` has the time of the last response by part, and `quarantined` the parts in quarantine.
-    Of several possible causes, those that have never been answered are returned.
     """
     explained = {
         parts: [known for known in crashes if parts <= known.parts] for parts in quarantined
     }
     if _is_same_as_any(crash, chain.from_iterable(explained.values())):
         return frozenset()
-    fatal = set()
-    for part in crash.parts:
+    for part in sorted(crash.parts):
         others = [known for parts, all_ in explained.items() if part not in parts for known in all_]
         own = [c for c in crashes if part in c.parts and not _is_same_as_any(c, others)]
         sequence = crash_sequence(own, answered.get(part, -math.inf))
         if is_fatal(sequence, part in answered):
-            fatal.add(part)
-    return frozenset(fatal - answered.keys() or fatal)
+            return _common_cause(part, sequence, crashes, answered)
+    return frozenset()
+
+
+def _common_cause(
+    part: str, sequence: Iterable[Crash], crashes: Collection[Crash], answered: Mapping[str, float]
+) -> PartIds:
+    """Return the parts that were at the target in each crash of the sequence of `part`.
+
+    Those are the parts of all requests that were cut, since a sound one may have been there every
+    time. The ones that were answered are left out, unless nothing else is left.
+    """
+    at_target = (
+        frozenset().union(*(known.parts for known in crashes if _is_same_as_any(known, [crash])))
+        for crash in sequence
+    )
+    common = reduce(frozenset.intersection, at_target)
+    return common.difference(answered) or frozenset({part})
 
 
 def _is_same_as_any(crash: Crash, others: Iterable[Crash]) -> bool:
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -62,6 +62,13 @@
                     self.send(*parts)
             self.fleet.run(REPORT_INTERVAL_S)
 
+    def play_others(self, seconds: float) -> None:
+        """Let each host answer requests with parts that no other request has."""
+        for _ in range(round(seconds / REPORT_INTERVAL_S)):
+            for host in self.fleet.hosts:
+                self.end(host, (f"only-{next(self.numbers)}",), ANSWERED)
+            self.fleet.run(REPORT_INTERVAL_S)
+
     def late_arrivals(self) -> int:
         """Return how many requests reached targets too late after the fifth crash."""
         if len(self.arrivals) < 5:
@@ -115,6 +122,18 @@
     assert all(load.check(host, "popular", "p9") for host in hosts)
 
 
+def test_a_sound_request_at_a_crash_does_not_shift_the_suspicion_to_its_own_part():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    for number in range(3):
+        load.end(hosts[number], (SUBJECT, FATAL), CRASHED, target=number)
+        if number == 2:
+            load.end(hosts[5], (FIRST, SUBJECT), CRASHED, target=number)
+        load.play_others(1.0)
+    assert not any(load.check(host, SUBJECT, FATAL) for host in hosts)
+    assert all(load.check(host, FIRST, SUBJECT) for host in hosts)
+
+
 def test_parts_are_not_refused_while_no_request_is_answered():
     load = PromptLoad(8, "abcd")
     for number in range(12):
