Judge a crash only by those up to it

Cause: an earlier crash was judged with the record of a later one, 17 ms old, of which other hosts had not yet reported the fatal request. Change: crashes after the judged one are left out of the sequence; the requests that were at a target are taken from all records. Result: the tests of the quarantine pass.

--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/prompt_quarantine.py
@@ -79,6 +79,7 @@
     """Return the parts that caused `crash` and others before it, or nothing if it isn't known.
 
     `answered` has the time of the last response by part, and `quarantined` the parts in quarantine.
+    Later crashes are left out, since other hosts may not have reported yet what they cut.
     """
     explained = {
         parts: [known for known in crashes if parts <= known.parts] for parts in quarantined
@@ -87,7 +88,13 @@
         return frozenset()
     for part in sorted(crash.parts):
         others = [known for parts, all_ in explained.items() if part not in parts for known in all_]
-        own = [c for c in crashes if part in c.parts and not _is_same_as_any(c, others)]
+        own = [
+            known
+            for known in crashes
+            if part in known.parts
+            and known.crashed_at <= crash.crashed_at
+            and not _is_same_as_any(known, others)
+        ]
         sequence = crash_sequence(own, answered.get(part, -math.inf))
         if is_fatal(sequence, part in answered):
             return _common_cause(part, sequence, crashes, answered)
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -41,12 +41,19 @@
         self.end(host, parts, CRASHED if FATAL in parts else ANSWERED)
         return True
 
-    def end(self, host: SimulatedHost, parts, report: AttemptReport, target: int = -1) -> None:
+    def end(
+        self,
+        host: SimulatedHost,
+        parts,
+        report: AttemptReport,
+        target: int = -1,
+        after_s: float = 0.1,
+    ) -> None:
         address = f"10.9.0.{self.rng.randrange(self.targets) if target < 0 else target}:1"
         now = self.fleet.now
         request_id = f"r-{next(self.numbers)}"
         host.quarantine.handle(
-            PromptAttemptEnded(request_id, frozenset(parts), address, now - 0.1, report), now
+            PromptAttemptEnded(request_id, frozenset(parts), address, now - after_s, report), now
         )
 
     def play(self, seconds: float, fatal_per_s: float, sound_per_s: float = 20.0) -> None:
@@ -134,6 +141,20 @@
     assert all(load.check(host, FIRST, SUBJECT) for host in hosts)
 
 
+def test_a_crash_is_not_judged_by_a_later_one_that_other_hosts_have_not_reported_yet():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    for number in range(2):
+        load.end(hosts[0], (SUBJECT, FATAL), CRASHED, target=number)
+        load.play_others(1.0 if number == 0 else REPORT_INTERVAL_S)
+    load.end(hosts[0], ("only",), ANSWERED)
+    load.end(hosts[0], (FIRST, SUBJECT), CRASHED, target=2, after_s=0.05)
+    load.end(hosts[5], (SUBJECT, FATAL), CRASHED, target=2, after_s=0.05)
+    load.play_others(2.0)
+    assert not any(load.check(host, SUBJECT, FATAL) for host in hosts)
+    assert all(load.check(host, FIRST, SUBJECT) for host in hosts)
+
+
 def test_parts_are_not_refused_while_no_request_is_answered():
     load = PromptLoad(8, "abcd")
     for number in range(12):
