Deliver the events before a fault before a stream continues elsewhere

Callers saw: nothing known; found while reading the change. Events could be missing in a resumed stream (ORDER). Cause: events that came in one piece with a faulty one were counted as delivered and then dropped, so the stream went on after them. Evidence: the new test gets events 3 and 4 only, before the change. Change: they are forwarded before the fault is reported. Result: the tests of broken streams, responses and stream timing pass.

--- a/almondspindle/adapters/http1/response_buffer.py
+++ b/almondspindle/adapters/http1/response_buffer.py
@@ -45,18 +45,28 @@
             self.has_body = self.has_body or bool(data)
             return None
         complete = []
+        fault = None
         for event in self.scanner.feed(data):
-            number = event.info.number if event.info else None
-            if _lacks_number(event) and self.last_event is not None:
-                return f"an event without a number received after event {self.last_event}"
-            if number is not None:
-                if self.last_event is not None and number != self.last_event + 1:
-                    return f"event {number} received after event {self.last_event}"
-                self.last_event = number
+            fault = self._find_fault(event)
+            if fault is not None:
+                break
+            if event.info is not None and event.info.number is not None:
+                self.last_event = event.info.number
             complete.append(event.raw)
         if complete:
             self.has_body = True
             await self._forward(b"".join(complete))
+        return fault
+
+    def _find_fault(self, event: StreamEvent) -> str | None:
+        """Return why `event` does not follow the last one, or None."""
+        info, last = event.info, self.last_event
+        if info is None or info.is_end or last is None:
+            return None
+        if info.number is None:
+            return f"an event without a number received after event {last}"
+        if info.number != last + 1:
+            return f"event {info.number} received after event {last}"
         return None
 
     def find_fault_at_end(self, ends_at_close: bool) -> str | None:
@@ -85,8 +95,3 @@
             await self.sink.write(self.head)
         if data:
             await self.sink.write(ResponseChunk(data, self.last_event))
-
-
-def _lacks_number(event: StreamEvent) -> bool:
-    info = event.info
-    return info is not None and info.number is None and not info.is_end
--- a/tests/programs/test_broken_streams.py
+++ b/tests/programs/test_broken_streams.py
@@ -134,3 +134,19 @@
             assert (response.is_complete, response.body) == (False, r.event(1))
 
     run(check)
+
+
+def test_the_events_before_a_fault_are_delivered_before_the_stream_continues():
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        if "last-event-id" in request.headers:
+            return r.stream(request, first=int(request.headers["last-event-id"]) + 1, last=4)
+        faulty = b"".join(r.event(number) for number in (1, 2, 4))
+        return r.ScriptedResponse((r.stream_head(request), r.chunk(faulty)), "hold")
+
+    async def check() -> None:
+        async with running_platform(model=behave) as (_, host, _):
+            response = await host.send(encode_request("/resumable/", b"x"))
+            assert response.is_complete
+            assert response.body == b"".join(r.event(number) for number in (1, 2, 3, 4))
+
+    run(check)
