Count only the test's own lines in the test of crash logs

Cause: the logger keeps the messages of earlier tests until a destination is added, so in a full run the test got 121 lines of others. Traced from the assertion's own output; it fails in each full run and passes alone. Change: the test looks at the lines of its own request, whose id no other test uses. It asks the same of them as before.

--- a/tests/programs/test_crashing_prompts.py
+++ b/tests/programs/test_crashing_prompts.py
@@ -22,6 +22,7 @@
 FATAL_PART = "dead"
 MAX_FATAL_ARRIVALS = 5 + 3  # the fifth crash, and three more requests
 FATAL_REQUESTS = 16
+LOGGED = 770_001  # the number of a request that no other test sends
 SECONDS_BETWEEN_REQUESTS = 0.35
 
 
@@ -49,13 +50,15 @@
         ):
             await store.put("servers", "model-0", replica_record(replica, MODEL_SERVICE))
             await wait_until(host.is_ready)
-            response = await host.send(prompt_request(1, "first", FATAL_PART))
+            response = await host.send(prompt_request(LOGGED, "first", FATAL_PART))
             assert response.status == 502
             metrics = await host.get(host.metrics_address, "/metrics")
             assert b"almondspindle_crashes_total 1\n" in metrics.body
 
     asyncio.run(check())
-    ended = [line for line in log_lines if line.get("event") == "attempt_ended"]
+    # The logger hands on what earlier tests logged, too.
+    own = [line for line in log_lines if line.get("request_id") == f"r-{LOGGED}"]
+    ended = [line for line in own if line["event"] == "attempt_ended"]
     assert [(line["target_is_down"], line["wrote_body"], line["parts"]) for line in ended] == [
         (True, False, ("first", FATAL_PART))
     ]
