Read a call's shared prompt parts in one place

Cause: the read of the whole change: the filter, the terminal and its log line each derived the shared parts from an optional prompt. Change: `Call.shared_parts`, which the three use. Result: no behaviour changes.

--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -9,7 +9,6 @@
 from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call, Completion, ResponseEnd, ResponseSink
 from almondspindle.core.clock import Clock
-from almondspindle.core.crashes import PartIds
 from almondspindle.core.events import ATTEMPT_ENDED, ROUTED
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
@@ -121,7 +120,7 @@
 
     async def _may_retry(self, call: Call, attempts: RequestAttempts) -> bool:
         """Return whether the prompt isn't suspected to crash the next target, too."""
-        parts = _shared_parts(call)
+        parts = frozenset(call.shared_parts)
         if not parts:
             return True
         check = CheckPrompt(parts, is_retry=attempts.may_have_run > 0)
@@ -146,7 +145,7 @@
             copy_from=placement.copy_from,
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
-        parts, sent_at = _shared_parts(call), self._clock.monotonic()
+        parts, sent_at = frozenset(call.shared_parts), self._clock.monotonic()
         try:
             async with asyncio.timeout(call.deadline_at - self._clock.monotonic()):
                 report = await self._client.attempt(attempt_call, progress, idle_timeouts(route))
@@ -178,10 +177,6 @@
             detail=report.detail,
             wrote_body=report.wrote_body,
             target_is_down=report.target_is_down,
-            parts=call.prompt.shared_parts if call.prompt else (),
+            parts=call.shared_parts,
             next=step,
         )
-
-
-def _shared_parts(call: Call) -> PartIds:
-    return frozenset(call.prompt.shared_parts) if call.prompt else frozenset()
--- a/almondspindle/chain/quarantine.py
+++ b/almondspindle/chain/quarantine.py
@@ -16,7 +16,7 @@
 
     async def apply(self, call: Call, now: float) -> Outcome[Call]:
         """Return the call, or a refusal."""
-        parts = frozenset(call.prompt.shared_parts) if call.prompt else frozenset()
+        parts = frozenset(call.shared_parts)
         if not parts:
             return Ok(call)
         checked = await self._quarantine.request(CheckPrompt(parts))
--- a/almondspindle/core/calls.py
+++ b/almondspindle/core/calls.py
@@ -89,6 +89,11 @@
                 return value
         return None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt parts that other calls may share, none without a prompt."""
+        return self.prompt.shared_parts if self.prompt else ()
+
     def copy_with(self, **changes: object) -> "Call":
         """Return a copy of the call with `changes` applied."""
         return replace(self, **changes)  # type: ignore[arg-type]
