Log why a caller got no answer or only a part of one

Cause: an exception in a connection's task, a refused retry, and a connection closed with a request half read left no line, and no metric counted truncated responses, so the hypotheses couldn't be told apart. What is answered doesn't change.

--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -15,13 +15,23 @@
 from almondspindle.core.calls import Call, CallerDisconnected, Completion
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import (
+    CONNECTION_FAILED,
     DELIVERED,
+    REQUEST_CUT,
     REQUEST_MALFORMED,
     REQUEST_REFUSED,
     RESPONSE_ABORTED,
 )
 from almondspindle.core.logs import emit
-from almondspindle.core.metrics import REFUSALS, REQUESTS, RESPONSE_TIME, RESPONSES, MetricSender
+from almondspindle.core.metrics import (
+    EXCEPTIONS,
+    REFUSALS,
+    REQUESTS,
+    RESPONSE_TIME,
+    RESPONSES,
+    TRUNCATED,
+    MetricSender,
+)
 from almondspindle.core.outcomes import InvariantError, Refusal
 from almondspindle.core.routes import RequestLimits
 from almondspindle.utils.addresses import BACKLOG
@@ -66,7 +76,13 @@
         self.stop_listening()
         for connection in list(self._connections):
             if not connection.is_busy and connection.requests.empty():
-                connection.transport.close()
+                self._close_waiting(connection, "stopping")
+
+    def _close_waiting(self, connection: CallerConnection, reason: str) -> None:
+        if connection.is_reading_request:
+            waited_s = round(self.now() - connection.waiting_since, 3)
+            emit(REQUEST_CUT, reason=reason, waited_s=waited_s)
+        connection.transport.close()
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -101,7 +117,7 @@
                 if connection.is_reading_request:
                     limit_s = self.limits.header_timeout_s
                 if self.now() - connection.waiting_since > limit_s:
-                    connection.transport.close()
+                    self._close_waiting(connection, "time-out")
 
     async def _serve(self, connection: CallerConnection) -> None:
         while not connection.is_closed:
@@ -111,6 +127,11 @@
                 stays_open = await self._respond(request, connection)
             except CallerDisconnected:
                 return
+            except Exception as exc:
+                self._metrics.count(EXCEPTIONS)
+                request_id = self._codec.request_id(request.headers)
+                emit(CONNECTION_FAILED, request_id=request_id, reason=repr(exc))
+                raise
             connection.is_busy = False
             connection.waiting_since = self.now()
             if not stays_open:
@@ -167,6 +188,7 @@
             # If draining began after the head was written, the head has no Connection: close.
             return not (sink.closes_connection or self.is_draining)
         if completion.started:
+            self._metrics.count(TRUNCATED)
             connection.transport.abort()
             return False
         closes = sink.closes_connection or self.is_draining
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -9,11 +9,18 @@
 from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call, Completion, ResponseEnd, ResponseSink
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import ATTEMPT_ENDED, ROUTED
+from almondspindle.core.events import ATTEMPT_ENDED, RETRY_REFUSED, ROUTED
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import CRASHES, LATER_ATTEMPTS, MetricSender
-from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
+from almondspindle.core.outcomes import (
+    InvariantError,
+    Ok,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    RunState,
+)
 from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement
 from almondspindle.core.routes import Route
 from almondspindle.decisions.attempts import (
@@ -89,8 +96,10 @@
                 self._placement_request(call, tuple(tried), last)
             )
             if selected.is_error():
-                refusal = selected.error if last is None else refusal_after(attempts, last)
-                return Completion(progress.started, refusal)
+                if last is None:
+                    return Completion(progress.started, selected.error)
+                self._log_refused_retry(call, last, selected.error)
+                return Completion(progress.started, refusal_after(attempts, last))
             tried.append(selected.ok.target)
             last = await self._attempt(call, call.route, selected.ok, progress)
             attempts = add_attempt(attempts, last)
@@ -105,7 +114,9 @@
                 self._metrics.count(CRASHES)
             if step is AttemptStep.GIVE_UP:
                 return Completion(progress.started, self._refusal(attempts, last))
-            if not await self._may_retry(call, attempts):
+            allowed = await self._check_retry(call, attempts)
+            if allowed.is_error():
+                self._log_refused_retry(call, last, allowed.error)
                 return Completion(progress.started, self._refusal(attempts, last))
             self._metrics.count(LATER_ATTEMPTS)
 
@@ -118,13 +129,14 @@
         key = call.prompt.shared_key if call.prompt else ""
         return SelectTarget(call.service, key, call.request_id, tried, is_retry=is_retry)
 
-    async def _may_retry(self, call: Call, attempts: RequestAttempts) -> bool:
-        """Return whether the prompt isn't suspected to crash the next target, too."""
+    async def _check_retry(self, call: Call, attempts: RequestAttempts) -> Outcome[None]:
+        """Return a refusal if the prompt is suspected to crash the next target, too."""
         parts = frozenset(call.shared_parts)
         if not parts:
-            return True
-        check = CheckPrompt(parts, is_retry=attempts.may_have_run > 0)
-        return (await self._quarantine.request(check)).is_ok()
+            return Ok(None)
+        return await self._quarantine.request(
+            CheckPrompt(parts, is_retry=attempts.may_have_run > 0)
+        )
 
     async def _attempt(
         self, call: Call, route: Route, placement: Placement, progress: P
@@ -164,6 +176,16 @@
             return Refusal(RefusalCode.DEADLINE_EXCEEDED, "deadline exceeded", RunState.UNKNOWN)
         return refusal_after(attempts, last)
 
+    def _log_refused_retry(self, call: Call, last: AttemptReport, refusal: Refusal) -> None:
+        emit(
+            RETRY_REFUSED,
+            request_id=call.request_id,
+            code=refusal.code,
+            reason=refusal.message,
+            last_end=last.end,
+            started=last.started,
+        )
+
     def _log_failure(
         self, call: Call, placement: Placement, report: AttemptReport, step: AttemptStep
     ) -> None:
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -173,6 +173,17 @@
 LINES_DROPPED = event(
     1605, "lines_dropped", "Log lines above the rate limit were dropped; states how many."
 )
+CONNECTION_FAILED = event(
+    1606, "connection_failed", "An exception ended a request; states its id and the exception."
+)
+REQUEST_CUT = event(
+    1607, "request_cut", "This host closed a connection on which a part of a request had arrived."
+)
+RETRY_REFUSED = event(
+    1608,
+    "retry_refused",
+    "A request got no further attempt; states why and how the last one ended.",
+)
 
 SETTINGS_RELOADED = event(1610, "settings_reloaded", "Changed settings are in force.")
 SETTINGS_INVALID = event(
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -44,6 +44,8 @@
     "attempts",
     "Attempts whose target went down before it sent a part of the body.",
 )
+TRUNCATED = metric("truncated", "counter", "responses", "Responses that were cut after their head.")
+EXCEPTIONS = metric("exceptions", "counter", "requests", "Requests that an exception ended.")
 QUARANTINED = metric(
     "quarantined", "counter", "requests", "Requests refused because their prompts crash targets."
 )
