Add failing tests of requests that end without an answer

Callers saw: streams cut, reads refused with 502, and requests that got no byte at all, beside a change of the configuration. Result: no code is changed.

--- /dev/null
+++ b/tests/programs/test_silent_targets.py
@@ -0,0 +1,111 @@
+"""Sound targets that send nothing for a moment, and targets that never answer."""
+
+import asyncio
+
+import pytest
+
+from tests.standins import replica as r
+from tests.standins.node_fleet import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    encode_request,
+    manifest,
+    running_host,
+    running_platform,
+    running_store,
+    wait_until,
+)
+
+LAST_EVENT = 8
+WHOLE_STREAM = b"".join(r.event(number) for number in range(1, LAST_EVENT + 1))
+LONGER_THAN_IDLE_TIMEOUT_S = {"read": 0.9, "stream": 1.8}
+
+
+def run(check) -> None:
+    asyncio.run(check())
+
+
+def next_number(request: r.ReceivedRequest) -> int:
+    return int(request.headers.get("last-event-id", 0)) + 1
+
+
+def events_from(first: int) -> bytes:
+    events = (r.chunk(r.event(number)) for number in range(first, LAST_EVENT + 1))
+    return b"".join(events) + b"0\r\n\r\n"
+
+
+def silent_before_head(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    first = next_number(request)
+    return r.ScriptedResponse(
+        (r.stream_head(request) + events_from(first),), pause_s=LONGER_THAN_IDLE_TIMEOUT_S["stream"]
+    )
+
+
+def silent_after_first_event(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    first = next_number(request)
+    return r.ScriptedResponse(
+        (r.stream_head(request) + r.chunk(r.event(first)), events_from(first + 1)),
+        pause_s=LONGER_THAN_IDLE_TIMEOUT_S["stream"],
+        pause_before=2,
+    )
+
+
+def silent_read(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    pieces = r.complete_response(request).pieces
+    return r.ScriptedResponse(pieces, pause_s=LONGER_THAN_IDLE_TIMEOUT_S["read"])
+
+
+@pytest.mark.parametrize("replicas", [1, 2])
+@pytest.mark.parametrize("silent", [silent_before_head, silent_after_first_event])
+def test_a_stream_is_not_cut_while_its_targets_are_silent_beside_a_change(silent, replicas):
+    async def check() -> None:
+        async with running_platform(model=silent, replicas=replicas) as (store, host, groups):
+            response = asyncio.ensure_future(host.send(encode_request("/resumable/", b"x")))
+            await groups[MODEL_SERVICE][0].request_received.wait() if replicas == 1 else None
+            await store.put("config", "main", manifest(version=2))
+            whole = await response
+            assert (whole.status, whole.is_complete, whole.body) == (200, True, WHOLE_STREAM)
+
+    run(check)
+
+
+@pytest.mark.parametrize("replicas", [1, 2])
+def test_a_read_is_answered_although_its_targets_were_silent(replicas):
+    async def check() -> None:
+        async with running_platform(plain=silent_read, replicas=replicas) as (_, host, _):
+            response = await host.send(encode_request("/read/", b"x"))
+            assert (response.status, response.is_complete) == (200, True)
+
+    run(check)
+
+
+def test_a_stream_is_not_cut_for_want_of_a_place_in_the_retry_budget():
+    async def check() -> None:
+        async with (
+            running_store(model=silent_after_first_event) as (store, groups),
+            running_host(store.address, retry_ratio=0, retry_slack=0) as host,
+        ):
+            await wait_until(host.is_ready)
+            response = await host.send(encode_request("/resumable/", b"x"))
+            assert (response.is_complete, response.body) == (True, WHOLE_STREAM)
+            assert sum(len(replica.requests) for replica in groups[MODEL_SERVICE]) == 1
+
+    run(check)
+
+
+def test_a_request_leaves_a_target_that_never_answers():
+    async def check() -> None:
+        never = r.ScriptedResponse((), "hold")
+
+        def first_never_answers(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            mute.append(request.headers["x-expect-instance"])
+            is_mute = request.headers["x-expect-instance"] == mute[0]
+            return never if is_mute else r.complete_response(request)
+
+        mute: list[str] = []
+        async with running_platform(plain=first_never_answers) as (_, host, groups):
+            response = await host.send(encode_request("/read/", b"x"))
+            assert (response.status, response.is_complete) == (200, True)
+            assert sum(len(replica.requests) for replica in groups[PLAIN_SERVICE]) == 2
+
+    run(check)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -35,7 +35,8 @@
     pieces: tuple[bytes, ...]
     then: str = "keep"
     gate: asyncio.Event | None = None  # the last piece is sent once this is set
-    pause_s: float = 0.0  # before each piece
+    pause_s: float = 0.0  # before each piece, or only before the piece `pause_before`
+    pause_before: int | None = None  # counted from 1
 
 
 Behaviour = Callable[[ReceivedRequest], ScriptedResponse]
@@ -141,7 +142,8 @@
         for number, piece in enumerate(script.pieces, start=1):
             if script.gate is not None and number == len(script.pieces):
                 await script.gate.wait()
-            await asyncio.sleep(script.pause_s)
+            if script.pause_before in (None, number):
+                await asyncio.sleep(script.pause_s)
             writer.write(piece)
             await writer.drain()
         if script.then == "reset":
