Leave a silent target only once another one is reserved

Cause: an attempt was abandoned at its idle time-out before it was known whether another one was allowed, had a target, and had a place in the retry budget; the last attempt that is allowed had the time-out, too, though nothing could follow it. The class: giving up what still works before the replacement is certain. Change: the terminal reserves the next target (healthy, within the budget, past the quarantine's check) before the attempt ends; without one the request waits on and line 1609 says why. The last allowed attempt lasts until the deadline. Routes without an objective get a time-out of 0.1 s in place of none.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -1,5 +1,7 @@
 """Send calls to targets over pooled connections, and read their responses."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
@@ -51,9 +53,16 @@
         return ResponseBuffer(sink, last_event=call.resume_after)
 
     async def attempt(
-        self, call: Call, progress: ResponseBuffer, timeouts: IdleTimeouts
+        self,
+        call: Call,
+        progress: ResponseBuffer,
+        timeouts: IdleTimeouts,
+        may_leave: Callable[[], Awaitable[bool]],
     ) -> AttemptReport:
-        """Send `call` to its target once and feed the response to `progress`."""
+        """Send `call` to its target once and feed the response to `progress`.
+
+        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on.
+        """
         if call.target is None:
             raise InvariantError("a call was sent without a target")
         leased = await self._pool.lease(call.target, call.target_address)
@@ -63,7 +72,14 @@
             )
         connection = leased.ok.connection
         exchange = _Exchange(
-            call, progress, connection, leased.ok.is_reused, self._codec, self._clock, self._kept
+            call,
+            progress,
+            connection,
+            leased.ok.is_reused,
+            self._codec,
+            self._clock,
+            self._kept,
+            may_leave,
         )
         self._metrics.count(ATTEMPTS)
         try:
@@ -105,6 +121,7 @@
     codec: HeaderCodec
     clock: Clock
     kept: KeptBytes
+    may_leave: Callable[[], Awaitable[bool]]
     kept_here: int = 0  # bytes of this response in `kept`
     rejected_bytes: int = 0
     may_reuse: bool = False
@@ -114,6 +131,8 @@
     keep_alive: bool = False
     ends_at_close: bool = False
     report: AttemptReport | None = None
+    has_left: bool = False
+    leaving: asyncio.Task[None] | None = None
 
     async def run(self, timeouts: IdleTimeouts) -> AttemptReport:
         """Send the request, process its response, and return the report of the attempt."""
@@ -121,16 +140,21 @@
         headers = self.codec.request_headers(self.call, self.clock.monotonic())
         head = encode_head(f"{self.call.method} {self.call.path} HTTP/1.1", headers)
         self.connection.send(head + self.call.body, self.call.method == "HEAD")
-        with IdleTimer(timeouts, self.clock, self._on_idle_timeout) as timer:
-            while self.report is None:
-                part = await self.connection.next_part()
-                timer.note_progress()
-                await self.process(part)
-                timer.start_waiting()
-            if timer.fired:
-                return self._report(
-                    AttemptEnd.IDLE_TIMEOUT, "no bytes received within the idle time-out"
-                )
+        timer = IdleTimer(timeouts, self.clock, lambda: self._on_idle_timeout(timer))
+        with timer:
+            try:
+                while self.report is None:
+                    part = await self.connection.next_part()
+                    timer.note_progress()
+                    await self.process(part)
+                    timer.start_waiting()
+            finally:
+                if self.leaving is not None:
+                    await self.leaving
+        if self.has_left:
+            return self._report(
+                AttemptEnd.IDLE_TIMEOUT, "no bytes received within the idle time-out"
+            )
         return self.report
 
     def account(self, size: int) -> None:
@@ -138,8 +162,18 @@
         self.kept.total += size - self.kept_here
         self.kept_here = size
 
-    def _on_idle_timeout(self) -> None:
-        self.connection.close()
+    def _on_idle_timeout(self, timer: IdleTimer) -> None:
+        self.leaving = asyncio.get_running_loop().create_task(self._leave(timer))
+
+    async def _leave(self, timer: IdleTimer) -> None:
+        may_leave = await self.may_leave()
+        if self.report is not None:
+            return
+        if may_leave:
+            self.has_left = True
+            self.connection.close()
+        else:
+            timer.restart()
 
     @singledispatchmethod
     async def process(self, part: object) -> None:
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -1,6 +1,8 @@
 """Send a call to a target, retry on other targets where allowed, and forward the response."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from typing import Generic, Protocol, TypeVar
 
 from almondspindle.controllers.placement.messages import AttemptEnded, SelectTarget
@@ -9,7 +11,7 @@
 from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call, Completion, ResponseEnd, ResponseSink
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import ATTEMPT_ENDED, RETRY_REFUSED, ROUTED
+from almondspindle.core.events import ATTEMPT_ENDED, RETRY_REFUSED, ROUTED, TARGET_SILENT
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import CRASHES, LATER_ATTEMPTS, MetricSender
@@ -28,6 +30,7 @@
     RequestAttempts,
     add_attempt,
     idle_timeouts,
+    may_leave_target,
     next_step,
     refusal_after,
 )
@@ -62,11 +65,35 @@
         """Return the progress of a response to `call` that is written to `sink`."""
         ...
 
-    async def attempt(self, call: Call, progress: P, timeouts: IdleTimeouts) -> AttemptReport:
-        """Send `call` to its target once and feed the response to `progress`."""
+    async def attempt(
+        self,
+        call: Call,
+        progress: P,
+        timeouts: IdleTimeouts,
+        may_leave: Callable[[], Awaitable[bool]],
+    ) -> AttemptReport:
+        """Send `call` to its target once and feed the response to `progress`.
+
+        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on.
+        """
         ...
 
 
+SILENT = AttemptReport(AttemptEnd.IDLE_TIMEOUT)
+
+
+@dataclass(slots=True)
+class _Delivery(Generic[P]):
+    """A call on its way: its attempts so far and, if reserved already, the next one's target."""
+
+    call: Call
+    route: Route
+    progress: P
+    attempts: RequestAttempts = field(default_factory=RequestAttempts)
+    tried: list[TargetName] = field(default_factory=list)
+    next: Placement | None = None
+
+
 class DeliverToTarget(Generic[P]):
     """The terminal for calls with a route: try targets in turn, as decisions.attempts allows."""
 
@@ -88,23 +115,26 @@
         """Write the response to `call` into `sink` and return how the call ended."""
         if call.route is None or call.service is None:
             raise InvariantError("a call without a route reached the terminal")
-        progress = self._client.begin_response(call, sink)
-        attempts, tried = RequestAttempts(), list[TargetName]()
+        delivery = _Delivery(call, call.route, self._client.begin_response(call, sink))
+        try:
+            return await self._deliver(delivery, sink)
+        finally:
+            self._release_next(delivery)
+
+    async def _deliver(self, delivery: _Delivery[P], sink: ResponseSink) -> Completion:
+        call, route, progress = delivery.call, delivery.route, delivery.progress
         last: AttemptReport | None = None
         while True:
-            selected = await self._placement.request(
-                self._placement_request(call, tuple(tried), last)
-            )
+            selected = await self._select(delivery, last)
             if selected.is_error():
                 if last is None:
                     return Completion(progress.started, selected.error)
                 self._log_refused_retry(call, last, selected.error)
-                return Completion(progress.started, refusal_after(attempts, last))
-            tried.append(selected.ok.target)
-            last = await self._attempt(call, call.route, selected.ok, progress)
-            attempts = add_attempt(attempts, last)
-            left_s = call.deadline_at - self._clock.monotonic()
-            step = next_step(call.route, attempts, last, left_s)
+                return Completion(progress.started, refusal_after(delivery.attempts, last))
+            delivery.tried.append(selected.ok.target)
+            last = await self._attempt(delivery, selected.ok)
+            delivery.attempts = attempts = add_attempt(delivery.attempts, last)
+            step = next_step(route, attempts, last, self._remaining_s(call))
             if step is AttemptStep.DELIVER:
                 await progress.flush()
                 await sink.write(ResponseEnd())
@@ -120,13 +150,58 @@
                 return Completion(progress.started, self._refusal(attempts, last))
             self._metrics.count(LATER_ATTEMPTS)
 
-    def _placement_request(
-        self, call: Call, tried: tuple[TargetName, ...], last: AttemptReport | None
-    ) -> SelectTarget:
+    async def _select(
+        self, delivery: _Delivery[P], last: AttemptReport | None
+    ) -> Outcome[Placement]:
+        """Return the target of the next attempt, which may have been reserved already."""
+        reserved, delivery.next = delivery.next, None
+        if reserved is not None:
+            return Ok(reserved)
+        is_retry = last is not None and last.end is not AttemptEnd.NOT_CONNECTED
+        return await self._placement.request(self._placement_request(delivery, is_retry))
+
+    async def _may_leave(self, delivery: _Delivery[P], placement: Placement) -> bool:
+        """Reserve a target to which the call may go from the silent target of `placement`.
+
+        Return False if there is none. The silent target may be sound and is given up only then.
+        """
+        call = delivery.call
+        if not may_leave_target(delivery.route, delivery.attempts, self._remaining_s(call)):
+            return False
+        outcome = await self._check_retry(call, add_attempt(delivery.attempts, SILENT))
+        if outcome.is_ok():
+            wanted = self._placement_request(delivery, is_retry=True)
+            selected = await self._placement.request(replace(wanted, only_healthy=True))
+            if selected.is_ok():
+                delivery.next = selected.ok
+                return True
+            outcome = selected.map(lambda _: None)
+        emit(
+            TARGET_SILENT,
+            request_id=call.request_id,
+            target=placement.target,
+            code=outcome.error.code,
+            reason=outcome.error.message,
+        )
+        return False
+
+    def _release_next(self, delivery: _Delivery[P]) -> None:
+        """Release the target reserved for an attempt that isn't made."""
+        if delivery.next is not None:
+            self._placement.send(
+                AttemptEnded(delivery.next.ticket, AttemptReport(AttemptEnd.ABANDONED))
+            )
+            delivery.next = None
+
+    def _remaining_s(self, call: Call) -> float:
+        return call.deadline_at - self._clock.monotonic()
+
+    def _placement_request(self, delivery: _Delivery[P], is_retry: bool) -> SelectTarget:
+        call = delivery.call
         if call.service is None:
             raise InvariantError("a call without a service reached the terminal")
-        is_retry = last is not None and last.end is not AttemptEnd.NOT_CONNECTED
         key = call.prompt.shared_key if call.prompt else ""
+        tried = tuple(delivery.tried)
         return SelectTarget(call.service, key, call.request_id, tried, is_retry=is_retry)
 
     async def _check_retry(self, call: Call, attempts: RequestAttempts) -> Outcome[None]:
@@ -138,9 +213,8 @@
             CheckPrompt(parts, is_retry=attempts.may_have_run > 0)
         )
 
-    async def _attempt(
-        self, call: Call, route: Route, placement: Placement, progress: P
-    ) -> AttemptReport:
+    async def _attempt(self, delivery: _Delivery[P], placement: Placement) -> AttemptReport:
+        call, progress = delivery.call, delivery.progress
         emit(
             ROUTED,
             request_id=call.request_id,
@@ -158,9 +232,15 @@
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
         parts, sent_at = frozenset(call.shared_parts), self._clock.monotonic()
+        timeouts = idle_timeouts(delivery.route, delivery.attempts)
         try:
-            async with asyncio.timeout(call.deadline_at - self._clock.monotonic()):
-                report = await self._client.attempt(attempt_call, progress, idle_timeouts(route))
+            async with asyncio.timeout(self._remaining_s(call)):
+                report = await self._client.attempt(
+                    attempt_call,
+                    progress,
+                    timeouts,
+                    lambda: self._may_leave(delivery, placement),
+                )
         except TimeoutError:
             report = AttemptReport(AttemptEnd.TIMED_OUT, started=progress.started)
         finally:
@@ -169,6 +249,8 @@
                 self._quarantine.send(
                     PromptAttemptEnded(call.request_id, parts, placement.address, sent_at, report)
                 )
+        if report.end is not AttemptEnd.IDLE_TIMEOUT:
+            self._release_next(delivery)
         return report
 
     def _refusal(self, attempts: RequestAttempts, last: AttemptReport) -> Refusal:
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -17,7 +17,8 @@
     `prompt_key` identifies the shared part of the prompt; it is empty if there is none.
     `tried_targets` are the targets of earlier attempts, which are not selected again. `is_retry`
     is set if an earlier attempt may have reached a target: only then does this attempt count
-    against the retry budget.
+    against the retry budget. With `only_healthy`, a target that is merely the last resort is not
+    selected.
     """
 
     service: ServiceName
@@ -25,6 +26,7 @@
     request_id: str
     tried_targets: tuple[TargetName, ...] = ()
     is_retry: bool = False
+    only_healthy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -29,7 +29,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
-from almondspindle.core.placements import AttemptEnd, Placement
+from almondspindle.core.placements import AttemptEnd, Placement, PlacementReason
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
@@ -158,6 +158,9 @@
         if choice is None:
             text = f"every target of service {msg.service} is cold and at its request rate limit"
             return refused(RefusalCode.STARTING, text, retry_after_s=COLD_RETRY_AFTER_S)
+        if msg.only_healthy and choice.reason is PlacementReason.LAST_RESORT:
+            text = f"no healthy target of service {msg.service} is left"
+            return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
         if msg.is_retry and not try_spend_retry(log, self._cfg.bounds, len(self._hosts), now):
             return refused(RefusalCode.RATE_LIMITED, "the service's retry budget is exhausted")
         copy_from = self._copy_source_address(msg, choice.candidate.name, ranked, sources, now)
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -184,6 +184,11 @@
     "retry_refused",
     "A request got no further attempt; states why and how the last one ended.",
 )
+TARGET_SILENT = event(
+    1609,
+    "target_silent",
+    "A target sends nothing and no other one may take the request, which waits on; states why.",
+)
 
 SETTINGS_RELOADED = event(1610, "settings_reloaded", "Changed settings are in force.")
 SETTINGS_INVALID = event(
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -15,7 +15,8 @@
 MIN_ATTEMPT_S = 0.05  # with less time left an attempt can't finish before the deadline
 READ_IDLE_OBJECTIVES = 2.0  # latency objectives without a byte after which a read is retried
 STREAM_IDLE_OBJECTIVES = 4.0  # the same for a stream, in terms of its larger objective
-# Longer than usual deadlines: an idle time-out gains nothing for work that must not be retried.
+MIN_IDLE_TIMEOUT_S = 0.1  # for routes without an objective
+# Longer than usual deadlines: an idle time-out gains nothing if no further attempt is allowed.
 UNRETRYABLE_IDLE_TIMEOUT_S = 3600.0
 
 
@@ -58,9 +59,7 @@
 
     `attempts` includes that attempt; `left_s` is the time to the deadline in seconds.
     """
-    may_retry = route.is_retryable and attempts.may_have_run < route.attempts
-    if left_s < MIN_ATTEMPT_S:
-        may_retry = False
+    may_retry = _has_attempt_left(route, attempts) and left_s >= MIN_ATTEMPT_S
     if report.end is AttemptEnd.ANSWERED:
         is_error = report.status >= MIN_SERVER_ERROR_STATUS
         return AttemptStep.RETRY if is_error and may_retry else AttemptStep.DELIVER
@@ -69,6 +68,19 @@
     return AttemptStep.RETRY if report.end in BROKEN_ENDS and may_retry else AttemptStep.GIVE_UP
 
 
+def _has_attempt_left(route: Route, attempts: RequestAttempts) -> bool:
+    return route.is_retryable and attempts.may_have_run < route.attempts
+
+
+def may_leave_target(route: Route, attempts: RequestAttempts, left_s: float) -> bool:
+    """Return whether a request may leave its silent target for another one.
+
+    `attempts` excludes the attempt in progress; `left_s` is the time to the deadline in seconds.
+    """
+    with_current = RequestAttempts(attempts.may_have_run + 1, attempts.rejected)
+    return _has_attempt_left(route, with_current) and left_s >= MIN_ATTEMPT_S
+
+
 def refusal_after(attempts: RequestAttempts, report: AttemptReport) -> Refusal:
     """Return the refusal for a request whose last attempt ended with `report`."""
     text = f"{report.end}: {report.detail}" if report.detail else str(report.end)
@@ -77,12 +89,17 @@
     return Refusal(RefusalCode.TARGET_UNREACHABLE, text, RunState.UNKNOWN)
 
 
-def idle_timeouts(route: Route) -> IdleTimeouts:
-    """Return how long a target may send nothing before the request is retried on another one."""
-    if not route.is_retryable or route.attempts < 2:
+def idle_timeouts(route: Route, attempts: RequestAttempts) -> IdleTimeouts:
+    """Return how long a target may send nothing before the request may leave it for another one.
+
+    `attempts` excludes the attempt that the time-outs are for. A sound target may be silent for a
+    moment, so the last attempt that is allowed lasts until the deadline.
+    """
+    if not may_leave_target(route, attempts, MIN_ATTEMPT_S):
         return IdleTimeouts(UNRETRYABLE_IDLE_TIMEOUT_S, UNRETRYABLE_IDLE_TIMEOUT_S)
     if route.work is WorkKind.READ:
         timeout_s = READ_IDLE_OBJECTIVES * route.objective_s
-        return IdleTimeouts(timeout_s, timeout_s)
-    timeout_s = STREAM_IDLE_OBJECTIVES * max(route.objective_s, route.gap_objective_s)
+    else:
+        timeout_s = STREAM_IDLE_OBJECTIVES * max(route.objective_s, route.gap_objective_s)
+    timeout_s = max(MIN_IDLE_TIMEOUT_S, timeout_s)
     return IdleTimeouts(timeout_s, timeout_s)
--- a/almondspindle/utils/idle_timer.py
+++ b/almondspindle/utils/idle_timer.py
@@ -37,6 +37,13 @@
         """Start counting idle time: the reader waits for bytes from now on."""
         self._monitor.start_waiting(self._clock.monotonic())
 
+    def restart(self) -> None:
+        """Count idle time anew after the time-out, since the reader waits on."""
+        self.fired = False
+        self._monitor.suspected_at = None
+        self.start_waiting()
+        self._check()
+
     def note_progress(self) -> None:
         """Stop counting idle time: bytes were received and the reader is processing them."""
         self._monitor.note_progress()
