Answer a request whose processing raises an exception

Callers saw: no answer, no refusal, and a connection that stayed open, for each request whose processing raised. Cause: the task of a caller's connection expected one kind of exception. Any other ended the task silently and left the connection without one. The class: a task that ends and leaves what it owns open.

--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -32,7 +32,7 @@
     TRUNCATED,
     MetricSender,
 )
-from almondspindle.core.outcomes import InvariantError, Refusal
+from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
 from almondspindle.core.routes import RequestLimits
 from almondspindle.utils.addresses import BACKLOG
 from almondspindle.utils.in_flight import InFlightCounter
@@ -120,6 +120,16 @@
                     self._close_waiting(connection, "time-out")
 
     async def _serve(self, connection: CallerConnection) -> None:
+        try:
+            await self._serve_requests(connection)
+        except Exception as exc:
+            self._metrics.count(EXCEPTIONS)
+            emit(CONNECTION_FAILED, request_id="", reason=repr(exc))
+        finally:
+            # Without its task the connection would stay open, and its caller would wait.
+            connection.transport.close()
+
+    async def _serve_requests(self, connection: CallerConnection) -> None:
         while not connection.is_closed:
             request = await connection.requests.get()
             connection.is_busy = True
@@ -127,15 +137,9 @@
                 stays_open = await self._respond(request, connection)
             except CallerDisconnected:
                 return
-            except Exception as exc:
-                self._metrics.count(EXCEPTIONS)
-                request_id = self._codec.request_id(request.headers)
-                emit(CONNECTION_FAILED, request_id=request_id, reason=repr(exc))
-                raise
             connection.is_busy = False
             connection.waiting_since = self.now()
             if not stays_open:
-                connection.transport.close()
                 return
 
     @singledispatchmethod
@@ -155,6 +159,20 @@
     async def _(self, request: RequestReceived, connection: CallerConnection) -> bool:
         now = self.now()
         self._metrics.count(REQUESTS)
+        sink = HttpSink(connection, request, not request.keep_alive or self.is_draining)
+        self.in_flight.enter()
+        try:
+            return await self._process(request, sink, connection, now)
+        except CallerDisconnected:
+            raise
+        except Exception as exc:
+            return self._end_failed(request, sink, connection, exc)
+        finally:
+            self.in_flight.leave()
+
+    async def _process(
+        self, request: RequestReceived, sink: HttpSink, connection: CallerConnection, now: float
+    ) -> bool:
         read = self._codec.read_call(
             request.method, request.path, request.headers, request.body, now
         )
@@ -163,12 +181,28 @@
             emit(REQUEST_MALFORMED, request_id=request_id, reason=read.error.message)
             self._write_refusal(connection, "", read.error, closes=True)
             return False
-        sink = HttpSink(connection, request, not request.keep_alive or self.is_draining)
-        self.in_flight.enter()
-        try:
-            return await self._run_call(read.ok, sink, connection, now)
-        finally:
-            self.in_flight.leave()
+        return await self._run_call(read.ok, sink, connection, now)
+
+    def _end_failed(
+        self,
+        request: RequestReceived,
+        sink: HttpSink,
+        connection: CallerConnection,
+        exc: Exception,
+    ) -> bool:
+        """End a request that raised `exc`: refuse it, or cut the response that has begun."""
+        request_id = self._codec.request_id(request.headers)
+        self._metrics.count(EXCEPTIONS)
+        emit(CONNECTION_FAILED, request_id=request_id, reason=repr(exc), status=sink.status)
+        if sink.status:
+            self._metrics.count(TRUNCATED)
+            connection.transport.abort()
+            return False
+        self._metrics.count(REFUSALS)
+        # It isn't known whether the request was sent to a target.
+        refusal = Refusal(RefusalCode.INTERNAL_ERROR, "internal error", RunState.UNKNOWN)
+        self._write_refusal(connection, request_id, refusal, closes=True)
+        return False
 
     async def _run_call(
         self, call: Call, sink: HttpSink, connection: CallerConnection, started_at: float
--- a/almondspindle/adapters/http_front/base.py
+++ b/almondspindle/adapters/http_front/base.py
@@ -38,6 +38,7 @@
     RefusalCode.RESPONSE_BROKEN: 502,
     RefusalCode.RESUME_REFUSED: 502,
     RefusalCode.STORE_UNAVAILABLE: 503,
+    RefusalCode.INTERNAL_ERROR: 500,
 }
 
 
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -52,6 +52,7 @@
     RESUME_REFUSED = "resume_refused"
     PROMPT_QUARANTINED = "prompt_quarantined"
     STORE_UNAVAILABLE = "store_unavailable"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
