Bound the numbers and encode the names that reach HTTP heads

Callers saw: nothing at all, from the change of the configuration on that named their team with a letter outside Latin-1; nothing, too, for a request with hundreds of digits in a header, or whose target sent such a number. Cause: names of the configuration went into heads that are encoded as Latin-1, which raises; line breaks in a name added headers to the request. `int` raises for more than 4,300 digits and the conversion to a float for more than 308. Change: names are sent in UTF-8; a head with a line break or NUL isn't sent, the attempt ends `unsendable` and the caller gets 503; numbers of more than 18 digits count as unreadable, at callers, targets and the product's own entry.

--- a/almondspindle/adapters/http1/base.py
+++ b/almondspindle/adapters/http1/base.py
@@ -40,6 +40,14 @@
 
 
 def encode_head(first_line: str, headers: Headers) -> bytes:
-    """Return the encoded head of a message."""
+    """Return the encoded head of a message.
+
+    Raise `ValueError` if a line holds a character outside Latin-1, a line break or a NUL: it would
+    be sent as other text, or as further lines.
+    """
     lines = [first_line, *(f"{name}: {value}" for name, value in headers), "", ""]
-    return "\r\n".join(lines).encode("latin-1")
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count("\r") != breaks or head.count("\n") != breaks or "\0" in head:
+        raise ValueError("a line break or NUL in the head of a message")
+    return head.encode("latin-1")
--- a/almondspindle/adapters/http1/pool.py
+++ b/almondspindle/adapters/http1/pool.py
@@ -11,6 +11,7 @@
 from almondspindle.core.metrics import CONNECTIONS, MetricSender
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.utils.addresses import split_address
+from almondspindle.utils.numbers import parse_digits
 
 CONNECT_TIMEOUT_S = 0.5  # a round trip takes some ms; a lost SYN packet costs seconds
 IDLE_MARGIN_S = 0.6  # a request must arrive before the target closes the connection
@@ -110,6 +111,7 @@
             continue
         for part in value.split(","):
             key, _, number = part.strip().partition("=")
-            if key.lower() == "timeout" and number.isascii() and number.isdigit():
-                return max(0.0, int(number) - IDLE_MARGIN_S)
+            limit_s = parse_digits(number) if key.lower() == "timeout" else None
+            if limit_s is not None:
+                return max(0.0, limit_s - IDLE_MARGIN_S)
     return DEFAULT_IDLE_LIMIT_S
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -138,7 +138,11 @@
         """Send the request, process its response, and return the report of the attempt."""
         self.progress.has_body = False
         headers = self.codec.request_headers(self.call, self.clock.monotonic())
-        head = encode_head(f"{self.call.method} {self.call.path} HTTP/1.1", headers)
+        try:
+            head = encode_head(f"{self.call.method} {self.call.path} HTTP/1.1", headers)
+        except ValueError as exc:
+            self.may_reuse = not self.connection.is_unusable
+            return self._report(AttemptEnd.UNSENDABLE, str(exc))
         self.connection.send(head + self.call.body, self.call.method == "HEAD")
         timer = IdleTimer(timeouts, self.clock, lambda: self._on_idle_timeout(timer))
         with timer:
--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -46,6 +46,7 @@
 from almondspindle.decisions.idempotency_keys import qualify_run_state
 from almondspindle.decisions.responses import EVENT_STREAM
 from almondspindle.utils.in_flight import InFlightCounter
+from almondspindle.utils.numbers import parse_digits
 
 BEARER_PREFIX = "bearer "
 MS_PER_S = 1000.0
@@ -89,7 +90,9 @@
         # Chunks are small. Nagle's algorithm would delay each until the one before is acknowledged.
         self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         content_length = self.request.headers.get("Content-Length", "0")
-        if content_length.isdigit() and int(content_length) > self._context.cfg.max_body_bytes:
+        length = parse_digits(content_length)
+        is_too_large = length is None or length > self._context.cfg.max_body_bytes
+        if content_length.isdigit() and is_too_large:
             self._early_refusal = self._body_refusal()
 
     def data_received(self, chunk: bytes) -> None:
@@ -176,9 +179,8 @@
         text = self.request.headers.get(DEADLINE_HEADER)
         if text is None:
             return cfg.default_deadline_s
-        if not text.isdigit() or int(text) == 0:
-            return None
-        return min(int(text) / MS_PER_S, cfg.max_deadline_s)
+        deadline_ms = parse_digits(text)
+        return min(deadline_ms / MS_PER_S, cfg.max_deadline_s) if deadline_ms else None
 
     def _token(self) -> str | None:
         text = self.request.headers.get("Authorization", "")
--- a/almondspindle/adapters/target/delegate.py
+++ b/almondspindle/adapters/target/delegate.py
@@ -27,6 +27,7 @@
 )
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
 from almondspindle.decisions.responses import ResponseHeadInfo, ResponseValidator
+from almondspindle.utils.numbers import MAX_DIGITS, parse_digits
 from almondspindle.utils.idle_timer import IdleTimer
 
 FIRST_FINAL_STATUS = 200
@@ -155,10 +156,11 @@
         text = headers.get("Content-Length")
         if text is None:
             return None
-        if not (text.isascii() and text.isdigit()):
-            return f"invalid Content-Length {text!r}"
+        length = parse_digits(text)
+        if length is None:
+            return f"invalid Content-Length {text[:MAX_DIGITS]!r}"
         if has_body:
-            self._remaining_bytes = int(text)
+            self._remaining_bytes = length
         return None
 
     async def _forward_events(self, data: bytes) -> None:
--- a/almondspindle/adapters/target/events.py
+++ b/almondspindle/adapters/target/events.py
@@ -7,6 +7,8 @@
 
 from almondspindle.decisions.responses import EventInfo
 
+from almondspindle.utils.numbers import MAX_DIGITS
+
 END_PAYLOAD = b"[DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
@@ -79,7 +81,7 @@
             payload.append(line[5:].strip())
         elif line.startswith(b"id:"):
             text = line[3:].strip()
-            number = int(text) if text.isdigit() else None
+            number = int(text) if text.isdigit() and len(text) <= MAX_DIGITS else None
     if not payload:
         return StreamEvent(raw, None)
     body = payload[0] if len(payload) == 1 else b"\n".join(payload)
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -67,6 +67,7 @@
     REJECTED = "rejected"  # the target reports that it did not run the request
     MISDIRECTED = "misdirected"  # the address belongs to another target now
     NOT_CONNECTED = "not connected"
+    UNSENDABLE = "unsendable"  # the request has no valid form on the wire; nothing was sent
     CONNECTION_BROKEN = "cut"  # the connection broke, or the response was invalid
     IDLE_TIMEOUT = "silent"
     TIMED_OUT = "timed out"
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -40,7 +40,14 @@
 
 
 # Ends after which the target has certainly not run the request.
-NOT_RUN_ENDS = frozenset({AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED, AttemptEnd.NOT_CONNECTED})
+NOT_RUN_ENDS = frozenset(
+    {
+        AttemptEnd.REJECTED,
+        AttemptEnd.MISDIRECTED,
+        AttemptEnd.NOT_CONNECTED,
+        AttemptEnd.UNSENDABLE,
+    }
+)
 # Ends after which a retry on another target may succeed.
 BROKEN_ENDS = frozenset({AttemptEnd.CONNECTION_BROKEN, AttemptEnd.IDLE_TIMEOUT})
 
--- a/almondspindle/decisions/outlier_ejection.py
+++ b/almondspindle/decisions/outlier_ejection.py
@@ -13,6 +13,7 @@
     AttemptEnd.REJECTED: 0,
     AttemptEnd.MISDIRECTED: 3,
     AttemptEnd.NOT_CONNECTED: 1,
+    AttemptEnd.UNSENDABLE: 0,
     AttemptEnd.CONNECTION_BROKEN: 1,
     AttemptEnd.IDLE_TIMEOUT: 2,
     AttemptEnd.TIMED_OUT: 0,
--- a/almondspindle/platform/headers.py
+++ b/almondspindle/platform/headers.py
@@ -5,6 +5,7 @@
 from almondspindle.core.outcomes import Ok, Outcome, Refusal, RefusalCode, RunState, refused
 from almondspindle.core.placements import Occupancy, ResponseMetadata
 from almondspindle.core.prompts import Prompt, PromptPart
+from almondspindle.utils.numbers import parse_digits
 
 MS_PER_S = 1000.0
 MAX_DEADLINE_S = 3600.0
@@ -124,7 +125,7 @@
 
 
 def _parse_int(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isascii() and text.isdigit() else None
+    return None if text is None else parse_digits(text)
 
 
 def _forwarded_headers(headers: Headers, values: dict[str, str]) -> Headers:
@@ -167,10 +168,10 @@
     added = [
         ("Host", call.authority),
         ("X-Deadline-Ms", str(remaining_ms)),
-        ("X-Expect-Instance", str(call.target)),
+        ("X-Expect-Instance", _as_header(str(call.target))),
     ]
     if call.team is not None:
-        added.append(("X-Tenant", str(call.team)))
+        added.append(("X-Tenant", _as_header(str(call.team))))
     if call.priority is not None:
         added.append(("X-Request-Priority", str(min(call.priority, LOWEST_PRIORITY))))
     if call.copy_from is not None:
@@ -186,6 +187,11 @@
     return (*added, *forwarded)
 
 
+def _as_header(name: str) -> str:
+    """Return the value whose bytes on the wire are those of `name` in UTF-8."""
+    return name.encode(errors="replace").decode("latin-1")
+
+
 def read_response_head(status: int, headers: Headers) -> ResponseMetadata:
     """Return the metadata in the status and headers of a target's response."""
     values = {name.lower(): value for name, value in headers}
--- a/tests/programs/test_unanswered_requests.py
+++ b/tests/programs/test_unanswered_requests.py
@@ -23,6 +23,7 @@
 from tests.standins.ports import LOOPBACK
 
 RESPONSE_TIMEOUT_S = 5.0  # more than the deadline of the requests
+HUGE = "9" * 5000
 
 
 def run(check) -> None:
@@ -81,6 +82,27 @@
     run(check)
 
 
+def long_keep_alive(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    return r.complete_response(request, extra=f"Keep-Alive: timeout={HUGE}\r\n")
+
+
+def long_event_number(request: r.ReceivedRequest) -> r.ScriptedResponse:
+    event = f"id: {HUGE}\ndata: token\n\n".encode()
+    return r.ScriptedResponse((r.stream_head(request), r.chunk(event), b"0\r\n\r\n"))
+
+
+@pytest.mark.parametrize("behave", [long_keep_alive, long_event_number])
+def test_a_response_with_a_huge_number_is_delivered(behave):
+    async def check() -> None:
+        async with running_platform(plain=behave, model=behave) as (_, host, _):
+            path = "/read/" if behave is long_keep_alive else "/stream/"
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                response = await host.send(encode_request(path, b"x"))
+            assert (response.status, response.is_complete) == (200, True)
+
+    run(check)
+
+
 class FailingTerminal:
     """A terminal that raises, before the head of the response or after it."""
 
