Deliver a target's error response if no retry is possible

Callers saw: 502 in place of the target's own complete error response, when the retry that was due had no target or no place in the retry budget. Evidence: test_an_error_response_is_delivered_if_no_retry_is_possible got 502 before. Change: the response, still buffered, is delivered. Result: the tests of silent targets, responses and the chain pass.

--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -130,15 +130,13 @@
                 if last is None:
                     return Completion(progress.started, selected.error)
                 self._log_refused_retry(call, last, selected.error)
-                return Completion(progress.started, refusal_after(delivery.attempts, last))
+                return await self._end_without_retry(delivery, last, sink)
             delivery.tried.append(selected.ok.target)
             last = await self._attempt(delivery, selected.ok)
             delivery.attempts = attempts = add_attempt(delivery.attempts, last)
             step = next_step(route, attempts, last, self._remaining_s(call))
             if step is AttemptStep.DELIVER:
-                await progress.flush()
-                await sink.write(ResponseEnd())
-                return Completion(started=True)
+                return await self._complete(progress, sink)
             self._log_failure(call, selected.ok, last, step)
             if last.target_is_down:
                 self._metrics.count(CRASHES)
@@ -147,9 +145,23 @@
             allowed = await self._check_retry(call, attempts)
             if allowed.is_error():
                 self._log_refused_retry(call, last, allowed.error)
-                return Completion(progress.started, self._refusal(attempts, last))
+                return await self._end_without_retry(delivery, last, sink)
             self._metrics.count(LATER_ATTEMPTS)
 
+    async def _complete(self, progress: P, sink: ResponseSink) -> Completion:
+        await progress.flush()
+        await sink.write(ResponseEnd())
+        return Completion(started=True)
+
+    async def _end_without_retry(
+        self, delivery: _Delivery[P], last: AttemptReport, sink: ResponseSink
+    ) -> Completion:
+        """End a call that can't be retried, with the target's error response if it sent one."""
+        if last.end is AttemptEnd.ANSWERED:
+            return await self._complete(delivery.progress, sink)
+        refusal = self._refusal(delivery.attempts, last)
+        return Completion(delivery.progress.started, refusal)
+
     async def _select(
         self, delivery: _Delivery[P], last: AttemptReport | None
     ) -> Outcome[Placement]:
--- a/tests/programs/test_silent_targets.py
+++ b/tests/programs/test_silent_targets.py
@@ -93,6 +93,23 @@
     run(check)
 
 
+def test_an_error_response_is_delivered_if_no_retry_is_possible():
+    def error(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        return r.complete_response(request, b"failed", status="500 Error")
+
+    async def check() -> None:
+        async with (
+            running_store(plain=error) as (store, _),
+            running_host(store.address, retry_ratio=0, retry_slack=0) as host,
+        ):
+            await wait_until(host.is_ready)
+            response = await host.send(encode_request("/read/", b"x"))
+            assert (response.status, response.body) == (500, b"failed")
+            assert response.headers["x-response-stamp"] == "s-1"
+
+    run(check)
+
+
 def test_a_request_leaves_a_target_that_never_answers():
     async def check() -> None:
         never = r.ScriptedResponse((), "hold")
