Let replicas fall silent in the soak, and send resumable streams

Change: a planned fault makes all replicas of a service silent for up to 1.8 s; callers send resumable streams, too; requests get 6 s. What the soak adds is coverage, not a reproduction.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,15 +5,21 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from soak.environment import stream_body
+from soak.environment import TIMEOUT_MS, stream_body
 from soak.history import ReceivedResponse, RunHistory, SentRequest
 from soak.hosts import SoakHost
 from tests.standins.node_fleet import encode_request, read_response
 
-PATHS = {"unsafe": "/commit/", "safe": "/read/", "stream": "/stream/"}
+PATHS = {
+    "unsafe": "/commit/",
+    "safe": "/read/",
+    "stream": "/stream/",
+    "resumable": "/resumable/",
+}
+STREAM_KINDS = frozenset({"stream", "resumable"})
 PROMPT_COUNT = 12
 PAUSE_RANGE_S = (0.0, 0.1)
-RESPONSE_TIMEOUT_S = 8.0  # longer than the 3 s time-out that the requests carry
+RESPONSE_TIMEOUT_S = 8.0  # longer than the time-out of the routes
 PROBE_INTERVAL_S = 0.3
 RECONNECT_DELAY_S = 0.05
 HTTP_OK = 200
@@ -60,10 +66,10 @@
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         sent = self._next_request()
         self._history.sent_requests[sent.request_id] = sent
-        headers = {}
-        if sent.kind == "stream":
+        headers = {"X_Deadline_Ms": str(TIMEOUT_MS)}
+        if sent.kind in STREAM_KINDS:
             prompt = f"{self._rng.randrange(PROMPT_COUNT):x}"
-            headers = {
+            headers |= {
                 "X_Model": "m",
                 "X_Token_Count": "900,80",
                 "X_Prompt_Prefix": f"a{prompt}:800,b:9",
@@ -93,7 +99,7 @@
         self._request_count += 1
         request_id = f"{self._name}-{self._request_count}"
         kind = self._rng.choice(sorted(PATHS))
-        body = stream_body(request_id) if kind == "stream" else request_id.encode()
+        body = stream_body(request_id) if kind in STREAM_KINDS else request_id.encode()
         return SentRequest(request_id, kind, self._now(), body)
 
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -13,6 +13,7 @@
 from tests.standins.replica import ReceivedRequest, Replica, ScriptedResponse
 
 REPLICA_COUNTS = {MODEL_SERVICE: 4, PLAIN_SERVICE: 3}
+TIMEOUT_MS = 6000  # of all routes; a request may meet a silent replica, move, and meet another
 EVENT_INTERVAL_S = 0.03  # between the events of a stream
 PROCESSING_S = 0.02
 ERROR_SHARE = 0.02
@@ -36,9 +37,17 @@
     def __init__(self, name: str, history: RunHistory, rng: random.Random) -> None:
         super().__init__(self._behave)
         self.name = name
+        self._speaks = asyncio.Event()
+        self._speaks.set()
         self._history = history
         self._rng = rng
 
+    async def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for `duration_s` seconds, then go on."""
+        self._speaks.clear()
+        await asyncio.sleep(duration_s)
+        self._speaks.set()
+
     def _behave(self, request: ReceivedRequest) -> ScriptedResponse:
         expected = request.headers.get("x-expect-instance", "")
         is_other, chance = expected != self.name, self._rng.random()
@@ -60,8 +69,9 @@
         return self._script_for(request, chance - REJECTED_SHARE)
 
     def _script_for(self, request: ReceivedRequest, chance: float) -> ScriptedResponse:
-        if "/stream/" in request.path:
-            script = r.stream(request, last=stream_length(request.request_id))
+        if "/stream/" in request.path or "/resumable/" in request.path:
+            first = int(request.headers.get("last-event-id", 0)) + 1
+            script = r.stream(request, first, last=stream_length(request.request_id))
         else:
             script = r.complete_response(request, request.request_id.encode())
         if chance < ERROR_SHARE:
@@ -77,9 +87,11 @@
     ) -> bool:
         await asyncio.sleep(PROCESSING_S)
         for piece in script.pieces[:-1]:
+            await self._speaks.wait()
             writer.write(piece)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
+        await self._speaks.wait()
         return await super()._respond(
             ScriptedResponse(script.pieces[-1:], script.then), reader, writer
         )
@@ -124,4 +136,5 @@
         """Write the next version of the configuration, the only one that has its probe route."""
         self.version += 1
         probe = {**ROUTES[4], "name": "probe", "prefix": f"/probe-{self.version}/"}
-        await self.store.put("config", "main", manifest(self.version, routes=[*ROUTES, probe]))
+        routes = [{**route, "timeout_ms": TIMEOUT_MS} for route in (*ROUTES, probe)]
+        await self.store.put("config", "main", manifest(self.version, routes=routes))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 # Between the starts of two faults. Shorter than most faults, so that faults overlap.
 START_GAP_RANGE_S = (0.1, 1.5)
 DURATION_RANGE_S = (0.3, 3.0)
+MAX_SILENCE_S = 1.8  # of a sound replica; longer than the idle time-outs of the routes
 STORE_ERROR_STATUSES = (429, 503)
 
 
@@ -116,6 +117,15 @@
     await context.environment.register(name)
 
 
+async def _fall_silent(context: FaultContext, fault: Fault) -> None:
+    """Make all replicas of a service silent for a moment, as a shared cause may."""
+    replicas = context.environment.replicas
+    service = replicas[context.replica(fault)][0]
+    silence_s = min(fault.duration_s, MAX_SILENCE_S)
+    silent = [replica for name, replica, _ in replicas.values() if name == service]
+    await asyncio.gather(*(replica.fall_silent(silence_s) for replica in silent))
+
+
 async def _write_malformed_entry(context: FaultContext, fault: Fault) -> None:
     await context.environment.store.put("servers", "garbage", {"service": 7, "addr": None})
 
@@ -127,6 +137,7 @@
     "reload": _reload,
     "manifest": _change_manifest,
     "drain": _drain,
+    "service pauses": _fall_silent,
     "garbage": _write_malformed_entry,
     "forget": _forget_store_history,
     "store refuses": _store_refuses,
@@ -147,7 +158,7 @@
 }
 FAULT_ACTIONS = PLANNED | UNPLANNED
 # These faults run one at a time: two of them at once on one host would interfere with each other.
-EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop"})
+EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop", "service pauses"})
 
 
 def draw_faults(rng: random.Random, duration_s: float) -> list[Fault]:
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,7 @@
 AFTER_EFFECT_S = 3.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # guarantee that the request does not run
 DENIED_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
+REPEATABLE_KINDS = frozenset({"safe", "resumable"})
 HTTP_OK = 200
 
 
@@ -18,7 +19,7 @@
     """
 
     request_id: str
-    kind: str  # "unsafe", "safe" or "stream"
+    kind: str  # "unsafe", "safe", "stream" or "resumable"
     sent_at: float
     body: bytes
 
@@ -88,7 +89,9 @@
     def _check_executions(self) -> list[str]:
         runs = Counter(each.request_id for each in self.replica_requests if each.is_executed)
         run_once_ids = {
-            each.request_id for each in self.sent_requests.values() if each.kind != "safe"
+            each.request_id
+            for each in self.sent_requests.values()
+            if each.kind not in REPEATABLE_KINDS
         }
         violations = [
             f"TWICE: {request_id} ran {runs[request_id]} times"
