Cut the entry's response when an exception ends its request

Callers saw: through the product's own entry, a response cut by an exception that ended with a proper last chunk, so it looked complete. Cause: the handler expected disconnects only; tornado completes a response whose head is written. Evidence: test_an_unexpected_exception_never_makes_a_response_look_complete failed for a response that had begun. Change: such a request is logged and gets 500, or its connection is closed. Result: both cases pass.

--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -30,10 +30,22 @@
     ResponsePart,
 )
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import CALLER_DISCONNECTED, REQUEST_DONE, REQUEST_REFUSED
+from almondspindle.core.events import (
+    CALLER_DISCONNECTED,
+    CONNECTION_FAILED,
+    REQUEST_DONE,
+    REQUEST_REFUSED,
+)
 from almondspindle.core.identifiers import ChatId, RequestId, ServiceName, new_request_id
 from almondspindle.core.logs import emit
-from almondspindle.core.metrics import FIRST_BYTE, REFUSALS, REQUESTS, RESPONSES, MetricSender
+from almondspindle.core.metrics import (
+    EXCEPTIONS,
+    FIRST_BYTE,
+    REFUSALS,
+    REQUESTS,
+    RESPONSES,
+    MetricSender,
+)
 from almondspindle.core.outcomes import (
     Error,
     InvariantError,
@@ -41,6 +53,7 @@
     Outcome,
     Refusal,
     RefusalCode,
+    RunState,
     refused,
 )
 from almondspindle.decisions.idempotency_keys import qualify_run_state
@@ -124,11 +137,23 @@
             await self._respond(path_args)
         except (CallerDisconnected, asyncio.CancelledError, StreamClosedError):
             emit(CALLER_DISCONNECTED, request_id=self._request_id)
+        except Exception as exc:
+            await self._end_failed(exc)
         finally:
             self._leave_in_flight()
             if context.is_stopping:
                 self._close_connection()
 
+    async def _end_failed(self, exc: Exception) -> None:
+        """End a request that raised `exc`. tornado would complete a response that has begun."""
+        self._context.metrics.count(EXCEPTIONS)
+        emit(CONNECTION_FAILED, request_id=self._request_id, reason=repr(exc))
+        if self._headers_written:
+            self._close_connection()
+            return
+        # It isn't known whether the request was sent to a target.
+        await self._refuse(Refusal(RefusalCode.INTERNAL_ERROR, "internal error", RunState.UNKNOWN))
+
     async def _respond(self, path_args: dict[str, str]) -> None:
         outcome = (
             self.make_call(path_args) if self._early_refusal is None else Error(self._early_refusal)
--- a/tests/adapters/test_http_front.py
+++ b/tests/adapters/test_http_front.py
@@ -55,3 +55,44 @@
 )
 def test_a_connection_closed_after_the_complete_response_does_not_cancel_the_chain(headers, parts):
     assert asyncio.run(one_request(headers, parts)) == (b"whole", True)
+
+
+class FailingChain:
+    """Raise an exception of a kind that nobody expects, after writing `parts`."""
+
+    def __init__(self, parts) -> None:
+        self._parts = parts
+
+    async def run(self, call, sink) -> Completion:
+        for part in self._parts:
+            await sink.write(part)
+        raise LookupError("a value that nobody expected")
+
+
+EVENTS = (("Content-Type", "text/event-stream"),)
+
+
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_an_unexpected_exception_never_makes_a_response_look_complete(has_begun):
+    async def check() -> None:
+        cfg = EntryCfg(host="h", zone="z", routers=["127.0.0.1:1"])
+        event = ResponseChunk(b"id: 1\ndata: a\n\n")
+        parts = (ResponseHead(200, EVENTS, "t1"), event) if has_begun else ()
+        context = HandlerContext(cfg, FailingChain(parts), SystemClock(), NullMetrics())
+        server, port = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        body = b'{"model": "m", "stream": true, "messages": [{"role": "user", "content": "x"}]}'
+        lines = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\n"
+            f"X-Chat-Id: c\r\nConnection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(lines.encode() + body)
+        async with asyncio.timeout(10.0):
+            response = await reader.read()
+        assert (b"\r\n0\r\n\r\n" in response) is False
+        assert response.startswith(b"HTTP/1.1 200" if has_begun else b"HTTP/1.1 500")
+        await context.in_flight.wait_idle(10.0)
+        writer.close()
+        server.stop()
+
+    asyncio.run(check())
