Release each reservation, and report silent targets that aren't left

Cause: a selection in the controller's inbox is carried out although its requester is cancelled; an attempt that waits on at a silent target told nobody. Change: `Controller.request_reservation` releases what is granted to a cancelled requester; the admission filter uses it, too. `TargetFellSilent` counts against the target once an attempt. Also from the review, without a failing test: a target that sends something while the next one is reserved isn't left, a complete response wins over a silence, an exception in the reservation doesn't end the attempt, the quarantine isn't asked twice, an attempt that couldn't be sent is no repeat, and a kept error response survives a later attempt that isn't sent.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -18,6 +18,8 @@
 from almondspindle.adapters.target.events import EventTooLong
 from almondspindle.core.calls import Call, ResponseHead, ResponseSink, WorkKind
 from almondspindle.core.clock import Clock
+from almondspindle.core.events import CONNECTION_FAILED
+from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.placements import AttemptEnd, AttemptReport, ResponseMetadata
@@ -131,6 +133,7 @@
     keep_alive: bool = False
     ends_at_close: bool = False
     report: AttemptReport | None = None
+    parts: int = 0  # of the response that were received
     has_left: bool = False
     leaving: asyncio.Task[None] | None = None
 
@@ -149,13 +152,14 @@
             try:
                 while self.report is None:
                     part = await self.connection.next_part()
+                    self.parts += 1
                     timer.note_progress()
                     await self.process(part)
                     timer.start_waiting()
             finally:
                 if self.leaving is not None:
                     await self.leaving
-        if self.has_left:
+        if self.has_left and self.report.end is AttemptEnd.CONNECTION_BROKEN:
             return self._report(
                 AttemptEnd.IDLE_TIMEOUT, "no bytes received within the idle time-out"
             )
@@ -170,10 +174,15 @@
         self.leaving = asyncio.get_running_loop().create_task(self._leave(timer))
 
     async def _leave(self, timer: IdleTimer) -> None:
-        may_leave = await self.may_leave()
+        parts = self.parts
+        try:
+            may_leave = await self.may_leave()
+        except Exception as exc:
+            emit(CONNECTION_FAILED, request_id=self.call.request_id, reason=repr(exc))
+            may_leave = False
         if self.report is not None:
             return
-        if may_leave:
+        if may_leave and self.parts == parts:
             self.has_left = True
             self.connection.close()
         else:
--- a/almondspindle/chain/admit.py
+++ b/almondspindle/chain/admit.py
@@ -1,7 +1,5 @@
 """Admit a call to its target within the target's limits."""
 
-import asyncio
-
 from almondspindle.controllers.admission.messages import Admit, ReleaseTicket
 from almondspindle.controllers.admission.task import AdmissionController
 from almondspindle.core.calls import Call
@@ -24,15 +22,9 @@
         request = Admit(
             call.target, call.service, call.team, call.work, call.chat_id, call.others_declined
         )
-        pending = asyncio.ensure_future(self._admission.request(request))
-        try:
-            ticket = await asyncio.shield(pending)
-        except asyncio.CancelledError:
-            # The ticket may still be granted after the caller has disconnected. Release it then.
-            pending.add_done_callback(self._release)
-            raise
+        ticket = await self._admission.request_reservation(request, self._release)
         return ticket.map(lambda number: call.copy_with(ticket=number))
 
-    def _release(self, pending: "asyncio.Future[Outcome[int]]") -> None:
-        if not pending.cancelled() and pending.result().is_ok():
-            self._admission.send(ReleaseTicket(pending.result().ok))
+    def _release(self, ticket: Outcome[int]) -> None:
+        if ticket.is_ok():
+            self._admission.send(ReleaseTicket(ticket.ok))
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field, replace
 from typing import Generic, Protocol, TypeVar
 
-from almondspindle.controllers.placement.messages import AttemptEnded, SelectTarget
+from almondspindle.controllers.placement.messages import (
+    AttemptEnded,
+    SelectTarget,
+    TargetFellSilent,
+)
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
 from almondspindle.controllers.quarantine.task import QuarantineController
@@ -16,20 +20,24 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import CRASHES, LATER_ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import (
+    Error,
     InvariantError,
     Ok,
     Outcome,
     Refusal,
     RefusalCode,
     RunState,
+    refused,
 )
 from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement
 from almondspindle.core.routes import Route
 from almondspindle.decisions.attempts import (
+    NOT_SENT_ENDS,
     AttemptStep,
     RequestAttempts,
     add_attempt,
     idle_timeouts,
+    keeps_answer,
     may_leave_target,
     next_step,
     refusal_after,
@@ -84,7 +92,11 @@
 
 @dataclass(slots=True)
 class _Delivery(Generic[P]):
-    """A call on its way: its attempts so far and, if reserved already, the next one's target."""
+    """A call on its way: its attempts so far and, if reserved already, the next one's target.
+
+    `has_answer` is set while `progress` holds a complete error response. `silent_ticket` is that of
+    the attempt whose target was last reported as silent.
+    """
 
     call: Call
     route: Route
@@ -92,6 +104,8 @@
     attempts: RequestAttempts = field(default_factory=RequestAttempts)
     tried: list[TargetName] = field(default_factory=list)
     next: Placement | None = None
+    has_answer: bool = False
+    silent_ticket: int | None = None
 
 
 class DeliverToTarget(Generic[P]):
@@ -134,6 +148,7 @@
             delivery.tried.append(selected.ok.target)
             last = await self._attempt(delivery, selected.ok)
             delivery.attempts = attempts = add_attempt(delivery.attempts, last)
+            delivery.has_answer = keeps_answer(delivery.has_answer, last)
             step = next_step(route, attempts, last, self._remaining_s(call))
             if step is AttemptStep.DELIVER:
                 return await self._complete(progress, sink)
@@ -141,11 +156,12 @@
             if last.target_is_down:
                 self._metrics.count(CRASHES)
             if step is AttemptStep.GIVE_UP:
-                return Completion(progress.started, self._refusal(attempts, last))
-            allowed = await self._check_retry(call, attempts)
-            if allowed.is_error():
-                self._log_refused_retry(call, last, allowed.error)
                 return await self._end_without_retry(delivery, last, sink)
+            if delivery.next is None:
+                allowed = await self._check_retry(call, attempts)
+                if allowed.is_error():
+                    self._log_refused_retry(call, last, allowed.error)
+                    return await self._end_without_retry(delivery, last, sink)
             self._metrics.count(LATER_ATTEMPTS)
 
     async def _complete(self, progress: P, sink: ResponseSink) -> Completion:
@@ -157,7 +173,7 @@
         self, delivery: _Delivery[P], last: AttemptReport, sink: ResponseSink
     ) -> Completion:
         """End a call that can't be retried, with the target's error response if it sent one."""
-        if last.end is AttemptEnd.ANSWERED:
+        if delivery.has_answer:
             return await self._complete(delivery.progress, sink)
         refusal = self._refusal(delivery.attempts, last)
         return Completion(delivery.progress.started, refusal)
@@ -169,40 +185,56 @@
         reserved, delivery.next = delivery.next, None
         if reserved is not None:
             return Ok(reserved)
-        is_retry = last is not None and last.end is not AttemptEnd.NOT_CONNECTED
-        return await self._placement.request(self._placement_request(delivery, is_retry))
+        is_retry = last is not None and last.end not in NOT_SENT_ENDS
+        return await self._reserve(self._placement_request(delivery, is_retry))
+
+    async def _reserve(self, wanted: SelectTarget) -> Outcome[Placement]:
+        return await self._placement.request_reservation(wanted, self._release)
+
+    def _release(self, selected: Outcome[Placement]) -> None:
+        """Release a target that was selected for an attempt that isn't made."""
+        if selected.is_ok():
+            report = AttemptReport(AttemptEnd.ABANDONED)
+            self._placement.send(AttemptEnded(selected.ok.ticket, report))
 
     async def _may_leave(self, delivery: _Delivery[P], placement: Placement) -> bool:
         """Reserve a target to which the call may go from the silent target of `placement`.
 
-        Return False if there is none. The silent target may be sound and is given up only then.
+        Return False if there is none. The silent target may be sound and is given up only then, but
+        it is reported, so that other requests avoid it.
         """
+        if delivery.next is not None:
+            return True
+        reserved = await self._reserve_next(delivery)
+        if reserved.is_ok():
+            delivery.next = reserved.ok
+            return True
+        if delivery.silent_ticket != placement.ticket:
+            delivery.silent_ticket = placement.ticket
+            self._placement.send(TargetFellSilent(placement.ticket))
+            emit(
+                TARGET_SILENT,
+                request_id=delivery.call.request_id,
+                target=placement.target,
+                code=reserved.error.code,
+                reason=reserved.error.message,
+            )
+        return False
+
+    async def _reserve_next(self, delivery: _Delivery[P]) -> Outcome[Placement]:
         call = delivery.call
         if not may_leave_target(delivery.route, delivery.attempts, self._remaining_s(call)):
-            return False
-        outcome = await self._check_retry(call, add_attempt(delivery.attempts, SILENT))
-        if outcome.is_ok():
-            wanted = self._placement_request(delivery, is_retry=True)
-            selected = await self._placement.request(replace(wanted, only_healthy=True))
-            if selected.is_ok():
-                delivery.next = selected.ok
-                return True
-            outcome = selected.map(lambda _: None)
-        emit(
-            TARGET_SILENT,
-            request_id=call.request_id,
-            target=placement.target,
-            code=outcome.error.code,
-            reason=outcome.error.message,
-        )
-        return False
+            return refused(RefusalCode.TARGET_UNREACHABLE, "this is the last attempt")
+        allowed = await self._check_retry(call, add_attempt(delivery.attempts, SILENT))
+        if allowed.is_error():
+            return Error(allowed.error)
+        wanted = self._placement_request(delivery, is_retry=True)
+        return await self._reserve(replace(wanted, only_healthy=True))
 
     def _release_next(self, delivery: _Delivery[P]) -> None:
         """Release the target reserved for an attempt that isn't made."""
         if delivery.next is not None:
-            self._placement.send(
-                AttemptEnded(delivery.next.ticket, AttemptReport(AttemptEnd.ABANDONED))
-            )
+            self._release(Ok(delivery.next))
             delivery.next = None
 
     def _remaining_s(self, call: Call) -> float:
@@ -244,7 +276,7 @@
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
         parts, sent_at = frozenset(call.shared_parts), self._clock.monotonic()
-        timeouts = idle_timeouts(delivery.route, delivery.attempts)
+        timeouts = idle_timeouts(delivery.route)
         try:
             async with asyncio.timeout(self._remaining_s(call)):
                 report = await self._client.attempt(
--- a/almondspindle/controllers/base.py
+++ b/almondspindle/controllers/base.py
@@ -1,6 +1,7 @@
 """Base class of all controllers: a task that handles typed messages from an inbox."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, Generic, TypeVar
@@ -53,6 +54,21 @@
         await self._inbox.put(_Envelope(request, future))
         return await future
 
+    async def request_reservation(
+        self, request: ControllerRequest[R], release: Callable[[R], None]
+    ) -> R:
+        """Send `request`, which reserves something, and return the response to it.
+
+        If the requester is cancelled first, pass the response to `release` once it comes.
+        """
+        future: asyncio.Future[R] = asyncio.get_running_loop().create_future()
+        await self._inbox.put(_Envelope(request, future))
+        try:
+            return await asyncio.shield(future)
+        except asyncio.CancelledError:
+            future.add_done_callback(lambda done: release(done.result()))
+            raise
+
     async def run(self) -> None:
         """Handle messages one at a time, in order of arrival, until cancelled."""
         while True:
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -37,6 +37,13 @@
     report: AttemptReport
 
 
+@dataclass(frozen=True, slots=True)
+class TargetFellSilent:
+    """The target of the reservation `ticket` sends nothing, and the attempt waits on."""
+
+    ticket: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLoadsReported:
     """Report another host's requests in flight and recent failures, by target."""
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -13,6 +13,7 @@
     GetLoads,
     PeerLoadsReported,
     SelectTarget,
+    TargetFellSilent,
 )
 from almondspindle.controllers.placement.targets import PeerReportTable, TrackedTarget
 from almondspindle.controllers.settings import SettingsChanged
@@ -29,7 +30,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
-from almondspindle.core.placements import AttemptEnd, Placement, PlacementReason
+from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement, PlacementReason
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
@@ -179,6 +180,16 @@
             self._copy_sources.add_holder(reservation.prompt_key, target.record.name, now)
         if report.cold_left_s is not None:
             target.cold_until = now + report.cold_left_s
+        self._judge(target, report, now)
+
+    @handle.register
+    def _(self, msg: TargetFellSilent, now: float) -> None:
+        reservation = self._reservations.get(msg.ticket)
+        if reservation is not None:
+            self._judge(reservation.target, AttemptReport(AttemptEnd.IDLE_TIMEOUT), now)
+
+    def _judge(self, target: TrackedTarget, report: AttemptReport, now: float) -> None:
+        """Eject or reinstate `target` after the attempt of `report`."""
         record_attempt(target.attempts, report, now)
         before, target.ejection = target.ejection, after_attempt(target.ejection, report, now)
         if target.ejection.ejected_until > max(now, before.ejected_until):
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -16,7 +16,7 @@
 READ_IDLE_OBJECTIVES = 2.0  # latency objectives without a byte after which a read is retried
 STREAM_IDLE_OBJECTIVES = 4.0  # the same for a stream, in terms of its larger objective
 MIN_IDLE_TIMEOUT_S = 0.1  # for routes without an objective
-# Longer than usual deadlines: an idle time-out gains nothing if no further attempt is allowed.
+# Longer than usual deadlines: an idle time-out gains nothing for work that must not be retried.
 UNRETRYABLE_IDLE_TIMEOUT_S = 3600.0
 
 
@@ -48,6 +48,8 @@
         AttemptEnd.UNSENDABLE,
     }
 )
+# Ends after which nothing has reached the target, so that another attempt is no repeat.
+NOT_SENT_ENDS = frozenset({AttemptEnd.NOT_CONNECTED, AttemptEnd.UNSENDABLE})
 # Ends after which a retry on another target may succeed.
 BROKEN_ENDS = frozenset({AttemptEnd.CONNECTION_BROKEN, AttemptEnd.IDLE_TIMEOUT})
 
@@ -82,12 +84,21 @@
 def may_leave_target(route: Route, attempts: RequestAttempts, left_s: float) -> bool:
     """Return whether a request may leave its silent target for another one.
 
+    A sound target may be silent for a moment, so the last attempt that is allowed isn't left.
     `attempts` excludes the attempt in progress; `left_s` is the time to the deadline in seconds.
     """
     with_current = RequestAttempts(attempts.may_have_run + 1, attempts.rejected)
     return _has_attempt_left(route, with_current) and left_s >= MIN_ATTEMPT_S
 
 
+def keeps_answer(had_answer: bool, report: AttemptReport) -> bool:
+    """Return whether a complete response is in hand after the attempt of `report`.
+
+    `had_answer` tells whether there was one before. A later response replaces it.
+    """
+    return report.end is AttemptEnd.ANSWERED or (had_answer and report.end in NOT_RUN_ENDS)
+
+
 def refusal_after(attempts: RequestAttempts, report: AttemptReport) -> Refusal:
     """Return the refusal for a request whose last attempt ended with `report`."""
     text = f"{report.end}: {report.detail}" if report.detail else str(report.end)
@@ -96,13 +107,12 @@
     return Refusal(RefusalCode.TARGET_UNREACHABLE, text, RunState.UNKNOWN)
 
 
-def idle_timeouts(route: Route, attempts: RequestAttempts) -> IdleTimeouts:
-    """Return how long a target may send nothing before the request may leave it for another one.
+def idle_timeouts(route: Route) -> IdleTimeouts:
+    """Return how long a target may send nothing before it counts as silent.
 
-    `attempts` excludes the attempt that the time-outs are for. A sound target may be silent for a
-    moment, so the last attempt that is allowed lasts until the deadline.
+    The request leaves it for another target then, if it may.
     """
-    if not may_leave_target(route, attempts, MIN_ATTEMPT_S):
+    if not route.is_retryable or route.attempts < 2:
         return IdleTimeouts(UNRETRYABLE_IDLE_TIMEOUT_S, UNRETRYABLE_IDLE_TIMEOUT_S)
     if route.work is WorkKind.READ:
         timeout_s = READ_IDLE_OBJECTIVES * route.objective_s
--- a/almondspindle/utils/idle_timer.py
+++ b/almondspindle/utils/idle_timer.py
@@ -38,10 +38,11 @@
         self._monitor.start_waiting(self._clock.monotonic())
 
     def restart(self) -> None:
-        """Count idle time anew after the time-out, since the reader waits on."""
+        """Count idle time anew after the time-out, since the reader waits on or is busy."""
         self.fired = False
         self._monitor.suspected_at = None
-        self.start_waiting()
+        if self._monitor.waiting_since is not None:
+            self.start_waiting()
         self._check()
 
     def note_progress(self) -> None:
--- a/tests/programs/test_silent_targets.py
+++ b/tests/programs/test_silent_targets.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from almondspindle.controllers.placement.messages import GetLoads
 from tests.standins import replica as r
 from tests.standins.node_fleet import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
+    Host,
     encode_request,
     manifest,
+    replica_record,
     running_host,
     running_platform,
     running_store,
@@ -110,6 +113,98 @@
     run(check)
 
 
+async def loads(host: Host) -> dict[str, int]:
+    """Return the requests in flight that the host counts, by target."""
+    return dict(await host.node._placement.request(GetLoads()))
+
+
+def test_reservations_are_released_when_silent_targets_are_left_or_endured():
+    async def check() -> None:
+        async with running_platform(plain=silent_read, replicas=3) as (_, host, _):
+            ids = [f"r-{number}" for number in range(12)]
+            sent = [host.send(encode_request("/read/", b"x", each)) for each in ids]
+            assert {response.status for response in await asyncio.gather(*sent)} == {200}
+            assert await loads(host) == {}
+
+    run(check)
+
+
+def test_callers_that_disconnect_during_the_selection_leave_no_reservation():
+    async def check() -> None:
+        async with running_platform(plain=r.complete_response) as (_, host, _):
+
+            async def abort_soon(number: int) -> None:
+                _, writer = await host.open()
+                writer.write(encode_request("/read/", b"x", f"r-{number}"))
+                await asyncio.sleep(number % 40 * 0.0001)
+                writer.transport.abort()
+
+            for start in range(0, 600, 50):
+                await asyncio.gather(*(abort_soon(start + offset) for offset in range(50)))
+
+            async def is_idle() -> bool:
+                return await loads(host) == {}
+
+            await wait_until(is_idle)
+
+    run(check)
+
+
+def test_a_silent_target_is_not_left_for_one_that_fails():
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        if request.headers["x-expect-instance"] == "plain-0":
+            return r.ScriptedResponse((), "reset")
+        pause_s = 0.5 if request.path == "/read/" else 0.0
+        return r.ScriptedResponse(r.complete_response(request).pieces, pause_s=pause_s)
+
+    async def check() -> None:
+        async with running_platform(plain=behave) as (_, host, groups):
+            failing, silent = groups[PLAIN_SERVICE]
+            for number in range(8):  # the failing target is ejected
+                await host.send(encode_request("/commit/", b"x", f"c-{number}"))
+            seen = len(failing.requests)
+            response = await host.send(encode_request("/read/", b"x", "read"))
+            assert response.status == 200
+            assert [each.request_id for each in silent.requests].count("read") == 1
+            assert len(failing.requests) == seen
+
+    run(check)
+
+
+def test_a_request_that_endured_a_silence_leaves_once_another_target_comes():
+    async def check() -> None:
+        never = r.ScriptedResponse((), "hold")
+        async with running_platform(plain=lambda _: never, replicas=1) as (store, host, groups):
+            response = asyncio.ensure_future(host.send(encode_request("/read/", b"x")))
+            await groups[PLAIN_SERVICE][0].request_received.wait()
+            async with r.Replica(r.complete_response) as sound:
+                await store.put("servers", "plain-9", replica_record(sound, PLAIN_SERVICE))
+                assert (await response).status == 200
+
+    run(check)
+
+
+def test_a_target_that_never_answers_is_avoided_although_requests_cannot_leave_it():
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        is_mute = request.headers["x-expect-instance"] == "plain-0"
+        return r.ScriptedResponse((), "hold") if is_mute else r.complete_response(request)
+
+    async def check() -> None:
+        async with (
+            running_store(plain=behave) as (store, _),
+            running_host(store.address, retry_ratio=0, retry_slack=0) as host,
+        ):
+            await wait_until(host.is_ready)
+            ids = [f"r-{number}" for number in range(14)]
+            deadline = {"X_Deadline_Ms": "1000"}
+            requests = [encode_request("/read/", b"x", each, **deadline) for each in ids]
+            responses = [await host.send(request) for request in requests]
+            failed = [response for response in responses if response.status != 200]
+            assert len(failed) <= 3
+
+    run(check)
+
+
 def test_a_request_leaves_a_target_that_never_answers():
     async def check() -> None:
         never = r.ScriptedResponse((), "hold")
