Let an object that can't be decoded cost that object alone

Callers saw: none of their requests were answered after another writer had left one odd entry in a list: each host that read the list ended, and again at each start. Cause: one decoder call for a whole page, a watch's events or an object. Deep nesting raises RecursionError, which nobody expected; a number that JSON doesn't have, such as NaN, made the whole page an error, for good. An object with odd metadata was dropped, so the record that it replaced stayed in use. Ports out of range, digits that are no number, hosts that are no IP address, names with line breaks, numbers of hundreds of digits and revisions that the store never gave were believed. A list did not go on after a name that needs quoting in a URL. Addresses, names and numbers are checked. Names are quoted in paths. Where the events of a watch can't be told apart, the list is read; where no object of a page has a name to go on from, the read fails and the last copy is kept.

--- a/almondspindle/platform/objects.py
+++ b/almondspindle/platform/objects.py
@@ -1,7 +1,7 @@
 """Decode objects of the platform's store into records, and encode this host's own object."""
 
 from collections.abc import Callable
-from typing import Any, Literal
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 from msgspec import UNSET, Raw, Struct, UnsetType
@@ -26,10 +26,20 @@
     ServiceShare,
     ServiceSpec,
 )
+from almondspindle.platform.splitting import split_members
+from almondspindle.utils.addresses import check_address
 
 MS_PER_S = 1000.0
 MAIN_MANIFEST = "main"
 READY, DRAINING = "ready", "draining"
+MAX_NAME_LENGTH = 255  # names are in headers and in each report
+MAX_REASON_LENGTH = 200  # of the text on an object that can't be decoded
+# Beyond these, numbers can't be computed with exactly, or give one target or host all the work.
+MAX_COUNT = 2**53
+MAX_AMOUNT = 1e12
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 24 * 3600 * MS_PER_S
+MAX_LINK_MBPS = 1e6
 OBJECT_KINDS = {
     Topic.ROUTES: "config",
     Topic.TARGETS: "servers",
@@ -57,9 +67,13 @@
     spec: Raw = Raw(b"null")
 
 
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AMOUNT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
 class _Split(Struct):
     service: str
-    weight: float = 1.0
+    weight: Amount = 1.0
 
 
 class _Route(Struct):
@@ -67,47 +81,47 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    latency_target_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: Amount
+    latency_target_ms: Amount = 0.0
+    priority: Count = 0
     service: str = ""
     split: tuple[_Split, ...] = ()
-    attempts: int = 1
+    attempts: Count = 1
     public: bool = False
     sticky: bool = False  # requests have prompts
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Amount = 0.0
 
 
 class _Engine(Struct):
-    slots: int = 1
-    kv_tokens: int = 0
-    link_mbps: float = 0.0  # bandwidth for copying prompts between engines
+    slots: Count = 1
+    kv_tokens: Count = 0
+    link_mbps: Amount = 0.0  # bandwidth for copying prompts between engines
 
 
 class _Service(Struct):
     name: str
-    max_conns: int = 64
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_conns: Count = 64
+    cold_s: Amount = 0.0
+    cold_per_s: Amount = 0.0
     engine: _Engine | None = None
 
 
 class _Limits(Struct):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: Count = 16 * 1024
+    max_body_bytes: Count = 4 * 1024 * 1024
+    header_timeout_ms: Amount = 3000.0
+    idle_timeout_ms: Amount = 15000.0
 
 
 class _Tenant(Struct):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Count | None = None
 
 
 class _Manifest(Struct):
-    version: int
+    version: Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -119,35 +133,84 @@
     addr: str
     zone: str
     state: Literal["ready", "draining"]
-    slots: int = 1
-    cold_left_ms: float = 0.0  # from when the object was written, not from when it is read
-    born: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 1
+    # From when the object was written, not from when it is read.
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
+    born: Count = 0
 
 
 class _Host(Struct):
     address: str
     zone: str
-    link_mbps: float = 0.0
+    link_mbps: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LINK_MBPS)] = 0.0
 
 
-def decode_record(topic: Topic, raw: bytes) -> Record | None:
-    """Return the record in `raw`, or None if its metadata cannot be decoded.
+def decode_record(topic: Topic, raw: bytes, store_revision: int | None = None) -> Record | None:
+    """Return the record in `raw`, or None if its name can't be decoded.
 
-    If only its `spec` cannot be decoded, the record's value is an `UnreadableRecord`.
+    If anything else of it can't be decoded or used, the record's value is an `UnreadableRecord`.
+    So it is if its revision isn't one that the store has given by `store_revision`, which becomes
+    the record's revision. None stands for a store whose revision isn't known.
     """
+    stored = _split_object(raw)
+    if stored is None:
+        return None
+    name, revision, fault = stored.name, stored.revision, stored.fault
+    if store_revision is not None and not 0 < revision <= store_revision:
+        fault = fault or UnreadableRecord("the revision is not one of the store's")
+        revision = store_revision
+    value = fault or _decode_value(topic, name, stored.spec)
+    return Record(name, revision, value, bytes(raw))
+
+
+class _SplitObject(NamedTuple):
+    """The parts of a stored object. `fault` is set if they can't be used."""
+
+    name: str
+    revision: int
+    spec: bytes
+    fault: UnreadableRecord | None = None
+
+
+def _split_object(raw: bytes) -> _SplitObject | None:
     try:
         stored = msgspec.json.decode(raw, type=StoreObject)
-    except msgspec.DecodeError:
+        return _SplitObject(stored.meta.name, stored.meta.rev, bytes(stored.spec))
+    except (msgspec.DecodeError, RecursionError) as exc:
+        fault = UnreadableRecord(_shorten(str(exc)))
+    try:
+        meta = split_members(split_members(raw)[b"meta"])
+        name = msgspec.json.decode(meta[b"name"], type=str)
+    except (KeyError, ValueError, RecursionError):
         return None
-    value = _decode_value(topic, stored)
-    return Record(stored.meta.name, stored.meta.rev, value, bytes(raw))
+    return _SplitObject(name, _decode_revision(meta.get(b"rev", b"")), b"", fault)
+
+
+def _decode_revision(text: bytes) -> int:
+    try:
+        return msgspec.json.decode(text, type=int)
+    except (msgspec.DecodeError, RecursionError):
+        return 0
 
 
-def _decode_value(topic: Topic, stored: StoreObject) -> RecordValue:
+def _decode_value(topic: Topic, name: str, spec: bytes) -> RecordValue:
     try:
-        return DECODERS[topic](stored.meta.name, bytes(stored.spec))
-    except (msgspec.DecodeError, ValueError, KeyError) as exc:
-        return UnreadableRecord(str(exc))
+        _check_name(name)
+        return DECODERS[topic](name, spec)
+    except (msgspec.DecodeError, ValueError, KeyError, RecursionError) as exc:
+        return UnreadableRecord(_shorten(str(exc)))
+
+
+def _check_name(name: str) -> None:
+    """Raise `ValueError` for a name that can't be sent in a header or in a report."""
+    if not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise ValueError(f"the name has {len(name)} characters")
+    if not name.isprintable():
+        raise ValueError("the name has control characters")
+
+
+def _shorten(reason: str) -> str:
+    return reason[:MAX_REASON_LENGTH]
 
 
 def _decode_manifest(name: str, spec: bytes) -> RecordValue:
@@ -218,9 +281,7 @@
 
 def _decode_replica(name: str, spec: bytes) -> RecordValue:
     replica = msgspec.json.decode(spec, type=_Replica)
-    host, _, port = replica.addr.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"the address {replica.addr!r} does not have the form IP:PORT")
+    check_address(replica.addr)
     return TargetRecord(
         name=TargetName(name),
         service=ServiceName(replica.service),
@@ -239,6 +300,7 @@
 
 def _decode_host(name: str, spec: bytes) -> RecordValue:
     host = msgspec.json.decode(spec, type=_Host)
+    check_address(host.address)
     return HostRecord(HostName(name), host.address, ZoneName(host.zone), host.link_mbps)
 
 
--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -1,13 +1,16 @@
 """Call the platform's store and decode its responses into records."""
 
+from collections.abc import Callable
 from typing import TypeVar
+from urllib.parse import quote
 
 import msgspec
-from msgspec import Raw, Struct
+from msgspec import Raw
 from tornado.httpclient import HTTPResponse
 
 from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.adapters.platform.transport import StoreTransport
+from almondspindle.core.events import RECORD_UNREADABLE
 from almondspindle.core.inventory import (
     HistoryUnavailable,
     HostRecord,
@@ -17,8 +20,15 @@
     Topic,
     TopicChanges,
 )
+from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Error, Ok, Result
-from almondspindle.platform.objects import OBJECT_KINDS, StoreObject, decode_record, encode_host
+from almondspindle.platform.objects import (
+    MAX_REASON_LENGTH,
+    OBJECT_KINDS,
+    decode_record,
+    encode_host,
+)
+from almondspindle.platform.pages import Events, Page, decode_events, decode_page
 
 HTTP_OK = 200
 HTTP_CREATED = 201
@@ -30,22 +40,6 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
-class _Page(Struct):
-    items: list[Raw]
-    store_revision: int
-    more: bool = False
-
-
-class _Event(Struct):
-    object: Raw
-    deleted: bool = False
-
-
-class _Events(Struct):
-    events: list[_Event]
-    store_revision: int
-
-
 class PlatformStore:
     """Read, watch and write the platform's objects."""
 
@@ -60,29 +54,34 @@
         """Return all records of `topic`.
 
         The snapshot gets the revision of its first page, since later changes may be missing from
-        it. Records whose metadata cannot be decoded are left out.
+        it. Objects whose names can't be decoded are left out. If there is no name from which to
+        read on, the result is an error.
         """
         records: list[Record] = []
         revision: int | None = None
         after = ""
         while True:
-            page = await self._read_page(topic, after)
-            if page.is_error():
-                return Error(page.error)
-            decoded = [decode_record(topic, bytes(raw)) for raw in page.ok.items]
-            records.extend(record for record in decoded if record is not None)
-            revision = page.ok.store_revision if revision is None else revision
-            last = _last_name(page.ok.items)
-            if not page.ok.more or last is None:
+            result = await self._read_page(topic, after)
+            if result.is_error():
+                return Error(result.error)
+            page = result.ok
+            decoded = _decode_objects(topic, page.items, page.store_revision)
+            records.extend(decoded)
+            revision = page.store_revision if revision is None else revision
+            if not page.more or not page.items:
                 return Ok(Snapshot(topic, revision, tuple(records)))
+            last = decoded[-1].name if decoded else after
+            if last == after:
+                text = f"no object on the page after {after!r} has a name"
+                return Error(StoreError(StoreErrorCode.MALFORMED, text))
             after = last
 
-    async def _read_page(self, topic: Topic, after: str) -> Result[_Page, StoreError]:
-        path = _collection_path(topic) + (f"?after={after}" if after else "")
+    async def _read_page(self, topic: Topic, after: str) -> Result[Page, StoreError]:
+        path = _collection_path(topic) + (f"?after={quote(after, safe='')}" if after else "")
         result = await self._transport.fetch(
             "GET", path, frozenset({HTTP_OK}), timeout_s=READ_TIMEOUT_S
         )
-        return result.bind(lambda response: _decode(response, _Page))
+        return result.bind(lambda response: _decode(response, decode_page))
 
     async def watch(
         self, topic: Topic, after: int, wait_s: float
@@ -109,7 +108,12 @@
         if created.is_error() or created.ok.code != HTTP_CONFLICT:
             return created.map(lambda _: None)
         replaced = await self._transport.fetch(
-            "PUT", f"{path}/{record.name}", accepted, body, JSON_HEADERS, WRITE_TIMEOUT_S
+            "PUT",
+            f"{path}/{quote(record.name, safe='')}",
+            accepted,
+            body,
+            JSON_HEADERS,
+            WRITE_TIMEOUT_S,
         )
         return replaced.map(lambda _: None)
 
@@ -118,17 +122,23 @@
     return f"/-/objects/{OBJECT_KINDS[topic]}"
 
 
-def _last_name(items: list[Raw]) -> str | None:
-    if not items:
-        return None
-    return msgspec.json.decode(items[-1], type=StoreObject).meta.name
+def _decode_objects(topic: Topic, objects: list[Raw], store_revision: int) -> list[Record]:
+    decoded = [_decode_object(topic, raw, store_revision) for raw in objects]
+    return [record for record in decoded if record is not None]
+
 
+def _decode_object(topic: Topic, raw: Raw, store_revision: int) -> Record | None:
+    record = decode_record(topic, bytes(raw), store_revision)
+    if record is None:
+        emit(RECORD_UNREADABLE, topic=topic, reason="the name can't be decoded")
+    return record
 
-def _decode(response: HTTPResponse, kind: type[T]) -> Result[T, StoreError]:
+
+def _decode(response: HTTPResponse, decode: Callable[[bytes], T]) -> Result[T, StoreError]:
     try:
-        return Ok(msgspec.json.decode(response.body, type=kind))
-    except msgspec.DecodeError as exc:
-        return Error(StoreError(StoreErrorCode.UNAVAILABLE, f"invalid response: {exc}"))
+        return Ok(decode(response.body))
+    except (ValueError, RecursionError) as exc:
+        return Error(StoreError(StoreErrorCode.MALFORMED, f"invalid response: {exc}"))
 
 
 def _decode_changes(
@@ -136,13 +146,18 @@
 ) -> Result[TopicChanges | HistoryUnavailable, StoreError]:
     if response.code == HTTP_GONE:
         return Ok(HistoryUnavailable(topic))
-    return _decode(response, _Events).map(lambda events: _to_changes(topic, events))
+    events = _decode(response, decode_events)
+    if events.is_error():
+        # The list has only the latest version of each object, and may be readable.
+        emit(RECORD_UNREADABLE, topic=topic, reason=events.error.message[:MAX_REASON_LENGTH])
+        return Ok(HistoryUnavailable(topic))
+    return Ok(_to_changes(topic, events.ok))
 
 
-def _to_changes(topic: Topic, response: _Events) -> TopicChanges:
+def _to_changes(topic: Topic, response: Events) -> TopicChanges:
     changes = []
     for event in response.events:
-        record = decode_record(topic, bytes(event.object))
+        record = _decode_object(topic, event.object, response.store_revision)
         if record is not None:
             changes.append(RecordChange(record, event.deleted))
     return TopicChanges(topic, response.store_revision, tuple(changes))
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -45,6 +45,12 @@
         await self._write(kind, name, raw, removed=False)
         return self.revision
 
+    async def put_bytes(self, kind: str, name: str, raw: bytes) -> int:
+        """Write an object that may hold anything, as another writer does."""
+        self.revision += 1
+        await self._write(kind, name, raw, removed=False)
+        return self.revision
+
     async def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         self.revision += 1
