Keep peers on the list past records whose revisions are odd

Callers saw: 503 or answers of replicas that had left, from hosts that learn the list from peers. Cause: a topic's last change was the highest revision of its records. One beyond 64 bits can't be encoded, which ended the reporter and its process; one above the store's made all peers pull without end. A record with revision 0 or less, or one that a copy included, counted as unchanged, so a host without it took each update for malformed. Deep nesting in an update ended the puller. Change: a record that names a revision which the copy includes, but is new to it, gets that of the read; of an update's records, revisions up to the sender's newest are believed. An unreadable record that is read again is no change.

--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -23,7 +23,8 @@
 COMPRESSION_LEVEL = 1  # higher levels take twice the time and save a few per cent
 CACHED_REPLIES = 8  # most peers that pull at the same time have the same version
 
-DecodeRecord = Callable[[Topic, bytes], Record | None]
+# The last argument is the highest revision that a record can have.
+DecodeRecord = Callable[[Topic, bytes, int], Record | None]
 GetUpdate = Callable[[Topic, CopyVersion], Awaitable[TopicUpdate]]
 
 
@@ -39,7 +40,8 @@
 
     `records` has the bytes of whole records as stored, and `patches` the patches of others by name.
     They include records that the sending host could not decode itself. `lapsing` is
-    `TopicUpdate.retained`, and `lapsing_is_final` is `TopicUpdate.retention_is_final`.
+    `TopicUpdate.retained`, and `lapsing_is_final` is `TopicUpdate.retention_is_final`. `newest` is
+    the highest revision of the changed records, which may be above `revision`.
     """
 
     revision: int
@@ -48,6 +50,7 @@
     unchanged: list[str] = []
     lapsing: dict[str, float] = {}
     lapsing_is_final: bool = False
+    newest: int = 0
 
 
 def encode_update(update: TopicUpdate) -> bytes:
@@ -67,6 +70,7 @@
         list(update.unchanged),
         dict(update.retained),
         update.retention_is_final,
+        max((change.record.revision for change in update.changed), default=0),
     )
     return zlib.compress(msgspec.msgpack.encode(wire), COMPRESSION_LEVEL)
 
@@ -134,10 +138,12 @@
             wire = msgspec.msgpack.decode(zlib.decompress(body), type=_WireUpdate)
             patched = [_patch(own, name, patch) for name, patch in wire.patches.items()]
             unchanged = [own[name] for name in wire.unchanged]
-        except (zlib.error, msgspec.DecodeError, ValueError, KeyError) as exc:
+        except (zlib.error, ValueError, KeyError, RecursionError) as exc:
             text = f"malformed update of topic {base.topic}: {exc!r}"
             return Error(StoreError(StoreErrorCode.MALFORMED, text))
-        decoded = [self._decode_record(base.topic, raw) for raw in [*wire.records, *patched]]
+        limit = max(wire.revision, wire.newest)
+        raws = [*wire.records, *patched]
+        decoded = [self._decode_record(base.topic, raw, limit) for raw in raws]
         changed = [record for record in decoded if record is not None]
         records = (*unchanged, *changed)
         return Ok(Snapshot(base.topic, wire.revision, records, wire.lapsing, wire.lapsing_is_final))
--- a/almondspindle/controllers/view/history.py
+++ b/almondspindle/controllers/view/history.py
@@ -19,8 +19,10 @@
     def add(self, record: Record) -> None:
         """Store the bytes of a record's version, and drop the oldest versions beyond the bounds."""
         key = (record.name, record.revision)
-        if len(record.raw) < MIN_RECORD_BYTES or key in self._versions:
+        if len(record.raw) < MIN_RECORD_BYTES:
             return
+        # Of two versions read at the same revision, the later one is in use.
+        self._size -= len(self._versions.get(key, b""))
         self._versions[key] = record.raw
         self._size += len(record.raw)
         while len(self._versions) > MAX_VERSIONS or self._size > MAX_HISTORY_BYTES:
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -65,6 +65,7 @@
 from almondspindle.decisions.store_probing import retry_delay_s
 
 STORE_SOURCE = "store"
+MAX_LOGGED_NAME_LENGTH = 255
 # While the store fails, waiting tasks ask again after this time at most, so that they go on soon
 # after its return.
 MAX_TURN_WAIT_S = 0.1
@@ -132,7 +133,9 @@
         state = self._topics[snapshot.topic]
         if snapshot.revision < state.revision:
             return
-        records = {record.name: record for record in snapshot.records}
+        records = {
+            record.name: _renumber(state, record, snapshot.revision) for record in snapshot.records
+        }
         missing = [name for name in state.records if name not in records]
         newest = max((record.revision for record in records.values()), default=0)
         last_change = snapshot.revision if missing else newest
@@ -163,7 +166,8 @@
                 until = self._retain_until(changes.topic, now)
                 self._remove_record(state, changes.topic, change.record.name, until, now)
             else:
-                self._set_record(state, changes.topic, change.record)
+                record = _renumber(state, change.record, changes.revision)
+                self._set_record(state, changes.topic, record)
         state.revision = changes.revision
         if changes.changes:
             state.last_change = changes.revision
@@ -273,11 +277,13 @@
         self._failures = 0
 
     def _set_record(self, state: _TopicState, topic: Topic, record: Record) -> None:
-        if isinstance(record.value, UnreadableRecord):
-            emit(RECORD_UNREADABLE, topic=topic, name=record.name, reason=record.value.reason)
+        is_unreadable = isinstance(record.value, UnreadableRecord)
+        if is_unreadable and record is not state.records.get(record.name):
+            _log_unreadable(topic, record)
         state.retained_until.pop(record.name, None)
         state.records[record.name] = record
-        state.history.add(record)
+        if not is_unreadable:  # it would displace versions of sound records
+            state.history.add(record)
 
     def _retain_until(self, topic: Topic, now: float) -> float | None:
         if topic is not Topic.TARGETS:
@@ -327,6 +333,26 @@
         return RoutesChanged(newest)
 
 
+def _renumber(state: _TopicState, record: Record, revision: int) -> Record:
+    """Return `record`, read at the store's `revision`, with a revision that fits this copy.
+
+    A record that is new to this copy, but names a revision that the copy includes, gets that of the
+    read; peers would take it for unchanged. An unreadable one that is read again keeps its own.
+    """
+    known = state.records.get(record.name)
+    if known is not None and known.raw == record.raw:
+        return known if isinstance(known.value, UnreadableRecord) else record
+    if record.revision > state.revision or state.revision == 0:
+        return record
+    return replace(record, revision=revision)
+
+
+def _log_unreadable(topic: Topic, record: Record) -> None:
+    name = record.name[:MAX_LOGGED_NAME_LENGTH]
+    reason = record.value.reason if isinstance(record.value, UnreadableRecord) else ""
+    emit(RECORD_UNREADABLE, topic=topic, name=name, revision=record.revision, reason=reason)
+
+
 def _build_targets_changed(values: dict[str, RecordValue]) -> TargetsChanged:
     return TargetsChanged({n: v for n, v in values.items() if isinstance(v, TargetRecord)})
 
