Turn every failure to reach an address into an error result

Callers saw: no answer at all to a request for which a target with an odd address was chosen. Cause: the connection pool expected OSError only. A port out of range raises OverflowError, a port that is no number ValueError, a long host name UnicodeError; so do calls to a peer. A datagram's sender address was used unchecked, and deep nesting in a datagram raised RecursionError. Change: both catch them; a datagram from an odd address is ignored and logged.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -13,7 +13,7 @@
 from almondspindle.core.events import DATAGRAM_IGNORED
 from almondspindle.core.logs import emit
 from almondspindle.core.reports import HostReport, OutsideReport, Report, ZoneReport
-from almondspindle.utils.addresses import split_address
+from almondspindle.utils.addresses import check_address, split_address
 
 MAX_DATAGRAM_BYTES = 60_000
 
@@ -93,12 +93,25 @@
 
 
 def decode_report(data: bytes) -> Report:
-    """Return the report in a datagram. Raise `msgspec.DecodeError` if it is malformed."""
+    """Return the report in a datagram. Raise `ValueError` if it is malformed."""
     if data[:1] not in _TYPES_BY_KIND:
         raise msgspec.DecodeError(f"unknown kind of report {data[:1]!r}")
     wire_type, report_type = _TYPES_BY_KIND[data[:1]]
-    wire = msgspec.msgpack.decode(data[1:], type=wire_type)
-    return msgspec.convert(wire, report_type, from_attributes=True)
+    try:
+        wire = msgspec.msgpack.decode(data[1:], type=wire_type)
+    except RecursionError as exc:
+        raise ValueError(str(exc)) from None
+    report = msgspec.convert(wire, report_type, from_attributes=True)
+    _check_sender(report)
+    return report
+
+
+def _check_sender(report: Report) -> None:
+    """Raise `ValueError` if no report can be sent to the sender's address, or it has no name."""
+    sender = report.sender if isinstance(report, OutsideReport) else report
+    check_address(sender.address)
+    if not sender.host.isprintable():
+        raise ValueError("the sender's name has control characters")
 
 
 class UdpReportTransport(asyncio.DatagramProtocol):
@@ -126,7 +139,7 @@
         """Decode a report and pass it to the callback. Called by asyncio."""
         try:
             report = decode_report(data)
-        except msgspec.DecodeError as exc:
+        except ValueError as exc:
             emit(DATAGRAM_IGNORED, sender=f"{addr[0]}:{addr[1]}", reason=str(exc))
             return
         self._on_report(report)
--- a/almondspindle/adapters/http1/pool.py
+++ b/almondspindle/adapters/http1/pool.py
@@ -60,14 +60,14 @@
         self.release(target, address, opened.ok, ())
         return False
 
-    async def _open(self, address: str) -> Result[TargetConnection, OSError]:
-        host, port = split_address(address)
+    async def _open(self, address: str) -> Result[TargetConnection, Exception]:
         loop = asyncio.get_running_loop()
         self._metrics.count(CONNECTIONS)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(TargetConnection, host, port)
-        except OSError as exc:
+        except (OSError, OverflowError, ValueError) as exc:  # the latter for odd addresses
             return Error(exc)
         return Ok(connection)
 
--- a/almondspindle/adapters/platform/transport.py
+++ b/almondspindle/adapters/platform/transport.py
@@ -50,7 +50,7 @@
         )
         try:
             response = await self._client.fetch(req, raise_error=False)
-        except (OSError, HTTPClientError) as exc:
+        except (OSError, HTTPClientError, OverflowError, ValueError) as exc:  # odd addresses too
             return Error(StoreError(StoreErrorCode.UNAVAILABLE, repr(exc)))
         if response.code in expected:
             return Ok(response)
