Report deeply nested objects of the product's store as malformed

Callers saw: requests without an answer once a router or entry had read such an object, as its task ended. Cause: the host list and the parts of claims expected DecodeError only, and a port could have digits of other scripts. Evidence: the new cases of test_roster_models.py and test_claims.py raised RecursionError or were accepted before. Change: RecursionError is an error result too; ports have ASCII digits. Result: both files pass. One odd entry still invalidates the whole host list of the product, as test_one_invalid_entry_invalidates_the_list states.

--- a/almondspindle/adapters/platform/claim_codec.py
+++ b/almondspindle/adapters/platform/claim_codec.py
@@ -59,7 +59,7 @@
         return Ok(PartRecords())
     try:
         format_number, sealed, stored = _DECODER.decode(data)
-    except msgspec.DecodeError as exc:
+    except (ValueError, RecursionError) as exc:
         return Error(str(exc))
     if format_number != FORMAT_NUMBER:
         return Error(f"unknown format {format_number}; this program reads format {FORMAT_NUMBER}")
--- a/almondspindle/adapters/platform/models.py
+++ b/almondspindle/adapters/platform/models.py
@@ -34,7 +34,7 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Share = Annotated[float, Field(ge=0.0, le=1.0)]
 Seconds = Annotated[float, Field(ge=0.0)]
 Retention = Annotated[float, Field(ge=0.0, le=MAX_RETENTION_S)]
@@ -193,7 +193,7 @@
     """
     try:
         entries = msgspec.json.decode(value, type=_HostList).entries
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (ValueError, RecursionError) as exc:
         return Error(f"document: {exc}")
     roster, errors = Roster(), []
     for number, raw in enumerate(entries):
--- a/tests/adapters/test_roster_models.py
+++ b/tests/adapters/test_roster_models.py
@@ -6,6 +6,7 @@
 
 from almondspindle.adapters.platform.models import parse_roster
 from almondspindle.core.roster import Host, HostState, Target, TargetState
+from tests.standins.odd_objects import DEEP
 
 ROUTER = {"role": "router", "name": "h1", "zone": "a", "address": "127.0.0.1:1"}
 TARGET = {"role": "target", "name": "t1", "service": "s", "zone": "a", "address": "127.0.0.1:2"}
@@ -40,6 +41,8 @@
     (b'{"entries": [', ("document",)),
     (b'{"entries": [{"role": "router\xff"}]}', ("entries.0",)),
     (b"", ("document",)),
+    (b'{"entries": [%b]}' % DEEP, ("document",)),
+    (host_list({**TARGET, "address": "127.0.0.1:\u0664\u0662"}), ("entries.0.",)),
 ]
 
 
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -306,8 +306,21 @@
     assert fingerprint(*base) not in {fingerprint(*other) for other in others}
 
 
+# A record with a field of a later version that is nested too deeply.
+DEEP_RECORD = b"\x9a\xc4\x00\xa6absent\xa0\xa0\x01\x00\x00\x00\xc0" + b"\x91" * 5000 + b"\x01"
+
+
 # The third object has the unknown format number 0x63; the fourth has an array in place of the map.
-@pytest.mark.parametrize("data", [b"\x00", b"junk", b"\x93\x63\xc2\x80", b"\x93\x01\xc2\x91\x01"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00",
+        b"junk",
+        b"\x93\x63\xc2\x80",
+        b"\x93\x01\xc2\x91\x01",
+        b"\x93\x01\xc2\x81\xc4\x01x" + DEEP_RECORD,
+    ],
+)
 def test_malformed_object_is_not_decoded_as_an_empty_one(data):
     assert decode_part(data).is_error()
     assert FORMAT_NUMBER != 0x63
