Read a list on past an object that bears another one's name

Callers saw: 503 or old replicas, if an object at the end of a page said a name that a page before it ended with: its list was never read to the end. Cause: the name in the last object is where the next page begins, whatever the object says; the same page came again. Change: the last name of a page that wasn't used yet is where it goes on; if there is none, the read fails.

--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -60,6 +60,7 @@
         records: list[Record] = []
         revision: int | None = None
         after = ""
+        used = {after}
         while True:
             result = await self._read_page(topic, after)
             if result.is_error():
@@ -70,11 +71,13 @@
             revision = page.store_revision if revision is None else revision
             if not page.more or not page.items:
                 return Ok(Snapshot(topic, revision, tuple(records)))
-            last = decoded[-1].name if decoded else after
-            if last == after:
-                text = f"no object on the page after {after!r} has a name"
+            # A name that was used already would lead to the same pages again.
+            names = [record.name for record in decoded if record.name not in used]
+            if not names:
+                text = f"no object on the page after {after!r} has a name from which to read on"
                 return Error(StoreError(StoreErrorCode.MALFORMED, text))
-            after = last
+            after = names[-1]
+            used.add(after)
 
     async def _read_page(self, topic: Topic, after: str) -> Result[Page, StoreError]:
         path = _collection_path(topic) + (f"?after={quote(after, safe='')}" if after else "")
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -191,6 +191,19 @@
     run(check)
 
 
+def test_a_list_goes_on_after_an_object_that_bears_the_name_of_another():
+    async def check() -> None:
+        async with ObjectStore() as store:
+            for each in ("b", "d", "e", "g", "h"):
+                await store.put("evacuations", each, {})
+            for key, name in (("c", "a"), ("f", "b")):
+                await store.put_bytes("evacuations", key, stored({}, name))
+            result = await PlatformStore(store.address).read(Topic.ZONES)
+            assert {r.name for r in result.ok.records} >= {"b", "d", "e", "g", "h"}
+
+    run(check)
+
+
 def test_a_page_without_any_name_is_an_error_and_not_an_end():
     async def check() -> None:
         async with ObjectStore() as store:
