Refuse a peer's version of too many digits

Callers saw: nothing; the peer got no answer and waited for its time-out. Cause: int() raises ValueError for more than 4,300 digits, in the responder. Evidence: the new test raised ValueError for 5,000 digits. Change: parse_digits, and status 404 as for any other path. Result: the test passes.

--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -16,6 +16,7 @@
 from almondspindle.adapters.platform.transport import StoreTransport
 from almondspindle.core.inventory import CopyVersion, Record, Snapshot, Topic, TopicUpdate
 from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.utils.numbers import parse_digits
 
 TOPIC_PATH = "/topics/"
 HTTP_OK = 200
@@ -88,12 +89,13 @@
     async def respond(self, path: str) -> Reply:
         """Return the update for the requester's version, or status 404 for another path."""
         match path.split("/"):
-            case [name, revision, newest] if revision.isdecimal() and newest.isdecimal():
-                since = CopyVersion(int(revision), int(newest))
+            case [name, *numbers] if len(numbers) == 2 and name in set(Topic):
+                revision, newest = map(parse_digits, numbers)
             case _:
                 return NOT_FOUND
-        if name not in set(Topic):
+        if revision is None or newest is None:
             return NOT_FOUND
+        since = CopyVersion(revision, newest)
         update = await self._get_update(Topic(name), since)
         key = (update.topic, since, update.revision)
         cached = self._replies.get(key)
--- a/tests/adapters/test_odd_records_from_peers.py
+++ b/tests/adapters/test_odd_records_from_peers.py
@@ -8,7 +8,8 @@
 from eliot import add_destinations, remove_destination
 
 from almondspindle.adapters.exchange.datagrams import decode_report, encode_report
-from almondspindle.adapters.exchange.topics import TopicClient, encode_update
+from almondspindle.adapters.exchange.internal_server import NOT_FOUND
+from almondspindle.adapters.exchange.topics import TopicClient, TopicServer, encode_update
 from almondspindle.adapters.platform.base import StoreErrorCode
 from almondspindle.controllers.view.messages import (
     ChangesReceived,
@@ -29,6 +30,7 @@
     Snapshot,
     Topic,
     TopicChanges,
+    TopicUpdate,
 )
 from almondspindle.core.reports import HostReport
 from almondspindle.platform.objects import decode_record
@@ -179,3 +181,14 @@
     update = fleet.watcher.handle(GetTopicUpdate(Topic.TARGETS, CopyVersion()), 1.0)
     assert update.unchanged == ()
     assert encode_update(update)
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["targets/" + "9" * 5000 + "/0", "targets/0/²", "targets/-1/0", "targets/0", "x/0/0", ""],
+)
+def test_a_peer_that_asks_for_an_odd_version_is_told_that_there_is_none(path):
+    async def get_update(topic: Topic, since: CopyVersion) -> TopicUpdate:
+        return TopicUpdate(topic, 1, ())
+
+    assert asyncio.run(TopicServer(get_update).respond(path)) == NOT_FOUND
