Refuse what is unfinished at the end of a planned stop

Callers saw: requests in flight at the end of the grace period were cut without a response; with a grace period under 3 s the platform killed the process while it still waited to leave the rotation.

Cause: the process exited with requests in flight, and the wait of 2.6 s did not look at the grace.

Evidence (the test fails before): test_what_is_in_flight_at_the_end_of_the_grace_is_refused_with_an_unknown_outcome, with 0.5, 1 and 4 s, got no response.

Change: decisions/shutdown.py schedules a stop: accept, respond, exit, all within the grace. The server ends each call at the time to respond and writes 502 with an unknown outcome; a response that has begun ends visibly truncated.

Result: all three cases get their response, and the process ends within its grace.

--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -34,6 +34,7 @@
 )
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
 from almondspindle.core.routes import RequestLimits
+from almondspindle.decisions.shutdown import StopSchedule
 from almondspindle.utils.addresses import BACKLOG
 from almondspindle.utils.in_flight import InFlightCounter
 
@@ -56,6 +57,8 @@
         self.limits = RequestLimits()
         self.in_flight = InFlightCounter()
         self.is_draining = False
+        self._schedule: StopSchedule | None = None
+        self._timeouts: set[asyncio.Timeout] = set()  # of the calls in process
 
     async def listen(self, listener: socket.socket) -> None:
         """Accept connections at `listener`, including those already in its backlog."""
@@ -67,9 +70,15 @@
         """Return seconds on the monotonic clock."""
         return self._clock.monotonic()
 
-    def start_draining(self) -> None:
-        """Close each connection after its current or next response."""
+    def start_draining(self, schedule: StopSchedule) -> None:
+        """Close each connection after its current or next response.
+
+        Requests that are unfinished at `schedule.answer_by` are ended and refused.
+        """
         self.is_draining = True
+        self._schedule = schedule
+        for timeout in self._timeouts:
+            timeout.reschedule(self._loop_time(schedule.answer_by))
 
     def close_idle(self) -> None:
         """Stop accepting connections, and close those with no request queued or in process."""
@@ -208,7 +217,7 @@
         self, call: Call, sink: HttpSink, connection: CallerConnection, started_at: float
     ) -> bool:
         try:
-            completion = await self._chain.run(call, sink)
+            completion = await self._run_chain(call, sink)
         except (CallerDisconnected, asyncio.CancelledError):
             emit(
                 RESPONSE_ABORTED,
@@ -229,6 +238,34 @@
         self._write_refusal(connection, call.request_id, completion.refusal, closes)
         return not closes
 
+    async def _run_chain(self, call: Call, sink: HttpSink) -> Completion:
+        """Run `call`. At the end of a graceful shutdown it is ended while it can be refused."""
+        timeout = asyncio.timeout_at(self._call_end())
+        self._timeouts.add(timeout)
+        try:
+            async with timeout:
+                return await self._chain.run(call, sink)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            text = "the host stopped before the response was complete"
+            refusal = Refusal(RefusalCode.STOPPING, text, RunState.UNKNOWN)
+            return Completion(sink.status != 0, refusal)
+        finally:
+            self._timeouts.discard(timeout)
+
+    def _call_end(self) -> float | None:
+        """Return when a call that begins now is ended, on the loop's clock, None if it isn't.
+
+        After the time to answer, filters refuse each call at once.
+        """
+        if self._schedule is None or self.now() >= self._schedule.answer_by:
+            return None
+        return self._loop_time(self._schedule.answer_by)
+
+    def _loop_time(self, at: float) -> float:
+        return asyncio.get_running_loop().time() + at - self.now()
+
     def _log_completion(
         self, call: Call, completion: Completion, sink: HttpSink, started_at: float
     ) -> None:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -67,12 +67,8 @@
 from almondspindle.core.registry import MetricRegistry
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.bulk_transfers import bulk_limit_bytes
-from almondspindle.decisions.readiness import (
-    OUT_OF_ROTATION_S,
-    ReadinessState,
-    max_stop_s,
-    not_ready_reason,
-)
+from almondspindle.decisions.readiness import ReadinessState, not_ready_reason
+from almondspindle.decisions.shutdown import schedule_stop
 from almondspindle.platform import headers as codec
 from almondspindle.platform.objects import decode_record
 from almondspindle.platform.settings import read_settings, settings_path
@@ -268,15 +264,15 @@
         return TopicWatcher(topic, self._store, self._view, self._exchange)
 
     async def _shut_down(self) -> None:
-        started_at = self._clock.monotonic()
-        self._readiness = replace(self._readiness, stopping_since=started_at)
+        now = self._clock.monotonic()
+        schedule = schedule_stop(now, self._cfg.bounds.grace_s)
+        self._readiness = replace(self._readiness, stopping_since=now)
         emit(PROCESS_STOPPING, in_flight=self._http_server.in_flight.count)
-        self._http_server.start_draining()
-        await asyncio.sleep(OUT_OF_ROTATION_S)
+        self._http_server.start_draining(schedule)
+        await asyncio.sleep(schedule.listen_until - now)
         self._http_server.close_idle()
         emit(DRAIN_BEGUN, in_flight=self._http_server.in_flight.count)
-        elapsed_s = self._clock.monotonic() - started_at
-        remaining_s = max_stop_s(self._cfg.bounds.grace_s) - elapsed_s
+        remaining_s = schedule.exit_by - self._clock.monotonic()
         unfinished = await self._http_server.in_flight.wait_idle(max(0.0, remaining_s))
         if unfinished:
             emit(STOP_ABORTED_REQUESTS, count=unfinished)
