Serve what arrives on open connections until the end of a planned stop

Callers saw: a connection on which a part of a request had arrived was closed when the host left the rotation; requests pipelined behind another in a stop were dropped; a response that had begun before the stop was followed by a close that its head had not announced, while the next request was sent.

Cause: `close_idle` and the end of `_serve` closed connections without a look at what had arrived.

Change: the head of a response announces the close if nothing has arrived behind its request. After the listener is closed, requests are read and served until the time to respond, and quiet connections are closed; a request that is incomplete then is refused as not run. The process waits for the connections, so that a response that is written reaches its caller.

--- a/almondspindle/adapters/http1/caller_connection.py
+++ b/almondspindle/adapters/http1/caller_connection.py
@@ -40,6 +40,7 @@
     """The server that owns a connection."""
 
     limits: RequestLimits
+    is_draining: bool
 
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
@@ -122,6 +123,23 @@
         if self._drained is not None:
             await self._drained
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether nothing can be done before more bytes arrive."""
+        return not self.is_busy and self.requests.empty()
+
+    def is_last(self, request: RequestReceived) -> bool:
+        """Return whether the connection closes after the response to `request`.
+
+        While the server drains, that is the response to the last request that has arrived.
+        """
+        is_followed = self.is_reading_request or not self.requests.empty()
+        return not request.keep_alive or (self._owner.is_draining and not is_followed)
+
+    def refuse_unfinished(self, text: str) -> None:
+        """Refuse the request of which only a part has arrived, since the server stops."""
+        self._refuse(RefusalCode.STOPPING, text)
+
     @property
     def limits(self) -> RequestLimits:
         """Return the limits in force."""
--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 from functools import singledispatchmethod
 
 from almondspindle.adapters.http1.base import HeaderCodec, encode_head
@@ -40,6 +41,8 @@
 
 SWEEP_INTERVAL_S = 0.5
 IDLE_GRACE_S = 1.0  # callers reuse connections until shortly before the limit
+CLOSE_INTERVAL_S = 0.05
+QUIET_S = 0.25  # idle time before a draining connection closes, as a request may be under way
 
 
 class HttpServer:
@@ -59,6 +62,7 @@
         self.is_draining = False
         self._schedule: StopSchedule | None = None
         self._timeouts: set[asyncio.Timeout] = set()  # of the calls in process
+        self._all_closed = asyncio.Event()
 
     async def listen(self, listener: socket.socket) -> None:
         """Accept connections at `listener`, including those already in its backlog."""
@@ -71,7 +75,7 @@
         return self._clock.monotonic()
 
     def start_draining(self, schedule: StopSchedule) -> None:
-        """Close each connection after its current or next response.
+        """Close each connection after the response to the last request that has arrived.
 
         Requests that are unfinished at `schedule.answer_by` are ended and refused.
         """
@@ -80,11 +84,23 @@
         for timeout in self._timeouts:
             timeout.reschedule(self._loop_time(schedule.answer_by))
 
-    def close_idle(self) -> None:
-        """Stop accepting connections, and close those with no request queued or in process."""
-        self.stop_listening()
+    async def finish_connections(self, schedule: StopSchedule) -> None:
+        """Serve what arrives on open connections, until callers or the schedule ended them all."""
+        while self._connections and (left_s := schedule.exit_by - self.now()) > 0:
+            self._finish_waiting(self.now() >= schedule.answer_by)
+            self._all_closed.clear()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._all_closed.wait(), min(left_s, CLOSE_INTERVAL_S))
+
+    def _finish_waiting(self, is_last_call: bool) -> None:
+        """Close quiet connections; if `is_last_call`, refuse requests that have arrived in part."""
         for connection in list(self._connections):
-            if not connection.is_busy and connection.requests.empty():
+            if not connection.is_waiting:
+                continue
+            if connection.is_reading_request:
+                if is_last_call:
+                    connection.refuse_unfinished("the host stops before the request has arrived")
+            elif is_last_call or self.now() - connection.waiting_since >= QUIET_S:
                 self._close_waiting(connection, "stopping")
 
     def _close_waiting(self, connection: CallerConnection, reason: str) -> None:
@@ -112,6 +128,8 @@
     def connection_closed(self, connection: CallerConnection) -> None:
         """End the task of a closed connection."""
         self._connections.discard(connection)
+        if not self._connections:
+            self._all_closed.set()
         if connection.task is not None:
             connection.task.cancel()
 
@@ -120,7 +138,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for connection in list(self._connections):
-                if connection.is_busy or not connection.requests.empty():
+                if not connection.is_waiting:
                     continue
                 limit_s = self.limits.idle_timeout_s + IDLE_GRACE_S
                 if connection.is_reading_request:
@@ -136,7 +154,7 @@
             emit(CONNECTION_FAILED, request_id="", reason=repr(exc))
         finally:
             # Without its task the connection would stay open, and its caller would wait.
-            connection.transport.close()
+            self._finish(connection)
 
     async def _serve_requests(self, connection: CallerConnection) -> None:
         while not connection.is_closed:
@@ -151,6 +169,11 @@
             if not stays_open:
                 return
 
+    def _finish(self, connection: CallerConnection) -> None:
+        if not connection.is_closed and not connection.requests.empty():
+            emit(REQUEST_CUT, reason="last response", pipelined=connection.requests.qsize())
+        connection.transport.close()
+
     @singledispatchmethod
     async def _respond(self, request: object, connection: CallerConnection) -> bool:
         """Respond to `request` and return whether the connection stays open."""
@@ -168,7 +191,7 @@
     async def _(self, request: RequestReceived, connection: CallerConnection) -> bool:
         now = self.now()
         self._metrics.count(REQUESTS)
-        sink = HttpSink(connection, request, not request.keep_alive or self.is_draining)
+        sink = HttpSink(connection, request)
         self.in_flight.enter()
         try:
             return await self._process(request, sink, connection, now)
@@ -228,13 +251,12 @@
             raise
         self._log_completion(call, completion, sink, started_at)
         if completion.refusal is None:
-            # If draining began after the head was written, the head has no Connection: close.
-            return not (sink.closes_connection or self.is_draining)
+            return not sink.closes_connection
         if completion.started:
             self._metrics.count(TRUNCATED)
             connection.transport.abort()
             return False
-        closes = sink.closes_connection or self.is_draining
+        closes = sink.is_last()
         self._write_refusal(connection, call.request_id, completion.refusal, closes)
         return not closes
 
--- a/almondspindle/adapters/http1/sink.py
+++ b/almondspindle/adapters/http1/sink.py
@@ -26,14 +26,12 @@
     body's bytes, also those of a response to HEAD.
     """
 
-    def __init__(
-        self, connection: CallerConnection, request: RequestReceived, closes: bool
-    ) -> None:
+    def __init__(self, connection: CallerConnection, request: RequestReceived) -> None:
         self._connection = connection
         self._request = request
         self._is_chunked = False
         self._omits_body = request.method == "HEAD"
-        self.closes_connection = closes
+        self.closes_connection = False
         self.status = 0
         self.length = 0
 
@@ -46,6 +44,10 @@
             self._connection.transport.write(data)
             await self._connection.drain()
 
+    def is_last(self) -> bool:
+        """Return whether a response that begins now is the last one on its connection."""
+        return self._connection.is_last(self._request)
+
     @singledispatchmethod
     def _encode(self, part: object) -> bytes:
         raise InvariantError(f"unexpected response part {type(part).__name__}")
@@ -62,7 +64,8 @@
             self._is_chunked = True
             framing = (("Transfer-Encoding", "chunked"),)
         else:
-            self.closes_connection = self.closes_connection or has_body
+            self.closes_connection = has_body
+        self.closes_connection = self.closes_connection or self.is_last()
         if self.closes_connection:
             framing = (*framing, ("Connection", "close"))
         return encode_head(
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -177,7 +177,9 @@
     1606, "connection_failed", "An exception ended a request; states its id and the exception."
 )
 REQUEST_CUT = event(
-    1607, "request_cut", "This host closed a connection on which a part of a request had arrived."
+    1607,
+    "request_cut",
+    "This host closed a connection on which a part of a request, or a pipelined one, had arrived.",
 )
 RETRY_REFUSED = event(
     1608,
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -270,10 +270,10 @@
         emit(PROCESS_STOPPING, in_flight=self._http_server.in_flight.count)
         self._http_server.start_draining(schedule)
         await asyncio.sleep(schedule.listen_until - now)
-        self._http_server.close_idle()
+        self._http_server.stop_listening()
         emit(DRAIN_BEGUN, in_flight=self._http_server.in_flight.count)
-        remaining_s = schedule.exit_by - self._clock.monotonic()
-        unfinished = await self._http_server.in_flight.wait_idle(max(0.0, remaining_s))
+        await self._http_server.finish_connections(schedule)
+        unfinished = self._http_server.in_flight.count
         if unfinished:
             emit(STOP_ABORTED_REQUESTS, count=unfinished)
         emit(PROCESS_STOPPED)
--- a/tests/programs/test_node_stops.py
+++ b/tests/programs/test_node_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -41,10 +42,38 @@
         writer.close()
 
 
+async def accepts_no_connection(host) -> bool:
+    try:
+        _, writer = await host.open()
+    except OSError:
+        return True
+    writer.close()
+    return False
+
+
 def held(request: r.ReceivedRequest) -> r.ScriptedResponse:
     return r.ScriptedResponse((), "hold")
 
 
+def test_a_request_that_has_arrived_in_part_when_the_listener_closes_is_answered():
+    async def check() -> None:
+        async with (
+            host_with_grace(4, plain=r.complete_response) as (host, _),
+            open_connection(host) as (reader, writer),
+        ):
+            data = encode_request("/commit/", BODY)
+            writer.write(data[:-50])
+            host.stop.set()
+            await wait_until(lambda: accepts_no_connection(host))
+            writer.write(data[-50:])
+            response = await read_response(reader)
+            assert (response.status, response.is_complete) == (200, True)
+            assert response.headers["connection"] == "close"
+            assert await asyncio.wait_for(host.task, 10) == 0
+
+    run(check)
+
+
 @pytest.mark.parametrize("grace_s", [0.5, 1.0, 4.0])
 def test_what_is_in_flight_at_the_end_of_the_grace_is_refused_with_an_unknown_outcome(grace_s):
     async def check() -> None:
@@ -64,3 +93,72 @@
             assert asyncio.get_running_loop().time() - stopped_at < grace_s
 
     run(check)
+
+
+def test_a_request_that_is_incomplete_at_the_end_of_the_grace_is_refused_as_not_run():
+    async def check() -> None:
+        async with (
+            host_with_grace(1, plain=r.complete_response) as (host, _),
+            open_connection(host) as (reader, writer),
+        ):
+            writer.write(encode_request("/commit/", BODY)[:-50])
+            host.stop.set()
+            response = await read_response(reader)
+            assert (response.status, response.is_complete) == (503, True)
+            assert float(response.headers["retry-after"]) > 0
+
+    run(check)
+
+
+def test_requests_that_are_pipelined_in_a_stop_are_all_answered():
+    async def check() -> None:
+        gate = asyncio.Event()
+
+        def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            return replace(r.complete_response(request), gate=gate)
+
+        async with (
+            host_with_grace(4, plain=behave) as (host, groups),
+            open_connection(host) as (reader, writer),
+        ):
+            writer.write(encode_request("/commit/", BODY, "r-1"))
+            await wait_until(lambda: any(each.requests for each in groups["plain"]))
+            host.stop.set()
+            await wait_until(lambda: not_ready(host))
+            writer.write(encode_request("/commit/", BODY, "r-2"))
+            connection = next(iter(host.node._http_server._connections))
+            await wait_until(lambda: connection.requests.qsize() == 1)
+            gate.set()
+            data = await asyncio.wait_for(reader.read(), 10)
+            assert data.count(b"HTTP/1.1 200 OK") == 2
+            assert data.count(b"Connection: close") == 1
+
+    run(check)
+
+
+async def not_ready(host) -> bool:
+    return not await host.is_ready()
+
+
+def test_a_connection_without_an_announced_close_serves_the_next_request_in_a_stop():
+    async def check() -> None:
+        gate = asyncio.Event()
+
+        def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+            return replace(r.stream(request), gate=gate)
+
+        async with (
+            host_with_grace(4, model=behave, plain=r.complete_response) as (host, _),
+            open_connection(host) as (reader, writer),
+        ):
+            writer.write(encode_request("/stream/", BODY, "r-1"))
+            await reader.readuntil(b"token-3")
+            host.stop.set()
+            await wait_until(lambda: not_ready(host))
+            gate.set()
+            await reader.readuntil(b"0\r\n\r\n")
+            writer.write(encode_request("/commit/", BODY, "r-2"))
+            response = await read_response(reader)
+            assert (response.status, response.headers["connection"]) == (200, "close")
+
+    run(check)
