Read what has arrived before a connection or the listener closes

Callers saw: connections in the backlog were reset when the listener closed; a response was lost to a reset if bytes had arrived behind its request, or if it refused a body that was still being sent; a connection was closed as overdue although its request had arrived while the event loop was held up.

Cause: closing a socket with unread bytes resets it, and nothing looked for them.

Change: the listener closes once its backlog is empty and its last connections are open. After the last response the sending side is shut down, and what arrives is ignored until the caller closes, 1 s at most. Before a connection is closed as idle, overdue or quiet, the kernel is asked for unread bytes.

--- a/almondspindle/adapters/http1/caller_connection.py
+++ b/almondspindle/adapters/http1/caller_connection.py
@@ -11,6 +11,7 @@
 from almondspindle.core.routes import RequestLimits
 
 MAX_PIPELINED = 16  # requests that wait while another one is processed
+LINGER_S = 1.0  # time for a caller to close its side after the last response
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,8 @@
         self.is_busy = False
         self.waiting_since = now
         self.is_reading_request = False
+        self._is_finishing = False
+        self._linger: asyncio.TimerHandle | None = None
         self._drained: asyncio.Future[None] | None = None
         self._is_refused = False
         self._parser: Any = httptools.HttpRequestParser(self)
@@ -92,11 +95,13 @@
         self.is_closed = True
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
+        if self._linger is not None:
+            self._linger.cancel()
         self._owner.connection_closed(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes. Called by asyncio."""
-        if self._is_refused:
+        if self._is_refused or self._is_finishing:
             return
         if not self.is_reading_request and not self.is_busy:
             self.waiting_since = self._owner.now()
@@ -126,7 +131,7 @@
     @property
     def is_waiting(self) -> bool:
         """Return whether nothing can be done before more bytes arrive."""
-        return not self.is_busy and self.requests.empty()
+        return not self.is_busy and not self._is_finishing and self.requests.empty()
 
     def is_last(self, request: RequestReceived) -> bool:
         """Return whether the connection closes after the response to `request`.
@@ -136,6 +141,19 @@
         is_followed = self.is_reading_request or not self.requests.empty()
         return not request.keep_alive or (self._owner.is_draining and not is_followed)
 
+    def finish(self) -> None:
+        """Close the connection after what is written to it, and after the caller if it is prompt.
+
+        Bytes that arrive until then are read and ignored. A close with unread bytes would reset the
+        connection, and the caller might lose the response.
+        """
+        if self._is_finishing or self.transport.is_closing():
+            return
+        self._is_finishing = True
+        self.transport.write_eof()
+        loop = asyncio.get_running_loop()
+        self._linger = loop.call_later(LINGER_S, self.transport.close)
+
     def refuse_unfinished(self, text: str) -> None:
         """Refuse the request of which only a part has arrived, since the server stops."""
         self._refuse(RefusalCode.STOPPING, text)
--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -38,9 +38,12 @@
 from almondspindle.decisions.shutdown import StopSchedule
 from almondspindle.utils.addresses import BACKLOG
 from almondspindle.utils.in_flight import InFlightCounter
+from almondspindle.utils.sockets import has_pending_connections, has_unread_bytes
 
 SWEEP_INTERVAL_S = 0.5
 IDLE_GRACE_S = 1.0  # callers reuse connections until shortly before the limit
+MAX_ACCEPT_ROUNDS = 100  # of the event loop, to accept what waits when the listener closes
+QUIET_ACCEPT_ROUNDS = 2  # asyncio adds a connection in the round after it accepted it
 CLOSE_INTERVAL_S = 0.05
 QUIET_S = 0.25  # idle time before a draining connection closes, as a request may be under way
 
@@ -84,6 +87,20 @@
         for timeout in self._timeouts:
             timeout.reschedule(self._loop_time(schedule.answer_by))
 
+    async def stop_accepting(self) -> None:
+        """Accept the connections in the listener's backlog, and no more after them."""
+        quiet_rounds = 0
+        for _ in range(MAX_ACCEPT_ROUNDS):
+            quiet_rounds = 0 if self._has_backlog() else quiet_rounds + 1
+            if quiet_rounds >= QUIET_ACCEPT_ROUNDS:
+                break
+            await asyncio.sleep(0)
+        self.stop_listening()
+
+    def _has_backlog(self) -> bool:
+        sockets = self._server.sockets if self._server is not None else ()
+        return any(has_pending_connections(listener) for listener in sockets)
+
     async def finish_connections(self, schedule: StopSchedule) -> None:
         """Serve what arrives on open connections, until callers or the schedule ended them all."""
         while self._connections and (left_s := schedule.exit_by - self.now()) > 0:
@@ -104,6 +121,9 @@
                 self._close_waiting(connection, "stopping")
 
     def _close_waiting(self, connection: CallerConnection, reason: str) -> None:
+        """Close `connection`, unless bytes have arrived that it has not read yet."""
+        if has_unread_bytes(connection.transport):
+            return
         if connection.is_reading_request:
             waited_s = round(self.now() - connection.waiting_since, 3)
             emit(REQUEST_CUT, reason=reason, waited_s=waited_s)
@@ -137,14 +157,18 @@
         """Close connections that exceed the idle or header time-out, until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            for connection in list(self._connections):
-                if not connection.is_waiting:
-                    continue
-                limit_s = self.limits.idle_timeout_s + IDLE_GRACE_S
-                if connection.is_reading_request:
-                    limit_s = self.limits.header_timeout_s
-                if self.now() - connection.waiting_since > limit_s:
-                    self._close_waiting(connection, "time-out")
+            self.close_overdue()
+
+    def close_overdue(self) -> None:
+        """Close the connections that exceed the idle or header time-out now."""
+        for connection in list(self._connections):
+            if not connection.is_waiting:
+                continue
+            limit_s = self.limits.idle_timeout_s + IDLE_GRACE_S
+            if connection.is_reading_request:
+                limit_s = self.limits.header_timeout_s
+            if self.now() - connection.waiting_since > limit_s:
+                self._close_waiting(connection, "time-out")
 
     async def _serve(self, connection: CallerConnection) -> None:
         try:
@@ -172,7 +196,7 @@
     def _finish(self, connection: CallerConnection) -> None:
         if not connection.is_closed and not connection.requests.empty():
             emit(REQUEST_CUT, reason="last response", pipelined=connection.requests.qsize())
-        connection.transport.close()
+        connection.finish()
 
     @singledispatchmethod
     async def _respond(self, request: object, connection: CallerConnection) -> bool:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -270,7 +270,7 @@
         emit(PROCESS_STOPPING, in_flight=self._http_server.in_flight.count)
         self._http_server.start_draining(schedule)
         await asyncio.sleep(schedule.listen_until - now)
-        self._http_server.stop_listening()
+        await self._http_server.stop_accepting()
         emit(DRAIN_BEGUN, in_flight=self._http_server.in_flight.count)
         await self._http_server.finish_connections(schedule)
         unfinished = self._http_server.in_flight.count
--- /dev/null
+++ b/tests/adapters/test_caller_connections.py
@@ -0,0 +1,157 @@
+"""Tests for the connections of callers: their ends, time-outs and limits."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+from almondspindle.adapters.http1.server import HttpServer
+from almondspindle.core.calls import (
+    Call,
+    Completion,
+    ResponseChunk,
+    ResponseEnd,
+    ResponseHead,
+    ResponseSink,
+)
+from almondspindle.core.clock import SystemClock
+from almondspindle.core.identifiers import TargetName
+from almondspindle.core.registry import MetricRegistry
+from almondspindle.platform import headers as codec
+from almondspindle.utils.addresses import listening_socket
+from tests.standins.node_fleet import encode_request, read_response, wait_until
+
+REQUEST = encode_request("/commit/", b"x" * 100)
+
+
+class StubChain:
+    """A chain that responds to each call with `body` at once."""
+
+    def __init__(self, body: bytes = b"done") -> None:
+        self.body = body
+        self.calls: list[Call] = []
+
+    async def run(self, call: Call, sink: ResponseSink) -> Completion:
+        self.calls.append(call)
+        await sink.write(ResponseHead(200, (), TargetName("t"), len(self.body)))
+        await sink.write(ResponseChunk(self.body))
+        await sink.write(ResponseEnd())
+        return Completion(started=True)
+
+
+class ShiftedClock(SystemClock):
+    """The system's clock, set forward by `ahead_s`."""
+
+    ahead_s = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.ahead_s
+
+
+@asynccontextmanager
+async def running_server(chain: StubChain):
+    """Run a server; yield it, its address and its clock."""
+    clock = ShiftedClock()
+    server = HttpServer(chain, codec, clock, MetricRegistry())
+    listener = listening_socket("127.0.0.1:0")
+    await server.listen(listener)
+    try:
+        yield server, listener.getsockname(), clock
+    finally:
+        server.abort()
+        await asyncio.sleep(0)
+
+
+@asynccontextmanager
+async def connected(address):
+    """Connect without a step of the event loop; yield the socket, which blocks."""
+    with socket.create_connection(address) as sock:
+        yield sock
+
+
+async def stream_of(sock: socket.socket):
+    """Return reader and writer for `sock`, which doesn't block any longer."""
+    sock.setblocking(False)
+    return await asyncio.open_connection(sock=sock)
+
+
+def test_a_connection_in_the_backlog_when_the_listener_closes_is_served():
+    async def check() -> None:
+        async with (
+            running_server(StubChain()) as (server, address, _),
+            connected(address) as sock,
+        ):
+            sock.sendall(REQUEST)
+            await server.stop_accepting()
+            reader, _ = await stream_of(sock)
+            assert (await read_response(reader)).status == 200
+
+    asyncio.run(check())
+
+
+def test_bytes_behind_the_last_request_do_not_destroy_its_response():
+    chain = StubChain(b"y" * 4_000_000)
+    request = encode_request("/commit/", b"x", Connection="close")
+
+    async def check() -> None:
+        async with running_server(chain) as (_, address, _), connected(address) as sock:
+            reader, writer = await stream_of(sock)
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Connection: close" in head
+            writer.write(b"z" * 2_000_000)
+            assert len(await reader.read(-1)) == len(chain.body)
+
+    asyncio.run(check())
+
+
+def test_a_refused_body_is_read_so_that_the_refusal_arrives():
+    request = encode_request("/commit/", b"x" * 6_000_000)
+
+    async def check() -> None:
+        async with running_server(StubChain()) as (_, address, _), connected(address) as sock:
+            reader, writer = await stream_of(sock)
+            writer.write(request)
+            await writer.drain()
+            response = await read_response(reader)
+            assert (response.status, response.is_complete) == (413, True)
+
+    asyncio.run(check())
+
+
+def test_a_time_out_is_not_judged_before_bytes_that_have_arrived_are_read():
+    """The event loop may have been held up between their arrival and the check."""
+
+    async def check() -> None:
+        async with (
+            running_server(StubChain()) as (server, address, clock),
+            connected(address) as sock,
+        ):
+            sock.sendall(REQUEST[:-50])
+            await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+            sock.sendall(REQUEST[-50:])
+            clock.ahead_s = server.limits.header_timeout_s + 1
+            server.close_overdue()
+            reader, _ = await stream_of(sock)
+            assert (await read_response(reader)).status == 200
+            clock.ahead_s += server.limits.idle_timeout_s + 2
+            sock.sendall(REQUEST)
+            server.close_overdue()
+            assert (await read_response(reader)).status == 200
+
+    asyncio.run(check())
+
+
+def test_a_connection_past_its_time_out_is_closed():
+    async def check() -> None:
+        async with (
+            running_server(StubChain()) as (server, address, clock),
+            connected(address) as sock,
+        ):
+            sock.sendall(REQUEST[:-50])
+            await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+            clock.ahead_s = server.limits.header_timeout_s + 1
+            server.close_overdue()
+            reader, _ = await stream_of(sock)
+            assert await reader.read() == b""
+
+    asyncio.run(check())
