Judge requests and idle connections by the limits that their callers knew

Callers saw: a changed configuration refused requests that were half sent under larger limits, and closed connections that had become idle under a longer limit, with requests under way.

Cause: `HttpServer.limits` was replaced at once, also for what had begun under the former limits.

Evidence (the tests fail before): test_a_request_is_read_under_the_limits_in_force_when_it_began got 413, 431 and no response; test_a_connection_that_is_idle_when_the_limit_is_shortened_is_not_closed_at_once got no response.

Change: a connection takes the limits at the first byte of a request, and when it becomes idle. A shortened idle limit counts from its change at the earliest (decisions/idle_connections.py).

Result: the tests pass.

--- a/almondspindle/adapters/http1/caller_connection.py
+++ b/almondspindle/adapters/http1/caller_connection.py
@@ -60,7 +60,8 @@
     """Parse a caller's requests. `requests` is the inbox of the connection's task.
 
     `waiting_since` is when the connection became idle or the first bytes of a request arrived. The
-    server's time-outs are measured from it.
+    server's time-outs are measured from it. `limits` are those in force at that time: a change of
+    limits does not concern a request that has begun.
     """
 
     def __init__(self, owner: ConnectionOwner, now: float) -> None:
@@ -71,6 +72,7 @@
         self.is_closed = False
         self.is_busy = False
         self.waiting_since = now
+        self.limits = owner.limits
         self.is_reading_request = False
         self._is_finishing = False
         self._linger: asyncio.TimerHandle | None = None
@@ -133,6 +135,13 @@
         """Return whether nothing can be done before more bytes arrive."""
         return not self.is_busy and not self._is_finishing and self.requests.empty()
 
+    def start_waiting(self, now: float) -> None:
+        """Wait for the next request, of which a part may have arrived."""
+        self.is_busy = False
+        self.waiting_since = now
+        if not self.is_reading_request:
+            self.limits = self._owner.limits
+
     def is_last(self, request: RequestReceived) -> bool:
         """Return whether the connection closes after the response to `request`.
 
@@ -158,13 +167,12 @@
         """Refuse the request of which only a part has arrived, since the server stops."""
         self._refuse(RefusalCode.STOPPING, text)
 
-    @property
-    def limits(self) -> RequestLimits:
-        """Return the limits in force."""
-        return self._owner.limits
-
     # The methods below are callbacks of the parser.
 
+    def on_message_begin(self) -> None:
+        """Apply the limits in force to the request that begins."""
+        self.limits = self._owner.limits
+
     def on_url(self, url: bytes) -> None:
         """Append to the path."""
         self._url += url
--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -35,13 +35,13 @@
 )
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
 from almondspindle.core.routes import RequestLimits
+from almondspindle.decisions.idle_connections import idle_until
 from almondspindle.decisions.shutdown import StopSchedule
 from almondspindle.utils.addresses import BACKLOG
 from almondspindle.utils.in_flight import InFlightCounter
 from almondspindle.utils.sockets import has_pending_connections, has_unread_bytes
 
 SWEEP_INTERVAL_S = 0.5
-IDLE_GRACE_S = 1.0  # callers reuse connections until shortly before the limit
 MAX_ACCEPT_ROUNDS = 100  # of the event loop, to accept what waits when the listener closes
 QUIET_ACCEPT_ROUNDS = 2  # asyncio adds a connection in the round after it accepted it
 CLOSE_INTERVAL_S = 0.05
@@ -61,6 +61,7 @@
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self.limits = RequestLimits()
+        self._idle_timeout_since = self.now()
         self.in_flight = InFlightCounter()
         self.is_draining = False
         self._schedule: StopSchedule | None = None
@@ -77,6 +78,12 @@
         """Return seconds on the monotonic clock."""
         return self._clock.monotonic()
 
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Apply `limits` to the requests that begin from now on, and to idle connections."""
+        if limits.idle_timeout_s != self.limits.idle_timeout_s:
+            self._idle_timeout_since = self.now()
+        self.limits = limits
+
     def start_draining(self, schedule: StopSchedule) -> None:
         """Close each connection after the response to the last request that has arrived.
 
@@ -164,12 +171,20 @@
         for connection in list(self._connections):
             if not connection.is_waiting:
                 continue
-            limit_s = self.limits.idle_timeout_s + IDLE_GRACE_S
-            if connection.is_reading_request:
-                limit_s = self.limits.header_timeout_s
-            if self.now() - connection.waiting_since > limit_s:
+            if self.now() > self._wait_end(connection):
                 self._close_waiting(connection, "time-out")
 
+    def _wait_end(self, connection: CallerConnection) -> float:
+        """Return until when `connection` may wait for the next bytes."""
+        if connection.is_reading_request:
+            return connection.waiting_since + connection.limits.header_timeout_s
+        return idle_until(
+            connection.waiting_since,
+            connection.limits.idle_timeout_s,
+            self.limits.idle_timeout_s,
+            self._idle_timeout_since,
+        )
+
     async def _serve(self, connection: CallerConnection) -> None:
         try:
             await self._serve_requests(connection)
@@ -188,8 +203,7 @@
                 stays_open = await self._respond(request, connection)
             except CallerDisconnected:
                 return
-            connection.is_busy = False
-            connection.waiting_since = self.now()
+            connection.start_waiting(self.now())
             if not stays_open:
                 return
 
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -154,7 +154,7 @@
     def _(self, change: RoutesChanged) -> None:
         emit(TABLE_APPLIED, version=change.table.version, routes=len(change.table.routes))
         self._placement.send(change)
-        self._http_server.limits = change.table.limits
+        self._http_server.set_limits(change.table.limits)
         self._update_readiness(replace(self._readiness, has_route_table=True))
 
     @_publish.register
--- a/tests/adapters/test_caller_connections.py
+++ b/tests/adapters/test_caller_connections.py
@@ -4,6 +4,8 @@
 import socket
 from contextlib import asynccontextmanager
 
+import pytest
+
 from almondspindle.adapters.http1.server import HttpServer
 from almondspindle.core.calls import (
     Call,
@@ -16,6 +18,7 @@
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.identifiers import TargetName
 from almondspindle.core.registry import MetricRegistry
+from almondspindle.core.routes import RequestLimits
 from almondspindle.platform import headers as codec
 from almondspindle.utils.addresses import listening_socket
 from tests.standins.node_fleet import encode_request, read_response, wait_until
@@ -155,3 +158,44 @@
             assert await reader.read() == b""
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [RequestLimits(body_bytes=10), RequestLimits(header_bytes=50), RequestLimits(10, 10, 0.1, 0.1)],
+)
+def test_a_request_is_read_under_the_limits_in_force_when_it_began(limits):
+    async def check() -> None:
+        async with (
+            running_server(StubChain()) as (server, address, clock),
+            connected(address) as sock,
+        ):
+            reader, writer = await stream_of(sock)
+            writer.write(REQUEST[:40])
+            await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+            server.set_limits(limits)
+            clock.ahead_s = 2.0
+            server.close_overdue()
+            writer.write(REQUEST[40:])
+            assert (await read_response(reader)).status == 200
+
+    asyncio.run(check())
+
+
+def test_a_connection_that_is_idle_when_the_limit_is_shortened_is_not_closed_at_once():
+    async def check() -> None:
+        async with (
+            running_server(StubChain()) as (server, address, clock),
+            connected(address) as sock,
+        ):
+            reader, writer = await stream_of(sock)
+            writer.write(REQUEST)
+            assert (await read_response(reader)).status == 200
+            await wait_until(lambda: all(c.is_waiting for c in server._connections))
+            clock.ahead_s = 0.8 * server.limits.idle_timeout_s
+            server.set_limits(RequestLimits(idle_timeout_s=2.0))
+            server.close_overdue()
+            writer.write(REQUEST)
+            assert (await read_response(reader)).status == 200
+
+    asyncio.run(check())
