Refuse requests that can't finish before a planned stop's end

Callers saw: a request that arrived late in the grace period was passed on, and ended at the stop with an unknown outcome, also if it may not be repeated.

Cause: nothing compared the time that a request takes with the time that was left.

In a stop the filter RejectUnfinishable refuses a request that may take longer than what is left, as not run, with Retry-After and Connection: close.

--- /dev/null
+++ b/almondspindle/controllers/durations/__init__.py
@@ -0,0 +1,1 @@
+"""Measure how long requests of each route take."""
--- /dev/null
+++ b/almondspindle/controllers/durations/messages.py
@@ -0,0 +1,27 @@
+"""Messages to the durations controller."""
+
+from dataclasses import dataclass
+
+from almondspindle.controllers.base import ControllerRequest
+from almondspindle.core.outcomes import Outcome
+from almondspindle.core.routes import Route
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCompleted:
+    """A request of the route named `route` got its complete response after `took_s` seconds."""
+
+    route: str
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CheckTimeLeft(ControllerRequest[Outcome[None]]):
+    """Request whether a request of `route` that begins now can finish by `answer_by`.
+
+    It ends at `deadline_at` in any case. Times are in seconds on the monotonic clock.
+    """
+
+    route: Route
+    deadline_at: float
+    answer_by: float
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -20,6 +20,8 @@
 from almondspindle.chain.deliver import DeliverToTarget
 from almondspindle.chain.match import MatchRoute
 from almondspindle.chain.quarantine import RejectQuarantined
+from almondspindle.chain.time_left import MeasureDuration, RejectUnfinishable
+from almondspindle.controllers.durations.task import DurationsController
 from almondspindle.controllers.exchange.messages import (
     OutsideReportReceived,
     ReportReceived,
@@ -103,6 +105,7 @@
         self._placement = PlacementController(cfg, self._clock)
         self._view = ViewController(cfg, self._clock, self._publish)
         self._quarantine = QuarantineController(cfg, self._clock)
+        self._durations = DurationsController(self._clock)
         self._exchange = ExchangeController(
             cfg,
             self._clock,
@@ -113,15 +116,18 @@
         )
         self._pool = ConnectionPool(self._clock, self._metrics)
         client = PooledTargetClient(self._pool, codec, self._clock, self._metrics)
+        self._reject_unfinishable = RejectUnfinishable(self._durations)
+        deliver = DeliverToTarget(
+            self._placement, self._quarantine, client, self._clock, self._metrics
+        )
         chain = Chain(
             filters=(
                 MatchRoute(self._view),
+                self._reject_unfinishable,
                 RejectQuarantined(self._quarantine, self._metrics),
                 CheckDeadline(),
             ),
-            terminal=DeliverToTarget(
-                self._placement, self._quarantine, client, self._clock, self._metrics
-            ),
+            terminal=MeasureDuration(deliver, self._durations, self._clock),
             clock=self._clock,
         )
         self._http_server = HttpServer(chain, codec, self._clock, self._metrics)
@@ -241,6 +247,7 @@
                 "view": self._view,
                 "placement": self._placement,
                 "quarantine": self._quarantine,
+                "durations": self._durations,
                 "exchange": self._exchange,
                 "pool": self._pool,
                 "front": self._http_server,
@@ -268,6 +275,7 @@
         schedule = schedule_stop(now, self._cfg.bounds.grace_s)
         self._readiness = replace(self._readiness, stopping_since=now)
         emit(PROCESS_STOPPING, in_flight=self._http_server.in_flight.count)
+        self._reject_unfinishable.answer_by = schedule.answer_by
         self._http_server.start_draining(schedule)
         await asyncio.sleep(schedule.listen_until - now)
         await self._http_server.stop_accepting()
--- a/tests/programs/test_node_stops.py
+++ b/tests/programs/test_node_stops.py
@@ -162,3 +162,36 @@
             assert (response.status, response.headers["connection"]) == (200, "close")
 
     run(check)
+
+
+def test_what_can_not_finish_before_the_stop_is_refused_as_not_run_and_the_rest_is_served():
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        is_long = request.path == "/commit/"
+        return replace(r.complete_response(request), pause_s=1.0 if is_long else 0.0)
+
+    async def check() -> None:
+        async with (
+            host_with_grace(4, plain=behave) as (host, groups),
+            open_connection(host) as (reader, writer),
+            open_connection(host) as (other_reader, other_writer),
+        ):
+            for path in ("/commit/", "/read/"):
+                assert (await host.send(encode_request(path, BODY))).status == 200
+            late = encode_request("/commit/", BODY, "late")
+            writer.write(late[:-50])
+            short = encode_request("/read/", BODY, "short")
+            other_writer.write(short[:-50])
+            host.stop.set()
+            await wait_until(lambda: not_ready(host))
+            assert (await host.send(encode_request("/commit/", BODY, "early"))).status == 200
+            await wait_until(lambda: accepts_no_connection(host))
+            writer.write(late[-50:])
+            other_writer.write(short[-50:])
+            response = await read_response(reader)
+            assert (response.status, response.headers["connection"]) == (503, "close")
+            assert float(response.headers["retry-after"]) > 0
+            assert (await read_response(other_reader)).status == 200
+            ids = {each.request_id for group in groups["plain"] for each in group.requests}
+            assert "late" not in ids
+
+    run(check)
