Name the request in each refusal at the end of a stop

Callers saw: a 503 without X-Request-Id, if the head of their request was incomplete at the end of a planned stop.

Cause: the request was refused with the headers that had arrived.

Change: only a request whose head is complete is refused; else the connection closes, with a log line.

--- a/almondspindle/adapters/http1/caller_connection.py
+++ b/almondspindle/adapters/http1/caller_connection.py
@@ -86,6 +86,7 @@
         self._headers: list[tuple[str, str]] = []
         self._header_bytes = 0
         self._body = bytearray()
+        self.has_head = False
 
     def connection_made(self, transport: Any) -> None:
         """Start serving the connection. Called by asyncio."""
@@ -164,7 +165,7 @@
         self._linger = loop.call_later(LINGER_S, self.transport.close)
 
     def refuse_unfinished(self, text: str) -> None:
-        """Refuse the request of which only a part has arrived, since the server stops."""
+        """Refuse the request of which the head, but not all of the body has arrived."""
         self._refuse(RefusalCode.STOPPING, text)
 
     # The methods below are callbacks of the parser.
@@ -194,6 +195,7 @@
 
         Ask for a body that the caller holds back until 100 Continue, if no request is in process.
         """
+        self.has_head = True
         headers = {name.lower(): value for name, value in self._headers}
         coding = headers.get("transfer-encoding")
         if coding is not None and coding.strip().lower() != "chunked":
--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -117,14 +117,17 @@
                 await asyncio.wait_for(self._all_closed.wait(), min(left_s, CLOSE_INTERVAL_S))
 
     def _finish_waiting(self, is_last_call: bool) -> None:
-        """Close quiet connections; if `is_last_call`, refuse requests that have arrived in part."""
+        """Close quiet connections. If `is_last_call`, end all that wait for bytes.
+
+        A request without a whole head is not refused, since the refusal must name it.
+        """
         for connection in list(self._connections):
             if not connection.is_waiting:
                 continue
-            if connection.is_reading_request:
-                if is_last_call:
-                    connection.refuse_unfinished("the host stops before the request has arrived")
-            elif is_last_call or self.now() - connection.waiting_since >= QUIET_S:
+            is_quiet = self.now() - connection.waiting_since >= QUIET_S
+            if is_last_call and connection.is_reading_request and connection.has_head:
+                connection.refuse_unfinished("the host stops before the request has arrived")
+            elif is_last_call or (is_quiet and not connection.is_reading_request):
                 self._close_waiting(connection, "stopping")
 
     def _close_waiting(self, connection: CallerConnection, reason: str) -> None:
--- a/tests/programs/test_node_stops.py
+++ b/tests/programs/test_node_stops.py
@@ -105,11 +105,26 @@
             host.stop.set()
             response = await read_response(reader)
             assert (response.status, response.is_complete) == (503, True)
+            assert response.headers["x-request-id"] == "r-1"
             assert float(response.headers["retry-after"]) > 0
 
     run(check)
 
 
+def test_a_request_whose_head_is_incomplete_at_the_end_of_the_grace_gets_no_nameless_refusal():
+    async def check() -> None:
+        async with (
+            host_with_grace(1, plain=r.complete_response) as (host, _),
+            open_connection(host) as (reader, writer),
+        ):
+            writer.write(b"POST /commit/ HTTP/1.1\r\n")
+            host.stop.set()
+            assert await reader.read() == b""
+            assert await host.task == 0
+
+    run(check)
+
+
 def test_requests_that_are_pipelined_in_a_stop_are_all_answered():
     async def check() -> None:
         gate = asyncio.Event()
