Refuse what an entry's planned stop ends, and empty its backlog first

Callers saw: requests still in process at `stop_bound_s` were cut without a response; connections in the backlog were reset when the entry stopped to listen.

Cause: the entry closed all connections at the bound, and its listener with connections unaccepted.

Evidence: test_a_call_that_the_end_of_a_stop_cuts_is_refused_with_an_unknown_outcome fails if the handler doesn't refuse an ended call.

Change: at the bound the calls are ended and refused with 502 and an unknown outcome; a response that has begun ends truncated, as before. `accept_backlog` is shared with the node's server.

--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -39,11 +39,9 @@
 from almondspindle.decisions.shutdown import StopSchedule
 from almondspindle.utils.addresses import BACKLOG
 from almondspindle.utils.in_flight import InFlightCounter
-from almondspindle.utils.sockets import has_pending_connections, has_unread_bytes
+from almondspindle.utils.sockets import accept_backlog, has_unread_bytes
 
 SWEEP_INTERVAL_S = 0.5
-MAX_ACCEPT_ROUNDS = 100  # of the event loop, to accept what waits when the listener closes
-QUIET_ACCEPT_ROUNDS = 2  # asyncio adds a connection in the round after it accepted it
 CLOSE_INTERVAL_S = 0.05
 QUIET_S = 0.25  # idle time before a draining connection closes, as a request may be under way
 
@@ -96,18 +94,10 @@
 
     async def stop_accepting(self) -> None:
         """Accept the connections in the listener's backlog, and no more after them."""
-        quiet_rounds = 0
-        for _ in range(MAX_ACCEPT_ROUNDS):
-            quiet_rounds = 0 if self._has_backlog() else quiet_rounds + 1
-            if quiet_rounds >= QUIET_ACCEPT_ROUNDS:
-                break
-            await asyncio.sleep(0)
+        if self._server is not None:
+            await accept_backlog(self._server.sockets)
         self.stop_listening()
 
-    def _has_backlog(self) -> bool:
-        sockets = self._server.sockets if self._server is not None else ()
-        return any(has_pending_connections(listener) for listener in sockets)
-
     async def finish_connections(self, schedule: StopSchedule) -> None:
         """Serve what arrives on open connections, until callers or the schedule ended them all."""
         while self._connections and (left_s := schedule.exit_by - self.now()) > 0:
--- a/almondspindle/adapters/http_front/handlers.py
+++ b/almondspindle/adapters/http_front/handlers.py
@@ -28,6 +28,7 @@
     ResponseEnd,
     ResponseHead,
     ResponsePart,
+    ResponseSink,
 )
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import (
@@ -69,7 +70,7 @@
 
 @dataclass(slots=True)
 class HandlerContext:
-    """The objects that the handlers of an entry share."""
+    """The objects that the handlers of an entry share. `tasks` run the calls in process."""
 
     cfg: EntryCfg
     chain: MeasuredChain
@@ -77,6 +78,21 @@
     metrics: MetricSender
     in_flight: InFlightCounter = field(default_factory=InFlightCounter)
     is_stopping: bool = False
+    is_stopped: bool = False
+    tasks: set[asyncio.Task[Completion]] = field(default_factory=set)
+
+    def run_chain(self, call: Call, sink: ResponseSink) -> asyncio.Task[Completion]:
+        """Return a task that runs `call` through the chain."""
+        task = asyncio.ensure_future(self.chain.run(call, sink))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def end_calls(self) -> None:
+        """End the calls in process. Their handlers refuse them with an unknown outcome."""
+        self.is_stopped = True
+        for task in list(self.tasks):
+            task.cancel()
 
 
 @stream_request_body
@@ -94,6 +110,7 @@
         self._is_counted = False
         self._is_serving = False
         self._is_complete = False
+        self._has_begun = False
         self._body_bytes = 0
 
     def prepare(self) -> None:
@@ -162,8 +179,8 @@
             call = self._new_call(self._received_at)
             await self._refuse(qualify_run_state(call, outcome.error))
             return
-        self._task = asyncio.ensure_future(self._context.chain.run(outcome.ok, HandlerSink(self)))
-        completion = await self._task
+        self._task = self._context.run_chain(outcome.ok, HandlerSink(self))
+        completion = await self._wait_completion(self._task)
         if completion.refusal is None:
             self._log_completion(outcome.ok)
         elif completion.started:
@@ -171,6 +188,16 @@
         else:
             await self._refuse(completion.refusal)
 
+    async def _wait_completion(self, task: asyncio.Task[Completion]) -> Completion:
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not self._context.is_stopped:
+                raise
+            text = "the entry stopped before the response was complete"
+            refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, text, RunState.UNKNOWN)
+            return Completion(self._has_begun, refusal)
+
     def make_call(self, path_args: dict[str, str]) -> Outcome[Call]:
         """Return the call for this request, or a refusal. Subclasses must override this method."""
         raise NotImplementedError
@@ -220,6 +247,7 @@
     def start_response(self, head: ResponseHead) -> None:
         """Set the status and headers of the response."""
         self._context.metrics.time(FIRST_BYTE, self._context.clock.monotonic() - self._received_at)
+        self._has_begun = True
         self.set_status(head.status)
         self.clear_header("Content-Type")
         for name, value in head.headers:
--- a/almondspindle/adapters/http_front/server.py
+++ b/almondspindle/adapters/http_front/server.py
@@ -1,5 +1,6 @@
 """The HTTP server of an entry."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
 from tornado.httpserver import HTTPServer
@@ -42,10 +43,12 @@
     )
 
 
-def listen(app: Application, address: str, max_header_bytes: int) -> tuple[HTTPServer, int]:
-    """Serve `app` on `address` ("ip:port") and return the server and its port."""
+def listen(
+    app: Application, address: str, max_header_bytes: int
+) -> tuple[HTTPServer, list[socket.socket]]:
+    """Serve `app` on `address` ("ip:port") and return the server and its sockets."""
     host, port = split_address(address)
     sockets = bind_sockets(port, host)
     server = HTTPServer(app, max_header_size=max_header_bytes, max_body_size=SERVER_MAX_BODY_BYTES)
     server.add_sockets(sockets)
-    return server, sockets[0].getsockname()[1]
+    return server, sockets
--- a/almondspindle/programs/entry.py
+++ b/almondspindle/programs/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import socket
 import sys
 from contextlib import suppress
 from functools import partial, singledispatch
@@ -56,11 +57,14 @@
 from almondspindle.core.roster import Roster, RosterDelta, apply_delta
 from almondspindle.decisions.ownership import OWNING_STATES
 from almondspindle.programs.base import StopSignal, announce
+from almondspindle.utils.sockets import accept_backlog
 from almondspindle.utils.tasks import Runner, TaskSet
 
 PROGRAM = "almondspindle-entry"
 # Longest time that a graceful shutdown waits until the outcomes of commits are recorded.
 SETTLE_TIMEOUT_S = 5.0
+# Longest time that a graceful shutdown waits until aborted requests are refused.
+REFUSAL_TIMEOUT_S = 1.0
 INSTANCE_ID_BYTES = 4  # length of the random identifier that distinguishes entries of one host
 
 
@@ -125,10 +129,11 @@
         stop = StopSignal()
         self._start_tasks()
         app = make_app(self._handler_context, self.not_ready_reason)
-        server, port = listen(app, self._cfg.listen, self._cfg.max_header_bytes)
+        server, sockets = listen(app, self._cfg.listen, self._cfg.max_header_bytes)
+        port = sockets[0].getsockname()[1]
         announce(PROGRAM, f"{self._cfg.listen.rpartition(':')[0]}:{port}")
         status = await stop.wait(self._tasks)
-        await self._shut_down(server)
+        await self._shut_down(server, sockets)
         await self._tasks.cancel_all()
         await self._channels.close()
         emit(PROCESS_STOPPED)
@@ -183,13 +188,15 @@
         remaining = await self._handler_context.in_flight.wait_idle(self._cfg.stop_bound_s)
         if remaining:
             emit(STOP_ABORTED_REQUESTS, streams=remaining)
+            self._handler_context.end_calls()
+            await self._handler_context.in_flight.wait_idle(REFUSAL_TIMEOUT_S)
         with suppress(TimeoutError):
             await asyncio.wait_for(self._settle_claim.wait_idle(), self._cfg.stop_bound_s)
         unsettled = await self._settlements.wait_idle(SETTLE_TIMEOUT_S)
         if unsettled:
             emit(OUTCOMES_UNRECORDED, endings=unsettled)
 
-    async def _shut_down(self, server: HTTPServer) -> None:
+    async def _shut_down(self, server: HTTPServer, sockets: list[socket.socket]) -> None:
         """Shut down gracefully.
 
         Serve until the load balancer has removed this entry, stop listening, and wait for requests
@@ -198,6 +205,7 @@
         self._handler_context.is_stopping = True
         server.conn_params.no_keep_alive = True
         await asyncio.sleep(self._cfg.balancer_lag_s)
+        await accept_backlog(sockets)
         server.stop()
         emit(DRAIN_BEGUN, in_flight=self._handler_context.in_flight.count)
         await self._drain()
--- a/tests/adapters/test_http_front.py
+++ b/tests/adapters/test_http_front.py
@@ -1,6 +1,7 @@
 """A caller that closes its connection right after a complete response must not cancel the chain."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -38,7 +39,8 @@
     cfg = EntryCfg(host="h", zone="z", routers=["127.0.0.1:1"])
     chain = ClosingChain(headers, parts)
     context = HandlerContext(cfg, chain, SystemClock(), NullMetrics())
-    server, port = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+    server, sockets = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+    port = sockets[0].getsockname()[1]
     response = await Caller(f"127.0.0.1:{port}").read()
     await context.in_flight.wait_idle(10.0)
     server.stop()
@@ -79,7 +81,8 @@
         event = ResponseChunk(b"id: 1\ndata: a\n\n")
         parts = (ResponseHead(200, EVENTS, "t1"), event) if has_begun else ()
         context = HandlerContext(cfg, FailingChain(parts), SystemClock(), NullMetrics())
-        server, port = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+        server, sockets = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+        port = sockets[0].getsockname()[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         body = b'{"model": "m", "stream": true, "messages": [{"role": "user", "content": "x"}]}'
         lines = (
@@ -96,3 +99,35 @@
         server.stop()
 
     asyncio.run(check())
+
+
+class WaitingChain:
+    """Never respond."""
+
+    def __init__(self) -> None:
+        self.begun = asyncio.Event()
+
+    async def run(self, call, sink) -> Completion:
+        self.begun.set()
+        await asyncio.Event().wait()
+        return Completion(started=False)
+
+
+def test_a_call_that_the_end_of_a_stop_cuts_is_refused_with_an_unknown_outcome():
+    async def check() -> None:
+        cfg = EntryCfg(host="h", zone="z", routers=["127.0.0.1:1"])
+        chain = WaitingChain()
+        context = HandlerContext(cfg, chain, SystemClock(), NullMetrics())
+        server, sockets = listen(make_app(context, None), "127.0.0.1:0", cfg.max_header_bytes)
+        port = sockets[0].getsockname()[1]
+        sent = asyncio.ensure_future(Caller(f"127.0.0.1:{port}").read())
+        await chain.begun.wait()
+        context.is_stopping = True
+        context.end_calls()
+        response = await sent
+        assert (response.status, response.headers["Connection"]) == (502, "close")
+        assert json.loads(response.body)["error"]["run_state"] == "outcome unknown"
+        assert await context.in_flight.wait_idle(10.0) == 0
+        server.stop()
+
+    asyncio.run(check())
