Log a connection that is closed with a part of a request only once

Callers saw: nothing; the log could repeat line 1607 while a closed connection was still written to. Evidence: read, not tested. Change: a connection that is closing is left alone. Docstring of the server.

--- a/almondspindle/adapters/http1/server.py
+++ b/almondspindle/adapters/http1/server.py
@@ -47,7 +47,7 @@
 
 
 class HttpServer:
-    """Serve callers' connections. While draining, each response is the last on its connection."""
+    """Serve callers' connections. While draining, each closes after what has arrived on it."""
 
     def __init__(
         self, chain: Chain, codec: HeaderCodec, clock: Clock, metrics: MetricSender
@@ -122,7 +122,7 @@
 
     def _close_waiting(self, connection: CallerConnection, reason: str) -> None:
         """Close `connection`, unless bytes have arrived that it has not read yet."""
-        if has_unread_bytes(connection.transport):
+        if connection.transport.is_closing() or has_unread_bytes(connection.transport):
             return
         if connection.is_reading_request:
             waited_s = round(self.now() - connection.waiting_since, 3)
