Share the probes of a failing store among all hosts that lost it

All watches of five hosts were reset at 8.20 s; the store responded again at once. Cause: two hosts, first by a hash of their names among those that had lost the store, probed it often, the others every 2 to 6 s. puchong-2 and shah-2 had the turns; they were cut off from the store from 1 to 13 s and still exchanged reports. So five hosts with a path waited for their slow turn (back at 11.77 to 12.07 s), and no peer had anything newer to pull. A second fault made it worse: each watch that was reset, three or four a host, counted as another failed probe and set the next one anew. Ruled out: that one reset alone did it. Every watch of each of the five was reset, at the same time. Evidence (the tests fail before): tests/programs/test_node_store.py:: test_a_host_with_a_path_to_the_store_is_not_behind_because_its_peers_have_none, both cases timed out;. Change: no elected probers. The hosts of a group whose calls fail share a rate of probes: each waits up to 0.2 s for each host that shares them. The first failure is retried after 0.1 s whatever the peers report. Calls that were waiting when the store was lost don't count as probes that failed. Retention of records still takes one failed call as the sign of an outage: a short one may show in no other way, and a record dropped by mistake costs a live target, one kept is bounded by the drain time. New log line 1705 store_probed: who called, how long after the last failure, among how many hosts the probes are divided.

--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -74,8 +74,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class IsStoreProber(ControllerRequest[bool]):
-    """Request whether this host probes the store often while its calls fail."""
+class GetProbeSharers(ControllerRequest[int]):
+    """Request the number of hosts among which the probes of a failing store are divided.
+
+    Ask on behalf of a host whose calls fail; it is one of them.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -10,9 +10,9 @@
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.exchange.messages import (
     GetPeersAhead,
+    GetProbeSharers,
     GetReportReceivers,
     GetZoneRelay,
-    IsStoreProber,
     IsTopicWatcher,
     OutsideReportReceived,
     PeerAhead,
@@ -44,7 +44,7 @@
     sum_in_flight,
     zone_contact,
 )
-from almondspindle.decisions.store_probing import RECOVERY_PROBE_S, is_store_prober
+from almondspindle.decisions.store_probing import RECOVERY_PROBE_S
 from almondspindle.decisions.topic_watchers import is_topic_watcher
 
 # A host whose last report is older is assumed to be unreachable: nothing is pulled from it, and it
@@ -163,12 +163,10 @@
         )
 
     @handle.register
-    def _(self, msg: IsStoreProber, now: float) -> bool:
+    def _(self, msg: GetProbeSharers, now: float) -> int:
         if now - self._store_regained_at <= RECOVERY_PROBE_S:
-            return True
-        reports = self._group_reports(now)
-        failing = [_to_peer(report) for report in reports if not report.reaches_store]
-        return is_store_prober(self._own_peer(), failing)
+            return 1
+        return 1 + sum(not report.reaches_store for report in self._group_reports(now))
 
     @handle.register
     def _(self, msg: IsTopicWatcher, now: float) -> bool:
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -17,6 +17,8 @@
 from almondspindle.core.reports import StoreContact
 from almondspindle.core.routes import RouteTable
 
+ANNOUNCEMENT = "announcement"  # the caller that writes this host's record
+
 
 @dataclass(frozen=True, slots=True)
 class SnapshotReceived:
@@ -88,17 +90,20 @@
 class ReserveStoreCall(ControllerRequest[float]):
     """Ask to call the store now. The result is 0, or the seconds after which to ask again.
 
-    While calls fail, one call at a time is allowed. `is_prober` says that this host probes a
-    failing store often.
+    While calls fail, one call at a time is allowed. `caller` is the topic that it is for, or
+    `ANNOUNCEMENT`. `sharers` is the number of hosts among which the calls are divided.
     """
 
-    is_prober: bool
+    caller: str
+    sharers: int
 
 
 @dataclass(frozen=True, slots=True)
 class StoreCallReleased:
     """A reserved call got a response that tells nothing new; the next call may follow at once."""
 
+    caller: str
+
 
 @dataclass(frozen=True, slots=True)
 class GetSnapshot(ControllerRequest[Snapshot]):
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -36,6 +36,7 @@
     RECORD_UNREADABLE,
     STORE_BACK,
     STORE_LOST,
+    STORE_PROBED,
     VIEW_CHANGED,
 )
 from almondspindle.core.identifiers import HostName
@@ -62,14 +63,19 @@
     after_success,
     retain_until,
 )
-from almondspindle.decisions.store_probing import retry_delay_s
+from almondspindle.decisions.store_probing import (
+    ProbeState,
+    after_failed_call,
+    after_probe_began,
+    after_probe_released,
+    next_probe_wait_s,
+)
 
 STORE_SOURCE = "store"
 MAX_LOGGED_NAME_LENGTH = 255
 # While the store fails, waiting tasks ask again after this time at most, so that they go on soon
 # after its return.
 MAX_TURN_WAIT_S = 0.1
-PROBE_DURATION_S = 1.2  # after which a call that has not been reported is taken as failed
 
 
 @dataclass(slots=True)
@@ -110,9 +116,7 @@
         self._responded_at = 0.0
         self._peer_contacts: dict[HostName, PeerContact] = {}
         self._revision_at_recovery = 0
-        self._failures = 0  # of calls to the store, in a row
-        self._is_prober = True
-        self._next_call_at = 0.0
+        self._probes: ProbeState | None = None  # None while calls to the store succeed
         self._route_table: RouteTable | None = None
 
     @singledispatchmethod
@@ -179,8 +183,7 @@
             emit(STORE_LOST, topic=msg.topic, reason=msg.reason)
         self._availability = after_failure(self._availability, now)
         self._contact_since = None
-        self._failures += 1
-        self._next_call_at = now + retry_delay_s(self._is_prober, self._failures, random.random())
+        self._probes = after_failed_call(self._probes, msg.topic, now, random.random())
 
     @handle.register
     def _(self, msg: ExpireRetainedRecords, now: float) -> None:
@@ -223,20 +226,25 @@
 
     @handle.register
     def _(self, msg: ReserveStoreCall, now: float) -> float:
-        if self._availability.failing_since is None:
+        if self._probes is None:
             return 0.0
-        if msg.is_prober is not self._is_prober:
-            self._is_prober = msg.is_prober
-            delay_s = retry_delay_s(msg.is_prober, self._failures, random.random())
-            self._next_call_at = now + delay_s
-        if now < self._next_call_at:
-            return min(MAX_TURN_WAIT_S, self._next_call_at - now)
-        self._next_call_at = now + PROBE_DURATION_S
+        wait_s = next_probe_wait_s(self._probes, msg.sharers, now)
+        if wait_s > 0:
+            return min(MAX_TURN_WAIT_S, wait_s)
+        emit(
+            STORE_PROBED,
+            caller=msg.caller,
+            failures=self._probes.failures,
+            waited_s=round(now - self._probes.failed_at, 3),
+            sharers=msg.sharers,
+        )
+        self._probes = after_probe_began(self._probes, msg.caller, now)
         return 0.0
 
     @handle.register
     def _(self, msg: StoreCallReleased, now: float) -> None:
-        self._next_call_at = now
+        if self._probes is not None:
+            self._probes = after_probe_released(self._probes, msg.caller)
 
     @handle.register
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
@@ -274,7 +282,7 @@
         if self._contact_since is None:
             self._contact_since = now
         self._responded_at = now
-        self._failures = 0
+        self._probes = None
 
     def _set_record(self, state: _TopicState, topic: Topic, record: Record) -> None:
         is_unreadable = isinstance(record.value, UnreadableRecord)
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -5,9 +5,10 @@
 from typing import Protocol
 
 from almondspindle.adapters.platform.base import StoreError
-from almondspindle.controllers.exchange.messages import IsStoreProber, IsTopicWatcher
+from almondspindle.controllers.exchange.messages import GetProbeSharers, IsTopicWatcher
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
+    ANNOUNCEMENT,
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
@@ -66,11 +67,14 @@
         self._view = view
         self._exchange = exchange
 
-    async def wait(self) -> None:
-        """Return at once while the store responds, and otherwise at this host's next turn."""
+    async def wait(self, caller: str) -> None:
+        """Return at once while the store responds, and otherwise at the next turn of `caller`.
+
+        `caller` is a topic or `ANNOUNCEMENT`.
+        """
         while True:
-            is_prober = await self._exchange.request(IsStoreProber())
-            delay_s = await self._view.request(ReserveStoreCall(is_prober))
+            sharers = await self._exchange.request(GetProbeSharers())
+            delay_s = await self._view.request(ReserveStoreCall(caller, sharers))
             if delay_s <= 0:
                 return
             await asyncio.sleep(delay_s)
@@ -111,7 +115,7 @@
 
     async def _read_topic(self) -> None:
         while True:
-            await self._turns.wait()
+            await self._turns.wait(self._topic)
             result = await self._store.read(self._topic)
             if result.is_ok():
                 self._failures = 0
@@ -127,7 +131,7 @@
         if not await self._exchange.request(IsTopicWatcher(self._topic)):
             await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
             return True
-        await self._turns.wait()
+        await self._turns.wait(self._topic)
         revisions = await self._view.request(GetRevisions())
         is_probe = not await self._view.request(IsStoreReachable())
         wait_s = PROBE_WATCH_S if is_probe else random.uniform(MIN_WATCH_S, MAX_WATCH_S)
@@ -137,7 +141,7 @@
             return True
         self._failures = 0
         if isinstance(result.ok, HistoryUnavailable):
-            self._view.send(StoreCallReleased())
+            self._view.send(StoreCallReleased(self._topic))
             await asyncio.sleep(DELAY_BEFORE_REREAD_S)
             return False
         self._view.send(ChangesReceived(result.ok))
@@ -148,7 +152,7 @@
     async def _back_off(self, error: StoreError) -> None:
         self._failures += 1
         self._view.send(StoreCallFailed(self._topic, error.message))
-        await asyncio.sleep(retry_delay_s(True, self._failures, random.random()))
+        await asyncio.sleep(retry_delay_s(self._failures, random.random()))
 
 
 class Announcer:
@@ -164,8 +168,8 @@
         failures = 0
         while (await self._store.announce(self._record)).is_error():
             failures += 1
-            await asyncio.sleep(retry_delay_s(True, failures, random.random()))
-            await self._turns.wait()
+            await asyncio.sleep(retry_delay_s(failures, random.random()))
+            await self._turns.wait(ANNOUNCEMENT)
 
 
 class RetentionTimer:
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -209,6 +209,11 @@
 RECORD_RETAINED = event(
     1704, "record_lapsed", "A record is missing after an outage; it is retained for some time."
 )
+STORE_PROBED = event(
+    1705,
+    "store_probed",
+    "A call to a failing store; states the failures before it and how many hosts share the calls.",
+)
 TARGET_EJECTED = event(
     1710, "target_doubted", "A target failed and was ejected as an outlier for some time."
 )
--- a/almondspindle/decisions/store_probing.py
+++ b/almondspindle/decisions/store_probing.py
@@ -1,40 +1,94 @@
-"""How often a host calls the store while its calls fail.
+"""When a host whose calls to the store fail calls it again.
 
 The load that this answers: an outage of the store, in which every host of a large fleet would retry
-the calls of every topic several times a second. A few hosts in each group that reports to each
-other probe the store often, each with one call at a time. The others pull from their peers what
-those read, and call rarely themselves.
+the calls of every topic several times a second. Each host makes one call at a time for all topics,
+a probe. The hosts of a group that reports to each other share a rate of probes: the more of them
+have lost the store, the longer each waits. No host depends on the probes of certain others, since
+these may be cut off from the store while it is up.
 """
 
-from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
-from almondspindle.decisions.hashing import score
 from almondspindle.decisions.jitter import full_jitter
-from almondspindle.decisions.peer_pull import Peer
 
-PROBERS_PER_GROUP = 2
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 0.5  # a new configuration must be applied within two seconds
-IDLE_RETRY_S = 4.0  # mean interval of the other hosts; they notice by themselves in the end
-IDLE_RETRY_SPREAD = 0.5  # fraction of that interval
+# Longest wait of a host from a failed probe to the next, for each host that shares the probes.
+WAIT_PER_SHARER_S = 0.2
+# Failed calls in a row after which the interval depends on the group. A first failure is often that
+# of one connection, and the store responds to the next call.
+OWN_RETRIES = 1
 # After a peer regained the store, every host probes it often for this time.
 RECOVERY_PROBE_S = 1.5
+PROBE_DURATION_S = 1.2  # after which a probe that has not been reported is taken as failed
 
 
-def is_store_prober(own: Peer, others: Iterable[Peer]) -> bool:
-    """Return whether the host `own`, whose calls to the store fail, probes it often.
+def retry_delay_s(failures: int, random_number: float) -> float:
+    """Return the time from a failed call to the next one of the same kind, in seconds.
 
-    `others` are the other hosts of its group whose calls fail.
+    `failures` is the number of failed calls in a row, and `random_number` is from 0 to 1.
     """
-    rank = score("store prober", own.host)
-    return sum(score("store prober", peer.host) > rank for peer in others) < PROBERS_PER_GROUP
+    return max(RETRY_BASE_S, full_jitter(failures, RETRY_BASE_S, RETRY_CAP_S, random_number))
 
 
-def retry_delay_s(is_prober: bool, failures: int, random_number: float) -> float:
-    """Return the time from a failed call to the next one, in seconds.
+def probe_delay_s(sharers: int, failures: int, random_number: float) -> float:
+    """Return the time from a failed call to this host's next probe, in seconds.
 
-    `failures` is the number of failed calls in a row, and `random_number` is from 0 to 1.
+    `sharers` is the number of hosts, this one included, among which the probes are divided.
+    """
+    delay_s = retry_delay_s(failures, random_number)
+    if failures <= OWN_RETRIES:
+        return delay_s
+    return max(delay_s, random_number * WAIT_PER_SHARER_S * sharers)
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeState:
+    """The probes of a host since its calls to the store began to fail.
+
+    `failures` counts the failed calls in a row, the last of them at `failed_at`, in seconds on the
+    monotonic clock. `random_number`, from 0 to 1, was drawn for the wait after it. `caller` is who
+    makes a probe now, empty if nobody does, and `probed_at` when the last one began. `is_released`
+    says that the next probe may follow at once.
+    """
+
+    failures: int
+    failed_at: float
+    random_number: float
+    caller: str = ""
+    probed_at: float = 0.0
+    is_released: bool = False
+
+
+def next_probe_wait_s(state: ProbeState, sharers: int, now: float) -> float:
+    """Return the seconds until the next probe may begin; 0 or less if it may begin now."""
+    if state.caller:
+        return state.probed_at + PROBE_DURATION_S - now
+    if state.is_released:
+        return 0.0
+    return state.failed_at + probe_delay_s(sharers, state.failures, state.random_number) - now
+
+
+def after_probe_began(state: ProbeState, caller: str, now: float) -> ProbeState:
+    """Return the state while `caller` makes a probe."""
+    return replace(state, caller=caller, probed_at=now, is_released=False)
+
+
+def after_probe_released(state: ProbeState, caller: str) -> ProbeState:
+    """Return the state after the store responded to `caller` without telling anything new."""
+    return replace(state, caller="", is_released=True) if caller == state.caller else state
+
+
+def after_failed_call(
+    state: ProbeState | None, caller: str, now: float, random_number: float
+) -> ProbeState:
+    """Return the state after a call of `caller` failed; `state` is None if none had before.
+
+    Only the first failure and those of probes count. The calls that were waiting at the first one
+    fail with it, or later, and say no more than it did.
     """
-    if is_prober:
-        return max(RETRY_BASE_S, full_jitter(failures, RETRY_BASE_S, RETRY_CAP_S, random_number))
-    return IDLE_RETRY_S * (1.0 + IDLE_RETRY_SPREAD * (2.0 * random_number - 1.0))
+    if state is None:
+        return ProbeState(1, now, random_number)
+    if caller != state.caller:
+        return state
+    return ProbeState(state.failures + 1, now, random_number)
--- a/tests/programs/test_node_store.py
+++ b/tests/programs/test_node_store.py
@@ -36,6 +36,10 @@
 from tests.standins.replica import Replica
 
 COMMIT_REQUEST = encode_request("/commit/", b"x")
+CONFIG_BOUND_S = 2.0  # the time in which a manifest must be in force
+# By the hash of their names, the former were once chosen to probe a store that was lost to all.
+CUT_OFF_HOSTS = (4, 7)
+HOST_WITH_A_PATH = 8
 
 
 def run(check) -> None:
@@ -269,12 +273,46 @@
     run(check)
 
 
+@pytest.mark.parametrize("failed_probes", [0, 3])
+def test_a_host_with_a_path_to_the_store_is_not_behind_because_its_peers_have_none(failed_probes):
+    async def check() -> None:
+        async with AsyncExitStack() as stack:
+            store, _ = await stack.enter_async_context(running_store(plain=r.complete_response))
+            numbers = (*CUT_OFF_HOSTS, HOST_WITH_A_PATH)
+            proxies = [await stack.enter_async_context(StoreProxy(store)) for _ in numbers]
+            for proxy, number in zip(proxies, numbers, strict=True):
+                host = await stack.enter_async_context(running_host(proxy.address, number))
+                await wait_until(host.is_ready)
+            await wait_until(lambda: len(store.objects.get("almondspindle-hosts", {})) == 3)
+            *cut_off, path = proxies
+            for proxy in cut_off:
+                proxy.disconnect()
+            # Each has lost the store by now, and reported so.
+            await wait_until(lambda: all(proxy.refusals > 4 for proxy in cut_off))
+            path.disconnect()
+            await wait_until(lambda: path.refusals >= failed_probes)
+            path.is_disconnected = False
+            await store.put("config", "main", manifest(12, routes=ROUTES[:1]))
+
+            async def is_dropped() -> bool:
+                return await status(host) == 404
+
+            await wait_until(is_dropped, timeout_s=CONFIG_BOUND_S)
+
+    run(check)
+
+
 class StoreProxy:
-    """A proxy between one host and the store, which a test can disconnect."""
+    """A proxy between one host and the store, which a test can disconnect.
+
+    `refusals` counts the connections that were closed at once, while it was disconnected.
+    """
 
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
+        self._open: set[asyncio.StreamWriter] = set()
         self.is_disconnected = False
+        self.refusals = 0
 
     async def __aenter__(self) -> "StoreProxy":
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -283,10 +321,25 @@
 
     async def __aexit__(self, *exc: object) -> None:
         self._server.close()
+        self._reset_all()
+
+    def disconnect(self) -> None:
+        """Reset all connections, and refuse new ones while `is_disconnected` is set."""
+        self.is_disconnected = True
+        self._reset_all()
+
+    def _reset_all(self) -> None:
+        for writer in self._open:
+            writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_disconnected:
+            self.refusals += 1
+            writer.close()
+            return
         host, _, port = self._store.address.rpartition(":")
         store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        self._open |= {writer, store_writer}
 
         async def copy(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
             while data := await source.read(65536):
@@ -298,6 +351,7 @@
         await asyncio.gather(
             copy(reader, store_writer), copy(store_reader, writer), return_exceptions=True
         )
+        self._open -= {writer, store_writer}
 
 
 def test_a_graceful_shutdown_serves_new_requests_until_the_host_is_out_of_rotation():
