Let the announcer give its turn with a failing store back

Cause: the announcer took the host's one turn to call a failing store and never reported the outcome, so no topic was read for the 1.2 s after which a call counts as failed, at each of its tries: after a start during an outage, on every host. Evidence: tests/decisions/test_store_probing.py::test_the_announcer_reports_the_end_of_each_of_its_turns and ::test_the_write_of_the_host_record_gives_its_turn_back; the first fails without the reports. Change: the announcer reports the end of each call. A failed write ends the turn and counts as a failed probe, but doesn't say that the store is lost, since writes may be refused or their answers lost while reads succeed.

--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -43,6 +43,15 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncementFailed:
+    """The record of this host could not be written.
+
+    A write may fail while reads succeed, so this ends a reserved call, but doesn't say that the
+    store is lost.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ExpireRetainedRecords:
     """Remove retained records whose retention period is over, unless the store is unreachable.
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -10,6 +10,8 @@
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import (
+    ANNOUNCEMENT,
+    AnnouncementFailed,
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
@@ -185,6 +187,11 @@
         self._contact_since = None
         self._probes = after_failed_call(self._probes, msg.topic, now, random.random())
 
+    @handle.register
+    def _(self, msg: AnnouncementFailed, now: float) -> None:
+        if self._probes is not None:
+            self._probes = after_failed_call(self._probes, ANNOUNCEMENT, now, random.random())
+
     @handle.register
     def _(self, msg: ExpireRetainedRecords, now: float) -> None:
         for topic, state in self._topics.items():
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -9,6 +9,7 @@
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
     ANNOUNCEMENT,
+    AnnouncementFailed,
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
@@ -70,7 +71,7 @@
     async def wait(self, caller: str) -> None:
         """Return at once while the store responds, and otherwise at the next turn of `caller`.
 
-        `caller` is a topic or `ANNOUNCEMENT`.
+        `caller` is a topic or `ANNOUNCEMENT`. It reports the outcome of its call to the view.
         """
         while True:
             sharers = await self._exchange.request(GetProbeSharers())
@@ -158,9 +159,12 @@
 class Announcer:
     """Write this host's record to the store."""
 
-    def __init__(self, record: HostRecord, store: StoreClient, turns: StoreTurns) -> None:
+    def __init__(
+        self, record: HostRecord, store: StoreClient, view: ViewController, turns: StoreTurns
+    ) -> None:
         self._record = record
         self._store = store
+        self._view = view
         self._turns = turns
 
     async def run(self) -> None:
@@ -168,8 +172,10 @@
         failures = 0
         while (await self._store.announce(self._record)).is_error():
             failures += 1
+            self._view.send(AnnouncementFailed())
             await asyncio.sleep(retry_delay_s(failures, random.random()))
             await self._turns.wait(ANNOUNCEMENT)
+        self._view.send(StoreCallReleased(ANNOUNCEMENT))
 
 
 class RetentionTimer:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -249,7 +249,9 @@
                 "pool": self._pool,
                 "front": self._http_server,
                 "settings": self._settings,
-                "announcer": Announcer(record, self._store, StoreTurns(self._view, self._exchange)),
+                "announcer": Announcer(
+                    record, self._store, self._view, StoreTurns(self._view, self._exchange)
+                ),
                 "lapses": RetentionTimer(self._view),
                 "puller": Puller(self._view, self._exchange, TopicClient(decode_record)),
                 "reporter": Reporter(
--- a/tests/decisions/test_store_probing.py
+++ b/tests/decisions/test_store_probing.py
@@ -1,20 +1,26 @@
 """Calls to a failing store, by a host and by all hosts of a large fleet."""
 
+import asyncio
 import random
 
 import pytest
 
+from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.controllers.exchange.messages import GetProbeSharers, ReportReceived
 from almondspindle.controllers.view.messages import (
+    ANNOUNCEMENT,
+    AnnouncementFailed,
     ChangesReceived,
     ReserveStoreCall,
     StoreCallFailed,
     StoreCallReleased,
 )
 from almondspindle.controllers.view.task import ViewController
+from almondspindle.controllers.view.watcher import Announcer
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.inventory import Topic, TopicChanges
+from almondspindle.core.outcomes import Error, Ok
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.store_probing import PROBE_DURATION_S, RECOVERY_PROBE_S
 from tests.controllers.test_zone_reports import SimulatedFleet
@@ -110,6 +116,55 @@
     assert view.handle(ReserveStoreCall(Topic.ZONES, ZONE_HOSTS), 0.18) == 0.0
 
 
+@pytest.mark.parametrize("outcome", [AnnouncementFailed(), StoreCallReleased(ANNOUNCEMENT)])
+def test_the_write_of_the_host_record_gives_its_turn_back(outcome):
+    view = failing_view()
+    assert view.handle(ReserveStoreCall(ANNOUNCEMENT, 1), 0.2) == 0.0
+    view.handle(outcome, 0.3)
+    now = 0.3 + 0.25  # the longest delay after two failures is 0.2 s
+    assert view.handle(ReserveStoreCall(Topic.ROUTES, 1), now) == 0.0
+
+
+def test_a_failed_write_of_the_host_record_does_not_say_that_the_store_is_lost():
+    view = ViewController(SimulatedFleet(1, "a").hosts[0].cfg, ManualClock(), lambda _: None)
+    view.handle(AnnouncementFailed(), 0.1)
+    assert view.handle(ReserveStoreCall(Topic.ROUTES, 8), 0.1) == 0.0
+
+
+class FailingStore:
+    """A store client whose writes fail at first."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+
+    async def announce(self, record):
+        self.failures -= 1
+        if self.failures >= 0:
+            return Error(StoreError(StoreErrorCode.UNAVAILABLE, "lost"))
+        return Ok(None)
+
+
+class FreeTurns:
+    """Gives every turn at once."""
+
+    async def wait(self, caller):
+        assert caller == ANNOUNCEMENT
+
+
+def test_the_announcer_reports_the_end_of_each_of_its_turns():
+    reported: list[object] = []
+    host = SimulatedFleet(1, "a").hosts[0]
+    view = ViewController(host.cfg, ManualClock(), lambda _: None)
+    view.send = reported.append
+    announcer = Announcer(host.record(), FailingStore(failures=2), view, FreeTurns())
+    asyncio.run(announcer.run())
+    assert reported == [
+        AnnouncementFailed(),
+        AnnouncementFailed(),
+        StoreCallReleased(ANNOUNCEMENT),
+    ]
+
+
 def test_every_topic_goes_on_at_once_after_the_store_responds():
     view = failing_view()
     assert view.handle(ReserveStoreCall(Topic.ROUTES, ZONE_HOSTS), 0.05) > 0
