Log each call to the store that fails, with its topic and reason

Cause: line 1701 has the first failed call only, so the log didn't say whether one watch or all were reset, nor why probes failed. Change: line 1706 store_call_failed. While the store fails there is one for each probe, up to some ten a second of a host.

--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -37,6 +37,7 @@
     RECORD_RETAINED,
     RECORD_UNREADABLE,
     STORE_BACK,
+    STORE_CALL_FAILED,
     STORE_LOST,
     STORE_PROBED,
     VIEW_CHANGED,
@@ -183,6 +184,7 @@
     def _(self, msg: StoreCallFailed, now: float) -> None:
         if self._availability.failing_since is None:
             emit(STORE_LOST, topic=msg.topic, reason=msg.reason)
+        emit(STORE_CALL_FAILED, topic=msg.topic, reason=msg.reason)
         self._availability = after_failure(self._availability, now)
         self._contact_since = None
         self._probes = after_failed_call(self._probes, msg.topic, now, random.random())
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -214,6 +214,9 @@
     "store_probed",
     "A call to a failing store; states the failures before it and how many hosts share the calls.",
 )
+STORE_CALL_FAILED = event(
+    1706, "store_call_failed", "A call to the store about a topic failed; states the reason."
+)
 TARGET_EJECTED = event(
     1710, "target_doubted", "A target failed and was ejected as an outlier for some time."
 )
