--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -1,5 +1,6 @@
 """Test a host's copy of the platform's records."""
 
+import eliot
 import pytest
 
 from almondspindle.controllers.view.messages import (
@@ -10,6 +11,7 @@
     GetTopicUpdate,
     PeerContactReported,
     Publication,
+    ReserveStoreCall,
     SnapshotReceived,
     StoreCallFailed,
     TargetsChanged,
@@ -147,3 +149,25 @@
     assert view.handle(GetStoreContact(), 6.0) == StoreContact(5.0, 2.0)
     view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 7.0)
     assert view.handle(GetStoreContact(), 7.0) is None
+
+
+def test_the_log_shows_why_a_host_is_behind_the_store():
+    view, _ = make_view("t0")
+    lines: list[dict[str, object]] = []
+    eliot.add_destinations(lines.append)
+    lines.clear()  # eliot passes on what was logged before
+    try:
+        view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 5.0)
+        view.handle(StoreCallFailed(Topic.ZONES, "reset"), 5.0)
+        assert view.handle(ReserveStoreCall(Topic.ZONES, 3), 5.1) == 0.0
+        view.handle(ChangesReceived(TopicChanges(Topic.ZONES, 12, ())), 5.2)
+    finally:
+        eliot.remove_destination(lines.append)
+    fields = ("event", "topic", "reason", "caller", "failures", "waited_s", "sharers", "after_s")
+    assert [{k: line[k] for k in fields if k in line} for line in lines] == [
+        {"event": "store_lost", "topic": "routes", "reason": "reset"},
+        {"event": "store_call_failed", "topic": "routes", "reason": "reset"},
+        {"event": "store_call_failed", "topic": "zones", "reason": "reset"},
+        {"event": "store_probed", "caller": "zones", "failures": 1, "waited_s": 0.1, "sharers": 3},
+        {"event": "store_back", "after_s": 0.2},
+    ]
