--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -211,6 +211,14 @@
 RECORD_RETAINED = event(
     1704, "record_lapsed", "A record is missing after an outage; it is retained for some time."
 )
+STORE_PROBED = event(
+    1705,
+    "store_probed",
+    "A call to a failing store; states the failures before it and how many hosts share the calls.",
+)
+STORE_CALL_FAILED = event(
+    1706, "store_call_failed", "A call to the store about a topic failed; states the reason."
+)
 TARGET_EJECTED = event(
     1710, "target_doubted", "A target failed and was ejected as an outlier for some time."
 )
