Take out targets that say in a response that they are leaving

Cause: nothing read Server-Leaving; a target's leaving was known from its record only. Change: the client sends a TargetNotice as soon as the head of a response arrives, so that attempts that break off, time out or are abandoned count too. The placement controller keeps the lifetimes that are ending (decisions/leaving_targets.py); only a record with a later start or another address ends one. Prompts are copied from such a target for drain_ms, or while its record says that it is leaving.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -47,6 +47,12 @@
     quarantined: tuple[_Quarantine, ...]
 
 
+class _Life(Struct, array_like=True):
+    target: str
+    address: str
+    started_at_ms: int | None
+
+
 class _HostReport(Struct, array_like=True):
     host: str
     address: str
@@ -59,6 +65,7 @@
     in_flight: dict[str, int]
     failures: dict[str, _Counts]
     crashes: _CrashNews | None = None
+    leaving: tuple[_Life, ...] = ()
 
 
 class _ZoneReport(Struct, array_like=True):
@@ -69,6 +76,7 @@
     in_flight: dict[str, int]
     failures: dict[str, _Counts]
     crashes: _CrashNews | None = None
+    leaving: tuple[_Life, ...] = ()
 
 
 class _OutsideReport(Struct, array_like=True):
--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -22,7 +22,12 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import InvariantError
-from almondspindle.core.placements import AttemptEnd, AttemptReport, ResponseMetadata
+from almondspindle.core.placements import (
+    AttemptEnd,
+    AttemptReport,
+    ResponseMetadata,
+    TargetNotice,
+)
 from almondspindle.decisions.idle_timeout import IdleTimeouts
 from almondspindle.decisions.response_bounds import (
     MAX_REJECTION_BYTES,
@@ -39,15 +44,23 @@
     """Send calls to targets over pooled connections.
 
     Each attempt writes its request at most once; this class never sends a request again.
+    `on_notice` gets what a target says about itself as soon as the head of its response arrives,
+    however the attempt ends.
     """
 
     def __init__(
-        self, pool: ConnectionPool, codec: HeaderCodec, clock: Clock, metrics: MetricSender
+        self,
+        pool: ConnectionPool,
+        codec: HeaderCodec,
+        clock: Clock,
+        metrics: MetricSender,
+        on_notice: Callable[[TargetNotice], None],
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
+        self._on_notice = on_notice
         self._kept = KeptBytes()
 
     def begin_response(self, call: Call, sink: ResponseSink) -> ResponseBuffer:
@@ -82,6 +95,7 @@
             self._clock,
             self._kept,
             may_leave,
+            self._on_notice,
         )
         self._metrics.count(ATTEMPTS)
         try:
@@ -124,6 +138,7 @@
     clock: Clock
     kept: KeptBytes
     may_leave: Callable[[], Awaitable[bool]]
+    on_notice: Callable[[TargetNotice], None]
     kept_here: int = 0  # bytes of this response in `kept`
     rejected_bytes: int = 0
     may_reuse: bool = False
@@ -200,6 +215,7 @@
         self.keep_alive = part.keep_alive
         self.ends_at_close = part.ends_at_close
         self.metadata = metadata = self.codec.read_response_head(part.status, part.headers)
+        self._notify(metadata)
         fault = self._find_fault(metadata)
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
@@ -258,6 +274,14 @@
     async def _(self, part: ResponseBroken) -> None:
         self._finish(AttemptEnd.CONNECTION_BROKEN, part.reason)
 
+    def _notify(self, metadata: ResponseMetadata) -> None:
+        if self.call.ticket is None or not metadata.is_leaving:
+            return
+        is_misdirected = self.status == self.codec.MISDIRECTED
+        self.on_notice(
+            TargetNotice(self.call.ticket, metadata.instance, is_misdirected, metadata.is_leaving)
+        )
+
     def _is_rejected(self, metadata: ResponseMetadata) -> bool:
         return metadata.is_not_run and not self.progress.started
 
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -273,6 +273,7 @@
             target_address=placement.address,
             resume_after=progress.last_event,
             copy_from=placement.copy_from,
+            ticket=placement.ticket,
         )
         report = AttemptReport(AttemptEnd.ABANDONED)
         parts, sent_at = frozenset(call.shared_parts), self._clock.monotonic()
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -13,7 +13,7 @@
     PeerAhead,
 )
 from almondspindle.controllers.exchange.task import ExchangeController
-from almondspindle.controllers.placement.messages import GetFailures, GetLoads
+from almondspindle.controllers.placement.messages import GetFailures, GetLeavingNews, GetLoads
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.quarantine.messages import GetCrashNews
 from almondspindle.controllers.quarantine.task import QuarantineController
@@ -96,6 +96,7 @@
             in_flight=dict(loads),
             failures=dict(failures),
             crashes=await self._quarantine.request(GetCrashNews()),
+            leaving=await self._placement.request(GetLeavingNews()),
         )
 
 
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -20,7 +20,7 @@
     ZoneRelay,
     ZoneReportReceived,
 )
-from almondspindle.controllers.placement.messages import PeerLoadsReported
+from almondspindle.controllers.placement.messages import PeerLeavingReported, PeerLoadsReported
 from almondspindle.controllers.quarantine.messages import CrashNewsReceived
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged, PeerContactReported
@@ -65,7 +65,8 @@
     of the records.
 
     `on_loads` gets the loads of other hosts and zones, none of them counted twice, `on_contact` the
-    contact of other hosts with the store, and `on_crashes` what they know of crashes of targets.
+    contact of other hosts with the store, `on_crashes` what they know of crashes of targets, and
+    `on_leaving` the targets of which they have learned that they are leaving.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         on_loads: Callable[[PeerLoadsReported], None] = lambda loads: None,
         on_contact: Callable[[PeerContactReported], None] = lambda contact: None,
         on_crashes: Callable[[CrashNewsReceived], None] = lambda news: None,
+        on_leaving: Callable[[PeerLeavingReported], None] = lambda leaving: None,
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
@@ -83,6 +85,7 @@
         self._on_loads = on_loads
         self._on_contact = on_contact
         self._on_crashes = on_crashes
+        self._on_leaving = on_leaving
         self._reports: dict[HostName, tuple[float, HostReport]] = {}
         self._zone_reports: dict[HostName, tuple[float, ZoneReport]] = {}
         self._hosts: tuple[Peer, ...] = ()
@@ -120,7 +123,7 @@
     def _(self, msg: ZoneReportReceived, now: float) -> None:
         if msg.report.zone != self._cfg.zone:
             self._zone_reports[msg.report.host] = (now, msg.report)
-            self._pass_crashes(msg.report)
+            self._pass_news(msg.report)
 
     @handle.register
     def _(self, msg: OutsideReportReceived, now: float) -> None:
@@ -156,6 +159,7 @@
                 sum_in_flight(in_zone),
                 sum_failures(in_zone),
                 msg.own.crashes,
+                msg.own.leaving,
             ),
             self._zone_contacts(now),
             outside,
@@ -214,15 +218,17 @@
             self._store_regained_at = now
         self._reports[report.host] = (now, report)
         self._zone_by_address[report.address] = report.zone
-        self._pass_crashes(report)
+        self._pass_news(report)
         if report.contact is not None:
             self._on_contact(PeerContactReported(report.host, report.contact))
         if report.zone == self._cfg.zone or self._reports_to_all():
             self._on_loads(PeerLoadsReported(report.host, report.in_flight, report.failures))
 
-    def _pass_crashes(self, report: HostReport | ZoneReport) -> None:
+    def _pass_news(self, report: HostReport | ZoneReport) -> None:
         if report.crashes is not None:
             self._on_crashes(CrashNewsReceived(report.crashes))
+        if report.leaving:
+            self._on_leaving(PeerLeavingReported(report.host, report.leaving))
 
     def _on_outside_loads(self, report: OutsideReport) -> None:
         self._on_loads(PeerLoadsReported(OUTSIDE, report.in_flight, report.failures))
--- a/almondspindle/controllers/placement/copy_sources.py
+++ b/almondspindle/controllers/placement/copy_sources.py
@@ -58,6 +58,10 @@
         Return None if `destination` already has the prompt, or no healthy source is left. `ranked`
         has the names of `sources` in the order in which requests with this prompt try them.
         """
-        healthy = {target.record.name: target for target in sources if not target.ejection.failures}
+        healthy = {
+            target.record.name: target
+            for target in sources
+            if not target.ejection.failures and now < target.copies_until
+        }
         name = copy_source(destination, self._holders.holders(key, now), ranked, healthy)
         return healthy[name].record.address if name is not None else None
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -6,7 +6,7 @@
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName
 from almondspindle.core.outcomes import Outcome
-from almondspindle.core.placements import AttemptReport, Placement
+from almondspindle.core.placements import AttemptReport, Placement, TargetLife
 from almondspindle.core.reports import AttemptCounts
 
 
@@ -53,6 +53,19 @@
     failures: Mapping[TargetName, AttemptCounts] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLeavingReported:
+    """Report the targets of which another host has learned that they are leaving."""
+
+    host: HostName
+    leaving: tuple[TargetLife, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GetLeavingNews(ControllerRequest[tuple[TargetLife, ...]]):
+    """Request the targets of which this host has learned recently that they are leaving."""
+
+
 @dataclass(frozen=True, slots=True)
 class GetLoads(ControllerRequest[Mapping[TargetName, int]]):
     """Request the number of requests that this host has in flight, by target."""
--- a/almondspindle/controllers/placement/targets.py
+++ b/almondspindle/controllers/placement/targets.py
@@ -20,7 +20,9 @@
     """State of one target. Times are in seconds on the monotonic clock.
 
     `in_flight` counts this host's requests only. `cold_requests_at` has the times of this host's
-    requests to the target while it was cold.
+    requests to the target while it was cold. `is_leaving` is set if the target says that it is
+    leaving, in its record or in a response. Other targets may copy prompts from it until
+    `copies_until`.
     """
 
     record: TargetRecord
@@ -31,6 +33,8 @@
     attempts: AttemptLog = field(default_factory=AttemptLog)
     has_high_error_rate: bool = False
     cold_requests_at: deque[float] = field(default_factory=deque)
+    is_leaving: bool = False
+    copies_until: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -1,5 +1,6 @@
 """The controller that selects a target for each request."""
 
+import math
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from itertools import count
@@ -10,7 +11,9 @@
 from almondspindle.controllers.placement.messages import (
     AttemptEnded,
     GetFailures,
+    GetLeavingNews,
     GetLoads,
+    PeerLeavingReported,
     PeerLoadsReported,
     SelectTarget,
     TargetFellSilent,
@@ -24,17 +27,32 @@
     ZonesChanged,
 )
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import TARGET_EJECTED, TARGET_REINSTATED
+from almondspindle.core.events import (
+    NOTICE_UNATTRIBUTED,
+    TARGET_EJECTED,
+    TARGET_LEAVING,
+    TARGET_REINSTATED,
+    TARGET_RETURNED,
+)
 from almondspindle.core.identifiers import ServiceName, TargetName, ZoneName
 from almondspindle.core.inventory import TargetRecord
 from almondspindle.core.logs import emit
+from almondspindle.core.metrics import LEAVINGS, MetricSender, NullMetrics
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
-from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement, PlacementReason
+from almondspindle.core.placements import (
+    AttemptEnd,
+    AttemptReport,
+    Placement,
+    PlacementReason,
+    TargetLife,
+    TargetNotice,
+)
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
 from almondspindle.decisions.error_rate import count_attempts, is_error_rate_high, record_attempt
+from almondspindle.decisions.leaving_targets import LeavingTargets, find_sender
 from almondspindle.decisions.outlier_ejection import after_attempt, is_in_rotation
 from almondspindle.decisions.shared_retry_budget import RetryLog, record_request, try_spend_retry
 from almondspindle.decisions.target_selection import (
@@ -48,16 +66,19 @@
 # Sent to callers in the Retry-After header of a refusal.
 COLD_RETRY_AFTER_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.3
+OWN_RESPONSE = "response"  # the source of what a target said to this host itself
 
 
 class PlacementController(Controller):
     """Own the state of all targets, including this host's requests in flight at each."""
 
-    def __init__(self, cfg: NodeCfg, clock: Clock) -> None:
+    def __init__(self, cfg: NodeCfg, clock: Clock, metrics: MetricSender | None = None) -> None:
         super().__init__(clock)
         self._cfg = cfg
+        self._metrics = metrics or NullMetrics()
         self._targets: dict[TargetName, TrackedTarget] = {}
         self._by_service: dict[ServiceName, list[TrackedTarget]] = {}
+        self._records: dict[TargetName, TargetRecord] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._excluded_zones: frozenset[ZoneName] = frozenset()
         self._hosts: tuple[str, ...] = (cfg.host,)
@@ -65,6 +86,7 @@
         self._retry_logs: dict[ServiceName, RetryLog] = {}
         self._reservations: dict[int, _Reservation] = {}
         self._copy_sources = CopySources()
+        self._leaving = LeavingTargets()
         self._ticket_numbers = count(1)
 
     @singledispatchmethod
@@ -113,6 +135,7 @@
     @handle.register
     def _(self, msg: TargetsChanged, now: float) -> None:
         previous = self._targets
+        self._records = {record.name: record for record in msg.targets.values()}
         for name, unlisted in previous.items():
             if name not in msg.targets:
                 self._copy_sources.retain_unlisted(unlisted, self._cfg.bounds.drain_s, now)
@@ -123,10 +146,20 @@
             if target is None or _has_restarted(target.record, record):
                 target = TrackedTarget(record, cold_until=now + record.cold_left_s)
                 self._copy_sources.remove_target(record.name)
+                if self._leaving.has_returned(record):
+                    emit(
+                        TARGET_RETURNED,
+                        target=record.name,
+                        address=record.address,
+                        started_at_ms=record.started_at_ms,
+                    )
             elif record is not target.record:
                 # The target wrote its record again; the remaining cold time counts from that write.
                 target.cold_until = max(target.cold_until, now + record.cold_left_s)
                 target.record = record
+            target.is_leaving = record.is_leaving or self._leaving.includes(record)
+            if record.is_leaving:
+                target.copies_until = math.inf  # it is listed while it serves
             self._targets[record.name] = target
             self._by_service.setdefault(record.service, []).append(target)
 
@@ -167,6 +200,27 @@
         copy_from = self._copy_source_address(msg, choice.candidate.name, ranked, sources, now)
         return Ok(self._reserve(msg, choice, copy_from, now))
 
+    @handle.register
+    def _(self, msg: TargetNotice, now: float) -> None:
+        reservation = self._reservations.get(msg.ticket)
+        if reservation is None:
+            return
+        expected = reservation.target.record
+        sender = find_sender(msg, expected, self._records)
+        if sender is None:
+            emit(NOTICE_UNATTRIBUTED, expected=expected.name, address=expected.address)
+        elif msg.is_leaving:
+            self._note_leaving(sender, OWN_RESPONSE, now)
+
+    @handle.register
+    def _(self, msg: PeerLeavingReported, now: float) -> None:
+        for life in msg.leaving:
+            self._note_leaving(life, msg.host, now)
+
+    @handle.register
+    def _(self, msg: GetLeavingNews, now: float) -> tuple[TargetLife, ...]:
+        return self._leaving.news(self._records, now)
+
     @handle.register
     def _(self, msg: AttemptEnded, now: float) -> None:
         reservation = self._reservations.pop(msg.ticket, None)
@@ -204,9 +258,27 @@
         elif before.failures and report.end is AttemptEnd.ANSWERED:
             emit(TARGET_REINSTATED, target=target.record.name, failures=before.failures)
 
+    def _note_leaving(self, life: TargetLife, source: str, now: float) -> None:
+        if not self._leaving.add(life, now):
+            return
+        self._metrics.count(LEAVINGS)
+        target = self._targets.get(life.target)
+        is_listed = target is not None and self._leaving.includes(target.record)
+        emit(
+            TARGET_LEAVING,
+            target=life.target,
+            address=life.address,
+            started_at_ms=life.started_at_ms,
+            source=source,
+            listed=is_listed,
+            in_flight=target.in_flight if target is not None else 0,
+        )
+        if target is not None and is_listed and not target.is_leaving:
+            target.is_leaving = True
+            target.copies_until = now + self._cfg.bounds.drain_s
+
     def _accepts_requests(self, target: TrackedTarget) -> bool:
-        record = target.record
-        return not record.is_leaving and record.zone not in self._excluded_zones
+        return not target.is_leaving and target.record.zone not in self._excluded_zones
 
     def _to_candidate(self, target: TrackedTarget, load: float, now: float) -> TargetCandidate:
         record = target.record
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -228,6 +228,19 @@
 PROMPT_TRIED = event(
     1717, "prompt_tried", "A request with prompt parts in quarantine is sent to a target on trial."
 )
+TARGET_LEAVING = event(
+    1718,
+    "target_leaving",
+    "A target said in a response that it is leaving; it gets no requests until it starts again.",
+)
+TARGET_RETURNED = event(
+    1719, "target_returned", "A target that was leaving has started again and gets requests."
+)
+NOTICE_UNATTRIBUTED = event(
+    1722,
+    "notice_unattributed",
+    "Another target at the address of the expected one said something about itself, unnamed.",
+)
 TABLE_APPLIED = event(1712, "table_applied", "A route table is in force.")
 TOPIC_PULLED = event(1713, "topic_pulled", "Newer records were pulled from a peer.")
 PEER_RESPONSE_STALLED = event(
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -46,6 +46,9 @@
 )
 TRUNCATED = metric("truncated", "counter", "responses", "Responses that were cut after their head.")
 EXCEPTIONS = metric("exceptions", "counter", "requests", "Requests that an exception ended.")
+LEAVINGS = metric(
+    "leavings", "counter", "targets", "Targets that said in a response that they are leaving."
+)
 QUARANTINED = metric(
     "quarantined", "counter", "requests", "Requests refused because their prompts crash targets."
 )
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -22,7 +22,9 @@
 
     `is_stamped` is set if the target itself created the response, `is_not_run` if it did not run
     the request, and `is_encoded` if the body has a content encoding and so is not the target's
-    own bytes. `cold_left_s` is how long the target stays cold, in seconds.
+    own bytes. `cold_left_s` is how long the target stays cold, in seconds. `instance` is the name
+    that the target gives itself, None if it gives none, and `is_leaving` is set if it is about to
+    stop.
     """
 
     is_stamped: bool
@@ -32,6 +34,35 @@
     occupancy: Occupancy | None
     cold_left_s: float | None
     headers: Headers
+    instance: TargetName | None = None
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What the head of a response says about the target that sent it.
+
+    `ticket` identifies the attempt. `instance` is the name that the sender gives itself, None if it
+    gives none. `is_misdirected` is set if the sender is not the target that the attempt was for.
+    """
+
+    ticket: int
+    instance: TargetName | None = None
+    is_misdirected: bool = False
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLife:
+    """A target from one start to its end.
+
+    `started_at_ms` is in milliseconds since the Unix epoch by the target's own clock, None if it is
+    unknown.
+    """
+
+    target: TargetName
+    address: str
+    started_at_ms: int | None
 
 
 class PlacementReason(StrEnum):
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -4,6 +4,7 @@
 
 from almondspindle.core.crashes import CrashNews
 from almondspindle.core.identifiers import HostName, TargetName, ZoneName
+from almondspindle.core.placements import TargetLife
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,8 @@
     known change. `in_flight` counts the host's requests at each target, and `failures` has the
     targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
     if it is unknown. `contact` describes the host's contact with the store, None without any.
-    `crashes` is what the host knows of crashes of targets, its own and those of other hosts.
+    `crashes` is what the host knows of crashes of targets, its own and those of other hosts, and
+    `leaving` has the targets of which it has learned recently that they are leaving.
     """
 
     host: HostName
@@ -45,14 +47,15 @@
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
+    leaving: tuple[TargetLife, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ZoneReport:
     """The loads of all hosts of a zone, which its delegate `host` sends to those of other zones.
 
-    `in_flight` and `failures` are sums over the zone's hosts; `revisions` and `crashes` are the
-    delegate's own.
+    `in_flight` and `failures` are sums over the zone's hosts; `revisions`, `crashes` and `leaving`
+    are the delegate's own.
     """
 
     host: HostName
@@ -62,6 +65,7 @@
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
+    leaving: tuple[TargetLife, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/platform/headers.py
+++ b/almondspindle/platform/headers.py
@@ -1,7 +1,7 @@
 """Translate the headers of requests and responses to and from the project's types."""
 
 from almondspindle.core.calls import Call, Headers
-from almondspindle.core.identifiers import RequestId
+from almondspindle.core.identifiers import RequestId, TargetName
 from almondspindle.core.outcomes import Ok, Outcome, Refusal, RefusalCode, RunState, refused
 from almondspindle.core.placements import Occupancy, ResponseMetadata
 from almondspindle.core.prompts import Prompt, PromptPart
@@ -20,6 +20,8 @@
 COLD_LEFT_HEADER = "x-cold-ms"
 LOAD_HEADER = "x-load"
 LAST_EVENT_ID_HEADER = "last-event-id"
+INSTANCE_HEADER = "x-instance"
+LEAVING_HEADER = "server-leaving"
 READY_PATH = "/-/readyz"
 MISDIRECTED = 421
 # Headers that only this system sets. They are ignored in callers' requests.
@@ -55,6 +57,8 @@
         "host",
     }
 )
+# Headers of responses that are meant for this system and not for its callers.
+UNFORWARDED_RESPONSE_HEADERS = HOP_BY_HOP_HEADERS | {LEAVING_HEADER}
 # Headers that must not be repeated, since two values would be ambiguous.
 SINGLE_VALUE_HEADERS = (
     "host",
@@ -196,6 +200,7 @@
     """Return the metadata in the status and headers of a target's response."""
     values = {name.lower(): value for name, value in headers}
     cold_ms = _parse_int(values.get(COLD_LEFT_HEADER))
+    instance = values.get(INSTANCE_HEADER, "").strip()
     return ResponseMetadata(
         is_stamped=STAMP_HEADER in values,
         is_not_run=NOT_RUN_HEADER in values or status == MISDIRECTED,
@@ -203,7 +208,11 @@
         request_id=values.get(REQUEST_ID_HEADER),
         occupancy=_parse_occupancy(values.get(LOAD_HEADER)),
         cold_left_s=None if cold_ms is None else cold_ms / MS_PER_S,
-        headers=tuple(pair for pair in headers if pair[0].lower() not in HOP_BY_HOP_HEADERS),
+        headers=tuple(
+            pair for pair in headers if pair[0].lower() not in UNFORWARDED_RESPONSE_HEADERS
+        ),
+        instance=TargetName(instance) if instance else None,
+        is_leaving=values.get(LEAVING_HEADER, "").strip() == "1",
     )
 
 
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -102,7 +102,7 @@
         self._metrics = MetricRegistry()
         self._readiness = ReadinessState()
         self._tasks = TaskSet()
-        self._placement = PlacementController(cfg, self._clock)
+        self._placement = PlacementController(cfg, self._clock, self._metrics)
         self._view = ViewController(cfg, self._clock, self._publish)
         self._quarantine = QuarantineController(cfg, self._clock)
         self._durations = DurationsController(self._clock)
@@ -113,9 +113,12 @@
             self._placement.send,
             self._view.send,
             self._quarantine.send,
+            self._placement.send,
         )
         self._pool = ConnectionPool(self._clock, self._metrics)
-        client = PooledTargetClient(self._pool, codec, self._clock, self._metrics)
+        client = PooledTargetClient(
+            self._pool, codec, self._clock, self._metrics, self._placement.send
+        )
         self._reject_unfinishable = RejectUnfinishable(self._durations)
         deliver = DeliverToTarget(
             self._placement, self._quarantine, client, self._clock, self._metrics
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/test_placement.py
@@ -5,7 +5,9 @@
 from almondspindle.controllers.placement.messages import (
     AttemptEnded,
     GetFailures,
+    GetLeavingNews,
     GetLoads,
+    PeerLeavingReported,
     PeerLoadsReported,
     SelectTarget,
 )
@@ -20,8 +22,8 @@
 from almondspindle.core.identifiers import HostName, ServiceName, TargetName, ZoneName
 from almondspindle.core.inventory import HostRecord, TargetRecord
 from almondspindle.core.node import Bounds, NodeCfg
-from almondspindle.core.outcomes import RefusalCode
-from almondspindle.core.placements import AttemptEnd, AttemptReport
+from almondspindle.core.outcomes import RefusalCode, RunState
+from almondspindle.core.placements import AttemptEnd, AttemptReport, TargetLife, TargetNotice
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import Engine, RouteTable, ServiceSpec
 
@@ -248,3 +250,75 @@
     placement = place(controller).ok
     respond(controller, placement.ticket, 500, now=1.0)
     assert controller.handle(GetFailures(), 1.1) == {placement.target: AttemptCounts(1, 1)}
+
+
+def hear_leaving(controller: PlacementController, ticket: int, now: float, **changes) -> None:
+    controller.handle(TargetNotice(ticket, is_leaving=True, **changes), now)
+
+
+def list_targets(controller: PlacementController, *records: TargetRecord, now: float) -> None:
+    controller.handle(TargetsChanged({record.name: record for record in records}), now)
+
+
+def test_target_that_says_it_is_leaving_gets_no_requests_until_it_starts_again():
+    controller = make_controller(make_target("t0"))
+    placement = place(controller).ok
+    hear_leaving(controller, placement.ticket, now=1.0)
+    assert place(controller, 1.1).error.code is RefusalCode.NO_TARGET
+    list_targets(controller, make_target("t0", slots=9), now=5.0)
+    assert place(controller, 99.0).error.code is RefusalCode.NO_TARGET
+    list_targets(controller, now=100.0)
+    list_targets(controller, make_target("t0"), now=101.0)
+    assert place(controller, 102.0).error.code is RefusalCode.NO_TARGET
+    list_targets(controller, make_target("t0", started_at_ms=7), now=103.0)
+    assert place(controller, 104.0).is_ok()
+
+
+def test_refusal_when_all_targets_are_leaving_says_that_the_request_has_not_run():
+    controller = make_controller(make_target("t0"), make_target("t1"))
+    for _ in range(2):
+        hear_leaving(controller, place(controller).ok.ticket, now=1.0)
+    refusal = place(controller, 1.1).error
+    assert refusal.run_state is RunState.NOT_RUN and refusal.retry_after_s
+
+
+def test_misdirected_response_does_not_take_out_the_expected_target():
+    controller = make_controller(make_target("t0"))
+    ticket = place(controller).ok.ticket
+    hear_leaving(controller, ticket, 1.0, is_misdirected=True, instance=TargetName("t9"))
+    hear_leaving(controller, ticket, 1.0, is_misdirected=True)
+    assert place(controller, 1.1).is_ok()
+    newcomer = make_target("t9", address="10.1.0.0:80")
+    list_targets(controller, newcomer, now=2.0)
+    assert place(controller, 2.1).error.code is RefusalCode.NO_TARGET
+
+
+def test_leaving_that_a_peer_reports_counts_only_for_the_start_it_names():
+    controller = make_controller(make_target("t0", started_at_ms=5))
+    life = TargetLife(TargetName("t0"), "10.1.0.0:80", 4)
+    controller.handle(PeerLeavingReported(HostName("h9"), (life,)), 1.0)
+    assert place(controller, 1.1).is_ok()
+    life = TargetLife(TargetName("t0"), "10.1.0.0:80", 5)
+    controller.handle(PeerLeavingReported(HostName("h9"), (life,)), 1.2)
+    assert place(controller, 1.3).error.code is RefusalCode.NO_TARGET
+    assert life in controller.handle(GetLeavingNews(), 1.4)
+
+
+def test_prompt_is_copied_from_a_leaving_target_only_while_it_serves():
+    controller = make_controller(make_target("t0"), make_target("t1"), make_target("t2"))
+    first = place(controller, key="part").ok
+    hear_leaving(controller, first.ticket, now=1.0)
+    end_attempt(controller, first.ticket, AttemptEnd.ANSWERED)
+    other = place(controller, now=1.1, key="part").ok
+    assert other.target != first.target and other.copy_from == first.address
+    later = place(controller, now=1.0 + BOUNDS.drain_s, key="part").ok
+    assert later.copy_from != first.address
+
+
+def test_attempts_at_a_leaving_target_still_count_as_load():
+    controller = make_controller(make_target("t0"))
+    placement = place(controller).ok
+    hear_leaving(controller, placement.ticket, now=1.0)
+    assert controller.handle(GetLoads(), 1.1) == {"t0": 1}
+    end_attempt(controller, placement.ticket, AttemptEnd.ANSWERED)
+    assert controller.handle(GetLoads(), 1.2) == {}
--- a/tests/controllers/test_zone_reports.py
+++ b/tests/controllers/test_zone_reports.py
@@ -5,9 +5,13 @@
 from almondspindle.controllers.exchange.messages import GetPeersAhead
 from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
 from almondspindle.core.inventory import Topic
+from almondspindle.core.node import Bounds
+from almondspindle.core.placements import TargetLife
 from almondspindle.decisions.topic_watchers import WATCHERS_PER_TOPIC
 from tests.standins.simulated_fleet import TARGET, SimulatedFleet
 
+LEAVING = TargetLife(TARGET, "10.1.0.1:80", 5)
+
 
 @pytest.mark.parametrize(("count", "zones"), [(8, "abcd"), (80, "abcd"), (195, "abcdef")])
 def test_every_host_knows_nearly_all_loads(count, zones):
@@ -19,6 +23,16 @@
     assert sum(known) / len(known) >= 0.9 * (count - 1)
 
 
+@pytest.mark.parametrize(("count", "zones"), [(8, "abcd"), (80, "abcd"), (195, "abcdef")])
+def test_every_host_learns_within_the_drain_time_that_a_target_is_leaving(count, zones):
+    fleet = SimulatedFleet(count, zones)
+    fleet.run(2.0)
+    fleet.hosts[-1].leaving.add(LEAVING, fleet.now)
+    fleet.run(Bounds().drain_s - 2 * REPORT_INTERVAL_S)
+    knowing = [host for host in fleet.hosts if not host.leaving.add(LEAVING, fleet.now)]
+    assert len(knowing) == count
+
+
 def test_bytes_between_zones_do_not_grow_with_the_number_of_hosts():
     crossing = []
     for count in (80, 320):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -119,6 +119,15 @@
     assert not read_response_head(500, ()).is_not_run
 
 
+def test_leaving_and_instance_are_read_and_leaving_is_not_forwarded():
+    headers = (("Server-Leaving", "1"), ("X-Instance", "i-1"), ("X-Response-Stamp", "s"))
+    metadata = read_response_head(200, headers)
+    assert metadata.is_leaving and metadata.instance == "i-1"
+    assert [name for name, _ in metadata.headers] == ["X-Instance", "X-Response-Stamp"]
+    assert not read_response_head(200, (("Server-Leaving", "0"),)).is_leaving
+    assert read_response_head(200, ()).instance is None
+
+
 @pytest.mark.parametrize("load", ["", "3", "a,b,c", "1,2", "-1,0,8"])
 def test_malformed_load_header_is_ignored(load):
     assert read_response_head(200, (("X-Load", load),)).occupancy is None
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -14,7 +14,7 @@
 )
 from almondspindle.controllers.exchange.runners import OUTSIDE_REPORT_PERIOD, REPORT_INTERVAL_S
 from almondspindle.controllers.exchange.task import ExchangeController
-from almondspindle.controllers.placement.messages import PeerLoadsReported
+from almondspindle.controllers.placement.messages import PeerLeavingReported, PeerLoadsReported
 from almondspindle.controllers.placement.targets import PeerReportTable
 from almondspindle.controllers.quarantine.messages import CrashNewsReceived, GetCrashNews
 from almondspindle.controllers.quarantine.task import QuarantineController
@@ -24,6 +24,7 @@
 from almondspindle.core.inventory import HostRecord, Topic
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
+from almondspindle.decisions.leaving_targets import LeavingTargets
 
 TARGET = TargetName("t")
 MESSAGES = {
@@ -52,9 +53,11 @@
             random.Random(number),
             self._on_loads,
             on_crashes=self._on_crashes,
+            on_leaving=self._on_leaving,
         )
         self.quarantine = QuarantineController(self.cfg, ManualClock())
         self.routes_revision = 1
+        self.leaving = LeavingTargets()
 
     def _on_loads(self, loads: PeerLoadsReported) -> None:
         self.loads.replace(loads, self.now)
@@ -62,6 +65,10 @@
     def _on_crashes(self, msg: CrashNewsReceived) -> None:
         self.quarantine.handle(msg, self.now)
 
+    def _on_leaving(self, msg: PeerLeavingReported) -> None:
+        for life in msg.leaving:
+            self.leaving.add(life, self.now)
+
     def restart(self) -> None:
         """Lose what the host knows of crashes."""
         self.quarantine = QuarantineController(self.cfg, ManualClock())
@@ -101,6 +108,7 @@
             host.cfg.host, host.address, self.ticks, host.cfg.zone, host.cfg.link_mbps,
             self.reaches_store, revisions={"routes": host.routes_revision}, in_flight={TARGET: 1},
             crashes=host.quarantine.handle(GetCrashNews(), self.now),
+            leaving=host.leaving.news({}, self.now),
         )  # fmt: skip
         self._send(host, host.exchange.handle(GetReportReceivers(), self.now), own)
         relay = host.exchange.handle(GetZoneRelay(own), self.now)
