Keep the pause that a target asks for when it rejects a request

Callers saw: requests rejected by a full target again and again, and 503 with 0.3 s to wait while every target had asked for much longer. With all paused, callers get the time to the first end, spread by their ids; also after a retry that finds no target. While targets are paused, no other one gets a request over the load cap. MayProbe stops tests by connection. Lines 1720, 1721, counter pauses, code targets_paused.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -16,9 +16,11 @@
     TargetConnection,
 )
 from almondspindle.adapters.target.events import EventTooLong
+from almondspindle.controllers.placement.messages import MayProbe
 from almondspindle.core.calls import Call, ResponseHead, ResponseSink, WorkKind
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import CONNECTION_FAILED
+from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import InvariantError
@@ -45,7 +47,8 @@
 
     Each attempt writes its request at most once; this class never sends a request again.
     `on_notice` gets what a target says about itself as soon as the head of its response arrives,
-    however the attempt ends.
+    however the attempt ends. `may_probe` tells whether the target of an attempt may be asked by a
+    new connection if it is down.
     """
 
     def __init__(
@@ -55,12 +58,14 @@
         clock: Clock,
         metrics: MetricSender,
         on_notice: Callable[[TargetNotice], None],
+        may_probe: Callable[[MayProbe], Awaitable[bool]],
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
         self._on_notice = on_notice
+        self._may_probe = may_probe
         self._kept = KeptBytes()
 
     def begin_response(self, call: Call, sink: ResponseSink) -> ResponseBuffer:
@@ -109,10 +114,14 @@
             else:
                 connection.close()
         if report.end is AttemptEnd.CONNECTION_BROKEN and call.prompt and not report.wrote_body:
-            is_down = await self._pool.refuses_connections(call.target, call.target_address)
-            report = replace(report, target_is_down=is_down)
+            report = replace(report, target_is_down=await self._is_down(call, call.target))
         return _with_reuse_note(report, leased.ok)
 
+    async def _is_down(self, call: Call, target: TargetName) -> bool:
+        if call.ticket is not None and not await self._may_probe(MayProbe(call.ticket)):
+            return False
+        return await self._pool.refuses_connections(target, call.target_address)
+
 
 def _media_type(head: ResponseMetadata | ResponseHead) -> str:
     values = (value for name, value in head.headers if name.lower() == "content-type")
@@ -275,11 +284,17 @@
         self._finish(AttemptEnd.CONNECTION_BROKEN, part.reason)
 
     def _notify(self, metadata: ResponseMetadata) -> None:
-        if self.call.ticket is None or not metadata.is_leaving:
+        if self.call.ticket is None or not (metadata.is_leaving or metadata.pause):
             return
         is_misdirected = self.status == self.codec.MISDIRECTED
         self.on_notice(
-            TargetNotice(self.call.ticket, metadata.instance, is_misdirected, metadata.is_leaving)
+            TargetNotice(
+                self.call.ticket,
+                metadata.instance,
+                is_misdirected,
+                metadata.is_leaving,
+                metadata.pause,
+            )
         )
 
     def _is_rejected(self, metadata: ResponseMetadata) -> bool:
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -144,7 +144,7 @@
                 if last is None:
                     return Completion(progress.started, selected.error)
                 self._log_refused_retry(call, last, selected.error)
-                return await self._end_without_retry(delivery, last, sink)
+                return await self._end_without_retry(delivery, last, sink, selected.error)
             delivery.tried.append(selected.ok.target)
             last = await self._attempt(delivery, selected.ok)
             delivery.attempts = attempts = add_attempt(delivery.attempts, last)
@@ -161,7 +161,7 @@
                 allowed = await self._check_retry(call, attempts)
                 if allowed.is_error():
                     self._log_refused_retry(call, last, allowed.error)
-                    return await self._end_without_retry(delivery, last, sink)
+                    return await self._end_without_retry(delivery, last, sink, allowed.error)
             self._metrics.count(LATER_ATTEMPTS)
 
     async def _complete(self, progress: P, sink: ResponseSink) -> Completion:
@@ -170,12 +170,20 @@
         return Completion(started=True)
 
     async def _end_without_retry(
-        self, delivery: _Delivery[P], last: AttemptReport, sink: ResponseSink
+        self,
+        delivery: _Delivery[P],
+        last: AttemptReport,
+        sink: ResponseSink,
+        reason: Refusal | None = None,
     ) -> Completion:
-        """End a call that can't be retried, with the target's error response if it sent one."""
+        """End a call that can't be retried, with the target's error response if it sent one.
+
+        `reason` is why a retry that could have been made was refused.
+        """
         if delivery.has_answer:
             return await self._complete(delivery.progress, sink)
-        refusal = self._refusal(delivery.attempts, last)
+        wait_s = reason.retry_after_s if reason else None
+        refusal = self._refusal(delivery.attempts, last, wait_s)
         return Completion(delivery.progress.started, refusal)
 
     async def _select(
@@ -298,10 +306,12 @@
             self._release_next(delivery)
         return report
 
-    def _refusal(self, attempts: RequestAttempts, last: AttemptReport) -> Refusal:
+    def _refusal(
+        self, attempts: RequestAttempts, last: AttemptReport, retry_after_s: float | None
+    ) -> Refusal:
         if last.end is AttemptEnd.TIMED_OUT:
             return Refusal(RefusalCode.DEADLINE_EXCEEDED, "deadline exceeded", RunState.UNKNOWN)
-        return refusal_after(attempts, last)
+        return refusal_after(attempts, last, retry_after_s)
 
     def _log_refused_retry(self, call: Call, last: AttemptReport, refusal: Refusal) -> None:
         emit(
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -44,6 +44,13 @@
     ticket: int
 
 
+@dataclass(frozen=True, slots=True)
+class MayProbe(ControllerRequest[bool]):
+    """Request whether the target of the attempt `ticket` may get another connection now."""
+
+    ticket: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLoadsReported:
     """Report another host's requests in flight and recent failures, by target."""
--- a/almondspindle/controllers/placement/targets.py
+++ b/almondspindle/controllers/placement/targets.py
@@ -22,7 +22,7 @@
     `in_flight` counts this host's requests only. `cold_requests_at` has the times of this host's
     requests to the target while it was cold. `is_leaving` is set if the target says that it is
     leaving, in its record or in a response. Other targets may copy prompts from it until
-    `copies_until`.
+    `copies_until`. It gets nothing until `paused_until`, since it asked this host for a pause.
     """
 
     record: TargetRecord
@@ -35,6 +35,7 @@
     cold_requests_at: deque[float] = field(default_factory=deque)
     is_leaving: bool = False
     copies_until: float = math.inf
+    paused_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -13,6 +13,7 @@
     GetFailures,
     GetLeavingNews,
     GetLoads,
+    MayProbe,
     PeerLeavingReported,
     PeerLoadsReported,
     SelectTarget,
@@ -29,15 +30,17 @@
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import (
     NOTICE_UNATTRIBUTED,
+    PAUSE_IGNORED,
     TARGET_EJECTED,
     TARGET_LEAVING,
+    TARGET_PAUSED,
     TARGET_REINSTATED,
     TARGET_RETURNED,
 )
 from almondspindle.core.identifiers import ServiceName, TargetName, ZoneName
 from almondspindle.core.inventory import TargetRecord
 from almondspindle.core.logs import emit
-from almondspindle.core.metrics import LEAVINGS, MetricSender, NullMetrics
+from almondspindle.core.metrics import LEAVINGS, PAUSES, MetricSender, NullMetrics
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
 from almondspindle.core.placements import (
@@ -45,6 +48,7 @@
     AttemptReport,
     Placement,
     PlacementReason,
+    RequestedPause,
     TargetLife,
     TargetNotice,
 )
@@ -52,9 +56,10 @@
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
 from almondspindle.decisions.error_rate import count_attempts, is_error_rate_high, record_attempt
-from almondspindle.decisions.leaving_targets import LeavingTargets, find_sender
+from almondspindle.decisions.leaving_targets import LeavingTargets, find_sender, life_of
 from almondspindle.decisions.outlier_ejection import after_attempt, is_in_rotation
 from almondspindle.decisions.shared_retry_budget import RetryLog, record_request, try_spend_retry
+from almondspindle.decisions.target_pauses import pause_s, retry_after_s
 from almondspindle.decisions.target_selection import (
     Choice,
     TargetCandidate,
@@ -66,6 +71,7 @@
 # Sent to callers in the Retry-After header of a refusal.
 COLD_RETRY_AFTER_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.3
+CAP_RETRY_AFTER_S = 0.5
 OWN_RESPONSE = "response"  # the source of what a target said to this host itself
 
 
@@ -87,6 +93,8 @@
         self._reservations: dict[int, _Reservation] = {}
         self._copy_sources = CopySources()
         self._leaving = LeavingTargets()
+        self._pauses: dict[TargetLife, float] = {}
+        self._last_pause_ends: dict[ServiceName, float] = {}
         self._ticket_numbers = count(1)
 
     @singledispatchmethod
@@ -144,7 +152,11 @@
         for record in msg.targets.values():
             target = previous.get(record.name)
             if target is None or _has_restarted(target.record, record):
-                target = TrackedTarget(record, cold_until=now + record.cold_left_s)
+                target = TrackedTarget(
+                    record,
+                    cold_until=now + record.cold_left_s,
+                    paused_until=self._pauses.get(life_of(record), 0.0),
+                )
                 self._copy_sources.remove_target(record.name)
                 if self._leaving.has_returned(record):
                     emit(
@@ -174,9 +186,11 @@
             for target in targets
             if self._accepts_requests(target) and target.record.name not in msg.tried_targets
         ]
+        paused = self._paused_targets(msg.service, now)
+        if paused:
+            eligible = [target for target in eligible if now >= target.paused_until]
         if not eligible:
-            text = f"no target of service {msg.service} is available"
-            return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+            return self._refuse_without_target(msg, paused, now)
         loads = {target.record.name: self._total_in_flight(target, now) for target in targets}
         candidates = [
             self._to_candidate(target, loads[target.record.name], now) for target in eligible
@@ -195,6 +209,11 @@
         if msg.only_healthy and choice.reason is PlacementReason.LAST_RESORT:
             text = f"no healthy target of service {msg.service} is left"
             return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+        if paused and choice.candidate.load >= cap:
+            text = f"targets of service {msg.service} are paused and the others at their load cap"
+            available_at = min(now + CAP_RETRY_AFTER_S, _first_end(paused))
+            wait_s = retry_after_s(available_at, msg.request_id, now)
+            return refused(RefusalCode.TARGETS_PAUSED, text, retry_after_s=wait_s)
         if msg.is_retry and not try_spend_retry(log, self._cfg.bounds, len(self._hosts), now):
             return refused(RefusalCode.RATE_LIMITED, "the service's retry budget is exhausted")
         copy_from = self._copy_source_address(msg, choice.candidate.name, ranked, sources, now)
@@ -209,8 +228,18 @@
         sender = find_sender(msg, expected, self._records)
         if sender is None:
             emit(NOTICE_UNATTRIBUTED, expected=expected.name, address=expected.address)
-        elif msg.is_leaving:
+            return
+        if msg.is_leaving:
             self._note_leaving(sender, OWN_RESPONSE, now)
+        if msg.pause is not None:
+            self._note_pause(sender, msg.pause, now)
+
+    @handle.register
+    def _(self, msg: MayProbe, now: float) -> bool:
+        reservation = self._reservations.get(msg.ticket)
+        if reservation is None:
+            return False
+        return now >= self._pauses.get(life_of(reservation.target.record), 0.0)
 
     @handle.register
     def _(self, msg: PeerLeavingReported, now: float) -> None:
@@ -277,6 +306,48 @@
             target.is_leaving = True
             target.copies_until = now + self._cfg.bounds.drain_s
 
+    def _note_pause(self, life: TargetLife, requested: RequestedPause, now: float) -> None:
+        seconds = pause_s(requested)
+        if seconds is None:
+            emit(PAUSE_IGNORED, target=life.target, stated=requested.text)
+            return
+        self._metrics.count(PAUSES)
+        self._pauses = {each: end for each, end in self._pauses.items() if end > now}
+        until = max(now + seconds, self._pauses.get(life, 0.0))
+        self._pauses[life] = until
+        target = self._targets.get(life.target)
+        if target is not None and life_of(target.record) == life:
+            target.paused_until = until
+            service = target.record.service
+            self._last_pause_ends[service] = max(until, self._last_pause_ends.get(service, 0.0))
+        emit(
+            TARGET_PAUSED,
+            target=life.target,
+            address=life.address,
+            stated=requested.text,
+            paused_for_s=round(until - now, 2),
+        )
+
+    def _paused_targets(self, service: ServiceName, now: float) -> list[TrackedTarget]:
+        if now >= self._last_pause_ends.get(service, 0.0):
+            return []
+        return [
+            target
+            for target in self._by_service.get(service, [])
+            if now < target.paused_until and self._accepts_requests(target)
+        ]
+
+    def _refuse_without_target(
+        self, msg: SelectTarget, paused: list[TrackedTarget], now: float
+    ) -> Outcome[Placement]:
+        targets = self._by_service.get(msg.service, [])
+        if paused and len(paused) == sum(self._accepts_requests(target) for target in targets):
+            text = f"every target of service {msg.service} asked for a pause"
+            wait_s = retry_after_s(_first_end(paused), msg.request_id, now)
+            return refused(RefusalCode.TARGETS_PAUSED, text, retry_after_s=wait_s)
+        text = f"no target of service {msg.service} is available"
+        return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+
     def _accepts_requests(self, target: TrackedTarget) -> bool:
         return not target.is_leaving and target.record.zone not in self._excluded_zones
 
@@ -362,5 +433,9 @@
     prompt_key: str
 
 
+def _first_end(paused: list[TrackedTarget]) -> float:
+    return min(target.paused_until for target in paused)
+
+
 def _has_restarted(before: TargetRecord, after: TargetRecord) -> bool:
     return before.started_at_ms != after.started_at_ms or before.address != after.address
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -241,6 +241,12 @@
     "notice_unattributed",
     "Another target at the address of the expected one said something about itself, unnamed.",
 )
+TARGET_PAUSED = event(
+    1720, "target_paused", "A target asked this host for a pause; it gets nothing until its end."
+)
+PAUSE_IGNORED = event(
+    1721, "pause_ignored", "A target asked for a pause whose length is no positive number."
+)
 TABLE_APPLIED = event(1712, "table_applied", "A route table is in force.")
 TOPIC_PULLED = event(1713, "topic_pulled", "Newer records were pulled from a peer.")
 PEER_RESPONSE_STALLED = event(
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -49,6 +49,9 @@
 LEAVINGS = metric(
     "leavings", "counter", "targets", "Targets that said in a response that they are leaving."
 )
+PAUSES = metric(
+    "pauses", "counter", "responses", "Rejections by targets that asked this host for a pause."
+)
 QUARANTINED = metric(
     "quarantined", "counter", "requests", "Requests refused because their prompts crash targets."
 )
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -51,6 +51,7 @@
     RESPONSE_BROKEN = "answer_broken"
     RESUME_REFUSED = "resume_refused"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    TARGETS_PAUSED = "targets_paused"
     STORE_UNAVAILABLE = "store_unavailable"
     INTERNAL_ERROR = "internal_error"
 
--- a/almondspindle/core/placements.py
+++ b/almondspindle/core/placements.py
@@ -16,6 +16,18 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestedPause:
+    """For how long a target that rejected a request wants no more from this host.
+
+    `text` is what the target sent, shortened. `seconds` may be negative or infinite; it is None if
+    the text is not a number.
+    """
+
+    text: str
+    seconds: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """The information in the head of a target's response, apart from the status.
@@ -24,7 +36,7 @@
     the request, and `is_encoded` if the body has a content encoding and so is not the target's
     own bytes. `cold_left_s` is how long the target stays cold, in seconds. `instance` is the name
     that the target gives itself, None if it gives none, and `is_leaving` is set if it is about to
-    stop.
+    stop. `pause` is set if the target rejected the request and asked for a pause.
     """
 
     is_stamped: bool
@@ -36,6 +48,7 @@
     headers: Headers
     instance: TargetName | None = None
     is_leaving: bool = False
+    pause: RequestedPause | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,12 +57,14 @@
 
     `ticket` identifies the attempt. `instance` is the name that the sender gives itself, None if it
     gives none. `is_misdirected` is set if the sender is not the target that the attempt was for.
+    `pause` is set if the sender wants no requests from this host for some time.
     """
 
     ticket: int
     instance: TargetName | None = None
     is_misdirected: bool = False
     is_leaving: bool = False
+    pause: RequestedPause | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -99,11 +99,16 @@
     return report.end is AttemptEnd.ANSWERED or (had_answer and report.end in NOT_RUN_ENDS)
 
 
-def refusal_after(attempts: RequestAttempts, report: AttemptReport) -> Refusal:
-    """Return the refusal for a request whose last attempt ended with `report`."""
+def refusal_after(
+    attempts: RequestAttempts, report: AttemptReport, retry_after_s: float | None = None
+) -> Refusal:
+    """Return the refusal for a request whose last attempt ended with `report`.
+
+    `retry_after_s` is when a target may be available, in seconds, None if that is unknown.
+    """
     text = f"{report.end}: {report.detail}" if report.detail else str(report.end)
     if attempts.may_have_run == 0:
-        return Refusal(RefusalCode.FULL, text, RunState.NOT_RUN, RETRY_AFTER_S)
+        return Refusal(RefusalCode.FULL, text, RunState.NOT_RUN, retry_after_s or RETRY_AFTER_S)
     return Refusal(RefusalCode.TARGET_UNREACHABLE, text, RunState.UNKNOWN)
 
 
--- a/almondspindle/platform/headers.py
+++ b/almondspindle/platform/headers.py
@@ -1,9 +1,11 @@
 """Translate the headers of requests and responses to and from the project's types."""
 
+import re
+
 from almondspindle.core.calls import Call, Headers
 from almondspindle.core.identifiers import RequestId, TargetName
 from almondspindle.core.outcomes import Ok, Outcome, Refusal, RefusalCode, RunState, refused
-from almondspindle.core.placements import Occupancy, ResponseMetadata
+from almondspindle.core.placements import Occupancy, RequestedPause, ResponseMetadata
 from almondspindle.core.prompts import Prompt, PromptPart
 from almondspindle.utils.numbers import parse_digits
 
@@ -22,6 +24,7 @@
 LAST_EVENT_ID_HEADER = "last-event-id"
 INSTANCE_HEADER = "x-instance"
 LEAVING_HEADER = "server-leaving"
+RETRY_AFTER_HEADER = "retry-after"
 READY_PATH = "/-/readyz"
 MISDIRECTED = 421
 # Headers that only this system sets. They are ignored in callers' requests.
@@ -82,6 +85,8 @@
 GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 DEFAULT_RETRY_AFTER_S = 0.3
+SECONDS = re.compile(r"[+-]?(\d+\.?\d*|\.\d+)", re.ASCII)
+MAX_LOGGED_CHARS = 40  # of a header's value
 
 
 def read_call(method: str, path: str, headers: Headers, body: bytes, now: float) -> Outcome[Call]:
@@ -213,9 +218,18 @@
         ),
         instance=TargetName(instance) if instance else None,
         is_leaving=values.get(LEAVING_HEADER, "").strip() == "1",
+        pause=_parse_pause(status, values.get(RETRY_AFTER_HEADER)),
     )
 
 
+def _parse_pause(status: int, text: str | None) -> RequestedPause | None:
+    if status != NOT_RUN_STATUS or text is None:
+        return None
+    number = text.strip()
+    seconds = float(number) if SECONDS.fullmatch(number) else None
+    return RequestedPause(number[:MAX_LOGGED_CHARS], seconds)
+
+
 def _parse_occupancy(text: str | None) -> Occupancy | None:
     numbers = [_parse_int(part.strip()) for part in (text or "").split(",")]
     if len(numbers) != 3 or None in numbers:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -117,7 +117,12 @@
         )
         self._pool = ConnectionPool(self._clock, self._metrics)
         client = PooledTargetClient(
-            self._pool, codec, self._clock, self._metrics, self._placement.send
+            self._pool,
+            codec,
+            self._clock,
+            self._metrics,
+            self._placement.send,
+            self._placement.request,
         )
         self._reject_unfinishable = RejectUnfinishable(self._durations)
         deliver = DeliverToTarget(
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/test_placement.py
@@ -7,6 +7,7 @@
     GetFailures,
     GetLeavingNews,
     GetLoads,
+    MayProbe,
     PeerLeavingReported,
     PeerLoadsReported,
     SelectTarget,
@@ -23,7 +24,13 @@
 from almondspindle.core.inventory import HostRecord, TargetRecord
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.outcomes import RefusalCode, RunState
-from almondspindle.core.placements import AttemptEnd, AttemptReport, TargetLife, TargetNotice
+from almondspindle.core.placements import (
+    AttemptEnd,
+    AttemptReport,
+    RequestedPause,
+    TargetLife,
+    TargetNotice,
+)
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import Engine, RouteTable, ServiceSpec
 
@@ -322,3 +329,91 @@
     assert controller.handle(GetLoads(), 1.1) == {"t0": 1}
     end_attempt(controller, placement.ticket, AttemptEnd.ANSWERED)
     assert controller.handle(GetLoads(), 1.2) == {}
+
+
+def ask_pause(
+    controller: PlacementController, ticket: int, seconds: float | None, now: float = 1.0
+) -> None:
+    controller.handle(TargetNotice(ticket, pause=RequestedPause("x", seconds)), now)
+    end_attempt(controller, ticket, AttemptEnd.REJECTED, now)
+
+
+@pytest.mark.parametrize("changes", [{}, {"is_retry": True}, {"key": "part"}])
+def test_paused_target_gets_nothing_until_the_end_of_its_pause(changes):
+    controller = make_controller(make_target("t0"), make_target("t1"))
+    first = place(controller, key="part").ok
+    ask_pause(controller, first.ticket, 3.0)
+    for now in (1.0, 2.0, 3.9):
+        for _ in range(2):
+            placement = place(controller, now, **changes).ok
+            assert placement.target != first.target
+            end_attempt(controller, placement.ticket, AttemptEnd.ANSWERED, now)
+    assert place(controller, 4.0, key="part").ok.target == first.target
+
+
+def test_shorter_pause_does_not_end_a_longer_one():
+    controller = make_controller(make_target("t0"))
+    tickets = [place(controller).ok.ticket for _ in range(2)]
+    ask_pause(controller, tickets[0], 3.0, now=1.0)
+    ask_pause(controller, tickets[1], 0.5, now=1.1)
+    assert place(controller, 3.9).is_error()
+    assert place(controller, 4.0).is_ok()
+
+
+def test_callers_learn_when_the_first_pause_ends():
+    controller = make_controller(make_target("t0"), make_target("t1"))
+    for seconds in (9.0, 4.0):
+        ask_pause(controller, place(controller).ok.ticket, seconds)
+    refusal = place(controller, 2.0).error
+    assert (refusal.code, refusal.run_state) == (RefusalCode.TARGETS_PAUSED, RunState.NOT_RUN)
+    assert 3.0 <= refusal.retry_after_s <= 5.0
+    assert place(controller, 5.0).is_ok()
+
+
+def test_pause_outlasts_an_absence_from_the_list_and_ends_with_a_new_start():
+    controller = make_controller(make_target("t0"))
+    ask_pause(controller, place(controller).ok.ticket, 9.0)
+    list_targets(controller, now=2.0)
+    list_targets(controller, make_target("t0"), now=3.0)
+    assert place(controller, 3.1).is_error()
+    list_targets(controller, make_target("t0", started_at_ms=7), now=4.0)
+    assert place(controller, 4.1).is_ok()
+
+
+def test_paused_target_is_not_probed():
+    controller = make_controller(make_target("t0"))
+    first, second = (place(controller).ok.ticket for _ in range(2))
+    assert controller.handle(MayProbe(first), 1.0)
+    ask_pause(controller, second, 3.0)
+    assert not controller.handle(MayProbe(first), 1.1)
+    assert controller.handle(MayProbe(first), 4.0)
+
+
+@pytest.mark.parametrize("seconds", [None, -1.0, 0.0])
+def test_pause_without_a_length_is_ignored(seconds):
+    controller = make_controller(make_target("t0"))
+    ask_pause(controller, place(controller).ok.ticket, seconds)
+    assert place(controller, 1.1).is_ok()
+
+
+def test_pause_of_another_target_at_the_address_does_not_pause_the_expected_one():
+    controller = make_controller(make_target("t0"))
+    ticket = place(controller).ok.ticket
+    pause = RequestedPause("9", 9.0)
+    controller.handle(TargetNotice(ticket, TargetName("t9"), pause=pause), 1.0)
+    assert place(controller, 1.1).is_ok()
+
+
+def test_pauses_do_not_push_the_others_beyond_the_load_cap():
+    controller = make_controller(*(make_target(f"t{number}") for number in range(5)))
+    for _ in range(4):
+        ask_pause(controller, place(controller).ok.ticket, 9.0)
+    loads = []
+    for _ in range(60):
+        placed = place(controller, 2.0)
+        loads.append(placed.ok.load if placed.is_ok() else 0)
+    cap = 2.0 * max(loads) / 5 + 3
+    assert 0 < max(loads) <= cap
+    refusal = place(controller, 2.0).error
+    assert refusal.code is RefusalCode.TARGETS_PAUSED and refusal.retry_after_s <= 1.0
+    assert place(controller, 10.1).is_ok()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 """Test the translation of request and response headers."""
 
+import math
+
 import pytest
 
 from almondspindle.core.calls import Call
@@ -128,6 +130,23 @@
     assert read_response_head(200, ()).instance is None
 
 
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("2", 2.0), (" 0.25 ", 0.25), ("-3", -3.0), ("9" * 400, math.inf), ("", None), ("1e3", None),
+     ("nan", None), ("infinity", None), ("1_0", None), ("٢", None),
+     ("Fri, 05 Dec 2026 07:00:00 GMT", None)],
+)  # fmt: skip
+def test_pause_of_a_rejection_is_read(text, seconds):
+    pause = read_response_head(503, (("Retry-After", text),)).pause
+    assert pause is not None and pause.seconds == seconds
+    assert len(pause.text) <= 40
+
+
+def test_only_a_503_with_retry_after_asks_for_a_pause():
+    assert read_response_head(503, ()).pause is None
+    assert read_response_head(429, (("Retry-After", "2"),)).pause is None
+
+
 @pytest.mark.parametrize("load", ["", "3", "a,b,c", "1,2", "-1,0,8"])
 def test_malformed_load_header_is_ignored(load):
     assert read_response_head(200, (("X-Load", load),)).occupancy is None
