Let replicas of the soak say that they leave, and ask for pauses

Callers saw: nothing; the soak had no replica that says anything about itself in its responses. Cause: both kinds are new. Change: a second schedule of faults, drawn apart so that known seeds keep theirs; the history checks what reaches a replica from a host after it was told. Stops, kills, freezes and unplanned faults since then excuse it.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -3,10 +3,19 @@
 import asyncio
 import random
 import zlib
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import replace
 
-from soak.history import ReplicaRequest, RunHistory
+from soak.history import (
+    DRAIN_S,
+    MAX_IN_PAUSE,
+    PAUSE_GRACE_S,
+    Announcement,
+    ReplicaRequest,
+    RunHistory,
+    host_of,
+)
 from soak.proxy import Proxy
 from tests.standins import replica as r
 from tests.standins.node_fleet import MODEL_SERVICE, PLAIN_SERVICE, ROUTES, manifest, replica_record
@@ -41,10 +50,20 @@
 
 
 class SoakReplica(Replica):
-    """A replica with delays and random failures that records the requests it receives."""
+    """A replica with delays and random failures that records the requests it receives.
 
-    def __init__(self, name: str, history: RunHistory, rng: random.Random) -> None:
+    It can tell hosts that it is leaving until `leaves_at`, or ask them for a pause until
+    `paused_until`, in seconds since the start of the run.
+    """
+
+    def __init__(
+        self, name: str, history: RunHistory, rng: random.Random, now: Callable[[], float]
+    ) -> None:
         super().__init__(self._behave_in_time)
+        self.leaves_at = self.paused_until = 0.0
+        self.start_count = 1
+        self._now = now
+        self._told: set[tuple[str, float]] = set()
         self.name = name
         self._speaks = asyncio.Event()
         self._speaks.set()
@@ -58,12 +77,44 @@
         self._speaks.set()
 
     def _behave_in_time(self, request: ReceivedRequest) -> ScriptedResponse:
-        return replace(self._behave(request), pause_s=processing_s(request))
+        return replace(self._announce(request), pause_s=processing_s(request))
+
+    def _announce(self, request: ReceivedRequest) -> ScriptedResponse:
+        """Return the response, with what the replica tells the host of the request."""
+        now, script = self._now(), self._behave(request)
+        # A host may never read the head of a response that is cut short, or reads it late.
+        is_cut = request.request_id in self._history.truncated_ids
+        is_late = processing_s(request) > PROCESSING_S
+        if is_cut or is_late or request.headers.get("x-expect-instance") != self.name:
+            return script
+        if now < self.leaves_at:
+            self._record("DRAIN", request, self.leaves_at, DRAIN_S, 0)
+            script = _with_header(script, "Server-Leaving: 1")
+        if now < self.paused_until and b"X-Not-Run" in script.pieces[0]:
+            self._record("BUDGET", request, self.paused_until, PAUSE_GRACE_S, MAX_IN_PAUSE)
+            script = _with_header(script, f"Retry-After: {self.paused_until - now:.3f}")
+        return script
+
+    def _record(
+        self, rule: str, request: ReceivedRequest, end: float, grace_s: float, allowed: int
+    ) -> None:
+        host, now = host_of(request.request_id), self._now()
+        if (host, end) not in self._told:
+            self._told.add((host, end))
+            self._history.announcements.append(
+                Announcement(rule, self.name, host, now, now + grace_s, end, allowed)
+            )
+
+    def start_again(self) -> None:
+        """Begin a new lifetime, which none of the announcements are about."""
+        self.start_count += 1
+        self.leaves_at = self.paused_until = 0.0
+        self._history.end_announcements(self.name, self._now())
 
     def _behave(self, request: ReceivedRequest) -> ScriptedResponse:
         expected = request.headers.get("x-expect-instance", "")
         is_other, chance = expected != self.name, self._rng.random()
-        is_rejected = chance < REJECTED_SHARE
+        is_rejected = chance < REJECTED_SHARE or self._now() < self.paused_until
         self._history.replica_requests.append(
             ReplicaRequest(
                 request.request_id,
@@ -72,6 +123,7 @@
                 request.headers.get("x-tenant", ""),
                 "x-api-key" in request.headers,
                 is_executed=not is_other and not is_rejected,
+                arrived_at=self._now(),
             )
         )
         if is_other:
@@ -109,10 +161,16 @@
         )
 
 
+def _with_header(script: ScriptedResponse, header: str) -> ScriptedResponse:
+    head = script.pieces[0].replace(b"\r\n\r\n", f"\r\n{header}\r\n\r\n".encode(), 1)
+    return replace(script, pieces=(head, *script.pieces[1:]))
+
+
 class SoakEnvironment:
     """The store and the replicas of one run. Manages their start and stop as a context."""
 
-    def __init__(self, history: RunHistory, rng: random.Random) -> None:
+    def __init__(self, history: RunHistory, rng: random.Random, now: Callable[[], float]) -> None:
+        self.now = now
         self.store = ObjectStore()
         self.version = 0
         self.replicas: dict[str, tuple[str, SoakReplica, Proxy]] = {}
@@ -132,7 +190,7 @@
         await self._stack.aclose()
 
     async def _add_replica(self, service: str, name: str) -> None:
-        replica = SoakReplica(name, self._history, self._rng)
+        replica = SoakReplica(name, self._history, self._rng, self.now)
         await self._stack.enter_async_context(replica)
         proxy = await self._stack.enter_async_context(Proxy(replica.address))
         self.replicas[name] = (service, replica, proxy)
@@ -141,7 +199,9 @@
     async def register(self, name: str, state: str = "ready") -> None:
         """Write the entry of a replica into the store."""
         service, replica, proxy = self.replicas[name]
-        spec = replica_record(replica, service, addr=proxy.address, slots=48, state=state)
+        spec = replica_record(
+            replica, service, addr=proxy.address, slots=48, state=state, born=replica.start_count
+        )
         await self.store.put("servers", name, spec)
 
     async def change_manifest(self) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from soak.environment import SoakEnvironment
+from soak.history import DRAIN_S
 from soak.hosts import SoakHost
 from soak.proxy import Proxy, ProxyMode
 
@@ -126,6 +127,25 @@
     await asyncio.gather(*(replica.fall_silent(silence_s) for replica in silent))
 
 
+async def _leave(context: FaultContext, fault: Fault) -> None:
+    """Let a replica say in its responses that it leaves, while its record says ready."""
+    name, now = context.replica(fault), context.environment.now()
+    _, replica, _ = context.environment.replicas[name]
+    if now < replica.leaves_at:
+        return
+    duration_s = DRAIN_S + fault.duration_s
+    replica.leaves_at = now + duration_s
+    await asyncio.sleep(duration_s)
+    replica.start_again()
+    await context.environment.register(name)
+
+
+async def _ask_for_pause(context: FaultContext, fault: Fault) -> None:
+    _, replica, _ = context.environment.replicas[context.replica(fault)]
+    replica.paused_until = context.environment.now() + fault.duration_s
+    await asyncio.sleep(fault.duration_s)
+
+
 async def _write_malformed_entry(context: FaultContext, fault: Fault) -> None:
     await context.environment.store.put("servers", "garbage", {"service": 7, "addr": None})
 
@@ -157,6 +177,12 @@
     "replica one way down": _with_mode(ProxyMode.DROP_DOWN, _replica_proxy),
 }
 FAULT_ACTIONS = PLANNED | UNPLANNED
+# What replicas tell hosts in their responses. These have a schedule of their own, so that a seed
+# keeps its other faults.
+ANNOUNCEMENTS: dict[str, FaultAction] = {
+    "replica leaves": _leave,
+    "replica asks for a pause": _ask_for_pause,
+}
 # These faults run one at a time: two of them at once on one host would interfere with each other.
 EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop", "service pauses"})
 
@@ -164,7 +190,15 @@
 def draw_faults(rng: random.Random, duration_s: float) -> list[Fault]:
     """Return a random schedule of faults over `duration_s` seconds."""
     # 40 % of the runs have planned operations only, so that no lost request in them is exempt.
-    kinds = sorted(PLANNED if rng.random() < 0.4 else FAULT_ACTIONS)
+    return _draw(rng, sorted(PLANNED if rng.random() < 0.4 else FAULT_ACTIONS), duration_s)
+
+
+def draw_announcements(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return a random schedule of announcements by replicas over `duration_s` seconds."""
+    return _draw(rng, sorted(ANNOUNCEMENTS), duration_s)
+
+
+def _draw(rng: random.Random, kinds: list[str], duration_s: float) -> list[Fault]:
     faults, at = [], 0.0
     while at < duration_s:
         delay_s = rng.uniform(*START_GAP_RANGE_S)
--- a/soak/history.py
+++ b/soak/history.py
@@ -1,10 +1,13 @@
 """The history of a run as callers and replicas saw it, and the check of the guarantees."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Requests this soon after an unplanned fault are exempt, as its end may still disturb them.
 AFTER_EFFECT_S = 3.0
+DRAIN_S = 2.0  # after which a host sends nothing to a replica that told it that it leaves
+PAUSE_GRACE_S = 0.5  # after which a host keeps a pause
+MAX_IN_PAUSE = 2  # requests
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # guarantee that the request does not run
 DENIED_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
 REPEATABLE_KINDS = frozenset({"safe", "resumable"})
@@ -43,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaRequest:
-    """A request that a replica received, and whether the replica executed it."""
+    """A request that a replica received, and whether the replica executed it.
+
+    `arrived_at` is in seconds since the start of the run.
+    """
 
     request_id: str
     replica: str
@@ -51,6 +57,23 @@
     tenant: str
     has_api_key: bool
     is_executed: bool
+    arrived_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a replica told a host at `told_at`: to send at most `allowed` requests in a time.
+
+    That time lasts from `begin` to `end`, all in seconds since the start of the run.
+    """
+
+    rule: str
+    replica: str
+    host: str
+    told_at: float
+    begin: float
+    end: float
+    allowed: int
 
 
 @dataclass
@@ -61,6 +84,8 @@
     responses: list[ReceivedResponse] = field(default_factory=list)
     replica_requests: list[ReplicaRequest] = field(default_factory=list)
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    announcements: list[Announcement] = field(default_factory=list)
+    host_events: list[tuple[float, float]] = field(default_factory=list)  # stops, kills, silences
     truncated_ids: set[str] = field(default_factory=set)  # requests whose response was cut short
     newest_served: dict[tuple[int, int], int] = field(default_factory=dict)
     findings: list[str] = field(default_factory=list)
@@ -77,6 +102,13 @@
             )
         self.newest_served[host, lifetime] = max(newest, version)
 
+    def end_announcements(self, replica: str, at: float) -> None:
+        """End what `replica` told hosts at the time `at`."""
+        self.announcements = [
+            replace(told, end=min(told.end, at)) if told.replica == replica else told
+            for told in self.announcements
+        ]
+
     def violations(self) -> list[str]:
         """Return a line for each violation of a guarantee."""
         return [
@@ -84,6 +116,7 @@
             *self._check_executions(),
             *self._check_replica_requests(),
             *self._check_responses(),
+            *self._check_announcements(),
         ]
 
     def _check_executions(self) -> list[str]:
@@ -152,8 +185,37 @@
                 )
         return violations
 
+    def _check_announcements(self) -> list[str]:
+        violations = []
+        for told in self.announcements:
+            later = [
+                request.request_id
+                for request in self.replica_requests
+                if request.replica == request.expected_replica == told.replica
+                and host_of(request.request_id) == told.host
+                and told.begin < request.arrived_at < told.end
+                and not self._is_excused(told, request.arrived_at)
+            ]
+            if len(later) > told.allowed:
+                violations.append(
+                    f"{told.rule}: {told.replica} got {len(later)} requests from host {told.host} "
+                    f"after {told.told_at:.2f} s, first {later[0]}"
+                )
+        return violations
+
+    def _is_excused(self, told: Announcement, until: float) -> bool:
+        """Return whether a stop, a freeze or a fault came between the announcement and `until`."""
+        if not self.is_undisturbed(told.told_at, until):
+            return True
+        return any(until >= begin and told.told_at <= end for begin, end in self.host_events)
+
     def is_undisturbed(self, since: float, until: float) -> bool:
         """Return whether no unplanned fault may have disturbed the time from `since` to `until`."""
         return all(
             until < begin or since > end + AFTER_EFFECT_S for begin, end in self.disturbances
         )
+
+
+def host_of(request_id: str) -> str:
+    """Return the number of the host that got the request from its caller."""
+    return request_id.partition("-")[0][1:]
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,16 @@
 
 from soak.callers import HTTP_OK, CallerTask, poll_versions, send_probe
 from soak.environment import SoakEnvironment
-from soak.faults import EXCLUSIVE, FAULT_ACTIONS, UNPLANNED, Fault, FaultContext, draw_faults
+from soak.faults import (
+    ANNOUNCEMENTS,
+    EXCLUSIVE,
+    FAULT_ACTIONS,
+    UNPLANNED,
+    Fault,
+    FaultContext,
+    draw_announcements,
+    draw_faults,
+)
 from soak.history import RunHistory
 from soak.hosts import SoakHost, shared_ports
 from soak.proxy import Proxy
@@ -42,7 +51,7 @@
         self._logs = logs
         self._rng = random.Random(seed)
         self._history = RunHistory()
-        self._environment = SoakEnvironment(self._history, random.Random(seed + 1))
+        self._environment = SoakEnvironment(self._history, random.Random(seed + 1), self._now)
         self._hosts: list[SoakHost] = []
         self._started_at = time.monotonic()
         self._exclusive_lock = asyncio.Lock()
@@ -53,6 +62,7 @@
     async def execute(self) -> RunResult:
         """Execute the run and return its result."""
         faults = draw_faults(self._rng, self._duration_s)
+        announcements = draw_announcements(random.Random(f"{self._seed} told"), self._duration_s)
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self._environment)
             ports = shared_ports()
@@ -64,7 +74,7 @@
             stack.push_async_callback(self._stop_hosts)
             await asyncio.gather(*(host.start() for host in self._hosts))
             await self._wait_all_serve(START_TIMEOUT_S, "after the start")
-            await self._run_load(faults)
+            await self._run_load(faults, announcements)
             await self._wait_all_serve(RECOVERY_TIMEOUT_S, "after the last fault")
         for host in self._hosts:
             self._history.findings += host.unexpected_exits
@@ -75,11 +85,11 @@
             self._seed,
             len(self._history.responses),
             served,
-            len(faults),
+            len(faults) + len(announcements),
             self._history.violations(),
         )
 
-    async def _run_load(self, faults: list[Fault]) -> None:
+    async def _run_load(self, *schedules: list[Fault]) -> None:
         callers = [
             CallerTask(
                 f"c{host.number}-{number}",
@@ -98,7 +108,7 @@
             )
             for host in self._hosts
         ]
-        await self._inject_all(faults)
+        await asyncio.gather(*(self._inject_all(faults) for faults in schedules))
         await asyncio.sleep(STREAM_END_WAIT_S)
         for caller in callers:
             caller.stop.set()
@@ -126,7 +136,10 @@
 
     async def _inject_recorded(self, context: FaultContext, fault: Fault) -> None:
         started_at = self._now()
-        await FAULT_ACTIONS[fault.kind](context, fault)
+        actions = FAULT_ACTIONS | ANNOUNCEMENTS
+        await actions[fault.kind](context, fault)
+        if fault.kind in EXCLUSIVE:
+            self._history.host_events.append((started_at, self._now()))
         if fault.kind in UNPLANNED:
             self._history.disturbances.append((started_at, self._now()))
 
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from soak.history import AFTER_EFFECT_S, ReceivedResponse, ReplicaRequest, RunHistory, SentRequest
+from soak.history import (
+    AFTER_EFFECT_S,
+    Announcement,
+    ReceivedResponse,
+    ReplicaRequest,
+    RunHistory,
+    SentRequest,
+)
 
 COMMIT = SentRequest("c-1", "unsafe", 5.0, b"c-1")
 READ = SentRequest("r-1", "safe", 5.0, b"r-1")
@@ -90,3 +97,22 @@
     assert history.violations() == []
     history.record_served_version(0, 1, version=2)
     assert violated_rules(history) == ["CONFIG"]
+
+
+@pytest.mark.parametrize(("rule", "allowed"), [("DRAIN", 0), ("BUDGET", 2)])
+def test_requests_after_an_announcement_are_reported(rule, allowed):
+    told = Announcement(rule, "t0", "1", 4.0, 5.0, 7.0, allowed)
+    sent = {f"c1-{n}": replace(READ, request_id=f"c1-{n}") for n in range(9)}
+
+    def requests(count: int, at: float) -> list[ReplicaRequest]:
+        return [replace(EXECUTED, request_id=f"c1-{n}", arrived_at=at) for n in range(count)]
+
+    def rules(count: int, at: float, **changes) -> list[str]:
+        history = RunHistory(sent, [], requests(count, at), announcements=[told], **changes)
+        return violated_rules(history)
+
+    assert rules(allowed + 1, 6.0) == [rule]
+    assert rules(allowed, 6.0) == []
+    assert rules(9, 4.5) == rules(9, 7.5) == []
+    assert rules(9, 6.0, host_events=[(5.0, 5.5)]) == []
+    assert rules(9, 6.0, disturbances=[(5.0, 5.5)]) == []
