Continue a stream elsewhere if a target rejects its rest

Callers saw: a resumable stream cut, since the target that should go on with it had no room or asked for a pause. Cause: once a part of the response was forwarded, a rejection (X-Not-Run) counted as a broken response that may have run, and used up the attempts. The new test fails before. Change: a rejection is one at any point of a response; its body isn't forwarded, as before.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -229,7 +229,7 @@
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
             return
-        if self._is_rejected(metadata):
+        if metadata.is_not_run:
             return
         is_stream = self.call.work is WorkKind.CHAT and part.status == HTTP_OK
         if part.length is not None and part.length > MAX_RESPONSE_BYTES:
@@ -245,7 +245,7 @@
 
     @process.register
     async def _(self, part: BodyReceived) -> None:
-        if self.metadata is not None and self._is_rejected(self.metadata):
+        if self.metadata is not None and self.metadata.is_not_run:
             self.rejected_bytes += len(part.data)
             if self.rejected_bytes > MAX_REJECTION_BYTES:
                 self._finish_rejected()
@@ -264,7 +264,7 @@
         metadata = self.metadata
         if metadata is None:
             raise InvariantError("a response ended before its head")
-        is_rejected = self._is_rejected(metadata)
+        is_rejected = metadata.is_not_run
         fault = None if is_rejected else self.progress.find_fault_at_end(self.ends_at_close)
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
@@ -297,9 +297,6 @@
             )
         )
 
-    def _is_rejected(self, metadata: ResponseMetadata) -> bool:
-        return metadata.is_not_run and not self.progress.started
-
     def _is_own(self, metadata: ResponseMetadata) -> bool:
         """Return whether the response is to this request, and not a late copy of an earlier one.
 
@@ -321,6 +318,8 @@
             return "successful response without the target's stamp"
         if HTTP_OK <= self.status < FIRST_REDIRECT_STATUS and metadata.is_encoded:
             return "the body has a content encoding"
+        if metadata.is_not_run:
+            return None
         if self.progress.started and self.status != HTTP_OK:
             return f"the target did not resume the stream: status {self.status}"
         first = self.progress.head
--- a/tests/programs/test_node_leaving.py
+++ b/tests/programs/test_node_leaving.py
@@ -285,3 +285,24 @@
             await wait_until(is_served)
 
     run(check)
+
+
+def test_a_stream_goes_on_elsewhere_if_a_replica_rejects_its_rest():
+    rejected: list[str] = []
+
+    def respond(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        if "last-event-id" not in request.headers:
+            return leaving(broken_stream(request))
+        if not rejected:
+            rejected.append(request.request_id)
+            return r.rejected(request)
+        return r.stream(request, first=2)
+
+    async def check() -> None:
+        async with running_platform(model=respond, replicas=3) as (_, host, groups):
+            response = await host.send(encode_request("/resumable/", b"x"))
+            assert (response.status, response.is_complete) == (200, True)
+            assert response.body == b"".join(r.event(number) for number in (1, 2, 3))
+            assert [len(replica.requests) for replica in groups[MODEL_SERVICE]] == [1, 1, 1]
+
+    run(check)
