--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -16,13 +16,20 @@
     TargetConnection,
 )
 from almondspindle.adapters.target.events import EventTooLong
+from almondspindle.controllers.placement.messages import MayProbe
 from almondspindle.core.calls import Call, ResponseHead, ResponseSink, WorkKind
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import CONNECTION_FAILED
+from almondspindle.core.identifiers import TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import ATTEMPTS, MetricSender
 from almondspindle.core.outcomes import InvariantError
-from almondspindle.core.placements import AttemptEnd, AttemptReport, ResponseMetadata
+from almondspindle.core.placements import (
+    AttemptEnd,
+    AttemptReport,
+    ResponseMetadata,
+    TargetNotice,
+)
 from almondspindle.decisions.idle_timeout import IdleTimeouts
 from almondspindle.decisions.response_bounds import (
     MAX_REJECTION_BYTES,
@@ -39,15 +46,26 @@
     """Send calls to targets over pooled connections.
 
     Each attempt writes its request at most once; this class never sends a request again.
+    `on_notice` gets what a target says about itself as soon as the head of its response arrives,
+    however the attempt ends. `may_probe` tells whether the target of an attempt may be asked by a
+    new connection if it is down.
     """
 
     def __init__(
-        self, pool: ConnectionPool, codec: HeaderCodec, clock: Clock, metrics: MetricSender
+        self,
+        pool: ConnectionPool,
+        codec: HeaderCodec,
+        clock: Clock,
+        metrics: MetricSender,
+        on_notice: Callable[[TargetNotice], None],
+        may_probe: Callable[[MayProbe], Awaitable[bool]],
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
+        self._on_notice = on_notice
+        self._may_probe = may_probe
         self._kept = KeptBytes()
 
     def begin_response(self, call: Call, sink: ResponseSink) -> ResponseBuffer:
@@ -82,6 +100,7 @@
             self._clock,
             self._kept,
             may_leave,
+            self._on_notice,
         )
         self._metrics.count(ATTEMPTS)
         try:
@@ -95,10 +114,14 @@
             else:
                 connection.close()
         if report.end is AttemptEnd.CONNECTION_BROKEN and call.prompt and not report.wrote_body:
-            is_down = await self._pool.refuses_connections(call.target, call.target_address)
-            report = replace(report, target_is_down=is_down)
+            report = replace(report, target_is_down=await self._is_down(call, call.target))
         return _with_reuse_note(report, leased.ok)
 
+    async def _is_down(self, call: Call, target: TargetName) -> bool:
+        if call.ticket is not None and not await self._may_probe(MayProbe(call.ticket)):
+            return False
+        return await self._pool.refuses_connections(target, call.target_address)
+
 
 def _media_type(head: ResponseMetadata | ResponseHead) -> str:
     values = (value for name, value in head.headers if name.lower() == "content-type")
@@ -124,6 +147,7 @@
     clock: Clock
     kept: KeptBytes
     may_leave: Callable[[], Awaitable[bool]]
+    on_notice: Callable[[TargetNotice], None]
     kept_here: int = 0  # bytes of this response in `kept`
     rejected_bytes: int = 0
     may_reuse: bool = False
@@ -200,11 +224,12 @@
         self.keep_alive = part.keep_alive
         self.ends_at_close = part.ends_at_close
         self.metadata = metadata = self.codec.read_response_head(part.status, part.headers)
+        self._notify(metadata)
         fault = self._find_fault(metadata)
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
             return
-        if self._is_rejected(metadata):
+        if metadata.is_not_run:
             return
         is_stream = self.call.work is WorkKind.CHAT and part.status == HTTP_OK
         if part.length is not None and part.length > MAX_RESPONSE_BYTES:
@@ -220,7 +245,7 @@
 
     @process.register
     async def _(self, part: BodyReceived) -> None:
-        if self.metadata is not None and self._is_rejected(self.metadata):
+        if self.metadata is not None and self.metadata.is_not_run:
             self.rejected_bytes += len(part.data)
             if self.rejected_bytes > MAX_REJECTION_BYTES:
                 self._finish_rejected()
@@ -239,7 +264,7 @@
         metadata = self.metadata
         if metadata is None:
             raise InvariantError("a response ended before its head")
-        is_rejected = self._is_rejected(metadata)
+        is_rejected = metadata.is_not_run
         fault = None if is_rejected else self.progress.find_fault_at_end(self.ends_at_close)
         if fault is not None:
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
@@ -258,8 +283,19 @@
     async def _(self, part: ResponseBroken) -> None:
         self._finish(AttemptEnd.CONNECTION_BROKEN, part.reason)
 
-    def _is_rejected(self, metadata: ResponseMetadata) -> bool:
-        return metadata.is_not_run and not self.progress.started
+    def _notify(self, metadata: ResponseMetadata) -> None:
+        if self.call.ticket is None or not (metadata.is_leaving or metadata.pause):
+            return
+        is_misdirected = self.status == self.codec.MISDIRECTED
+        self.on_notice(
+            TargetNotice(
+                self.call.ticket,
+                metadata.instance,
+                is_misdirected,
+                metadata.is_leaving,
+                metadata.pause,
+            )
+        )
 
     def _is_own(self, metadata: ResponseMetadata) -> bool:
         """Return whether the response is to this request, and not a late copy of an earlier one.
@@ -282,6 +318,8 @@
             return "successful response without the target's stamp"
         if HTTP_OK <= self.status < FIRST_REDIRECT_STATUS and metadata.is_encoded:
             return "the body has a content encoding"
+        if metadata.is_not_run:
+            return None
         if self.progress.started and self.status != HTTP_OK:
             return f"the target did not resume the stream: status {self.status}"
         first = self.progress.head
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -1,5 +1,6 @@
 """The controller that selects a target for each request."""
 
+import math
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from itertools import count
@@ -10,7 +11,10 @@
 from almondspindle.controllers.placement.messages import (
     AttemptEnded,
     GetFailures,
+    GetLeavingNews,
     GetLoads,
+    MayProbe,
+    PeerLeavingReported,
     PeerLoadsReported,
     SelectTarget,
     TargetFellSilent,
@@ -24,19 +28,38 @@
     ZonesChanged,
 )
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import TARGET_EJECTED, TARGET_REINSTATED
+from almondspindle.core.events import (
+    NOTICE_UNATTRIBUTED,
+    PAUSE_IGNORED,
+    TARGET_EJECTED,
+    TARGET_LEAVING,
+    TARGET_PAUSED,
+    TARGET_REINSTATED,
+    TARGET_RETURNED,
+)
 from almondspindle.core.identifiers import ServiceName, TargetName, ZoneName
 from almondspindle.core.inventory import TargetRecord
 from almondspindle.core.logs import emit
+from almondspindle.core.metrics import LEAVINGS, PAUSES, MetricSender, NullMetrics
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
-from almondspindle.core.placements import AttemptEnd, AttemptReport, Placement, PlacementReason
+from almondspindle.core.placements import (
+    AttemptEnd,
+    AttemptReport,
+    Placement,
+    PlacementReason,
+    RequestedPause,
+    TargetLife,
+    TargetNotice,
+)
 from almondspindle.core.reports import AttemptCounts
 from almondspindle.core.routes import ServiceSpec
 from almondspindle.decisions.cold_rate import host_share, may_send
 from almondspindle.decisions.error_rate import count_attempts, is_error_rate_high, record_attempt
+from almondspindle.decisions.leaving_targets import LeavingTargets, find_sender, life_of
 from almondspindle.decisions.outlier_ejection import after_attempt, is_in_rotation
 from almondspindle.decisions.shared_retry_budget import RetryLog, record_request, try_spend_retry
+from almondspindle.decisions.target_pauses import pause_s, retry_after_s
 from almondspindle.decisions.target_selection import (
     Choice,
     TargetCandidate,
@@ -48,16 +71,20 @@
 # Sent to callers in the Retry-After header of a refusal.
 COLD_RETRY_AFTER_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.3
+CAP_RETRY_AFTER_S = 0.5
+OWN_RESPONSE = "response"  # the source of what a target said to this host itself
 
 
 class PlacementController(Controller):
     """Own the state of all targets, including this host's requests in flight at each."""
 
-    def __init__(self, cfg: NodeCfg, clock: Clock) -> None:
+    def __init__(self, cfg: NodeCfg, clock: Clock, metrics: MetricSender | None = None) -> None:
         super().__init__(clock)
         self._cfg = cfg
+        self._metrics = metrics or NullMetrics()
         self._targets: dict[TargetName, TrackedTarget] = {}
         self._by_service: dict[ServiceName, list[TrackedTarget]] = {}
+        self._records: dict[TargetName, TargetRecord] = {}
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._excluded_zones: frozenset[ZoneName] = frozenset()
         self._hosts: tuple[str, ...] = (cfg.host,)
@@ -65,6 +92,9 @@
         self._retry_logs: dict[ServiceName, RetryLog] = {}
         self._reservations: dict[int, _Reservation] = {}
         self._copy_sources = CopySources()
+        self._leaving = LeavingTargets()
+        self._pauses: dict[TargetLife, float] = {}
+        self._last_pause_ends: dict[ServiceName, float] = {}
         self._ticket_numbers = count(1)
 
     @singledispatchmethod
@@ -113,6 +143,7 @@
     @handle.register
     def _(self, msg: TargetsChanged, now: float) -> None:
         previous = self._targets
+        self._records = {record.name: record for record in msg.targets.values()}
         for name, unlisted in previous.items():
             if name not in msg.targets:
                 self._copy_sources.retain_unlisted(unlisted, self._cfg.bounds.drain_s, now)
@@ -121,12 +152,26 @@
         for record in msg.targets.values():
             target = previous.get(record.name)
             if target is None or _has_restarted(target.record, record):
-                target = TrackedTarget(record, cold_until=now + record.cold_left_s)
+                target = TrackedTarget(
+                    record,
+                    cold_until=now + record.cold_left_s,
+                    paused_until=self._pauses.get(life_of(record), 0.0),
+                )
                 self._copy_sources.remove_target(record.name)
+                if self._leaving.has_returned(record):
+                    emit(
+                        TARGET_RETURNED,
+                        target=record.name,
+                        address=record.address,
+                        started_at_ms=record.started_at_ms,
+                    )
             elif record is not target.record:
                 # The target wrote its record again; the remaining cold time counts from that write.
                 target.cold_until = max(target.cold_until, now + record.cold_left_s)
                 target.record = record
+            target.is_leaving = record.is_leaving or self._leaving.includes(record)
+            if record.is_leaving:
+                target.copies_until = math.inf  # it is listed while it serves
             self._targets[record.name] = target
             self._by_service.setdefault(record.service, []).append(target)
 
@@ -141,9 +186,11 @@
             for target in targets
             if self._accepts_requests(target) and target.record.name not in msg.tried_targets
         ]
+        paused = self._paused_targets(msg.service, now)
+        if paused:
+            eligible = [target for target in eligible if now >= target.paused_until]
         if not eligible:
-            text = f"no target of service {msg.service} is available"
-            return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+            return self._refuse_without_target(msg, paused, now)
         loads = {target.record.name: self._total_in_flight(target, now) for target in targets}
         candidates = [
             self._to_candidate(target, loads[target.record.name], now) for target in eligible
@@ -162,11 +209,47 @@
         if msg.only_healthy and choice.reason is PlacementReason.LAST_RESORT:
             text = f"no healthy target of service {msg.service} is left"
             return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+        if paused and choice.candidate.load >= cap:
+            text = f"targets of service {msg.service} are paused and the others at their load cap"
+            available_at = min(now + CAP_RETRY_AFTER_S, _first_end(paused))
+            wait_s = retry_after_s(available_at, msg.request_id, now)
+            return refused(RefusalCode.TARGETS_PAUSED, text, retry_after_s=wait_s)
         if msg.is_retry and not try_spend_retry(log, self._cfg.bounds, len(self._hosts), now):
             return refused(RefusalCode.RATE_LIMITED, "the service's retry budget is exhausted")
         copy_from = self._copy_source_address(msg, choice.candidate.name, ranked, sources, now)
         return Ok(self._reserve(msg, choice, copy_from, now))
 
+    @handle.register
+    def _(self, msg: TargetNotice, now: float) -> None:
+        reservation = self._reservations.get(msg.ticket)
+        if reservation is None:
+            return
+        expected = reservation.target.record
+        sender = find_sender(msg, expected, self._records)
+        if sender is None:
+            emit(NOTICE_UNATTRIBUTED, expected=expected.name, address=expected.address)
+            return
+        if msg.is_leaving:
+            self._note_leaving(sender, OWN_RESPONSE, now)
+        if msg.pause is not None:
+            self._note_pause(sender, msg.pause, now)
+
+    @handle.register
+    def _(self, msg: MayProbe, now: float) -> bool:
+        reservation = self._reservations.get(msg.ticket)
+        if reservation is None:
+            return False
+        return now >= self._pauses.get(life_of(reservation.target.record), 0.0)
+
+    @handle.register
+    def _(self, msg: PeerLeavingReported, now: float) -> None:
+        for life in msg.leaving:
+            self._note_leaving(life, msg.host, now)
+
+    @handle.register
+    def _(self, msg: GetLeavingNews, now: float) -> tuple[TargetLife, ...]:
+        return self._leaving.news(self._records, now)
+
     @handle.register
     def _(self, msg: AttemptEnded, now: float) -> None:
         reservation = self._reservations.pop(msg.ticket, None)
@@ -204,9 +287,69 @@
         elif before.failures and report.end is AttemptEnd.ANSWERED:
             emit(TARGET_REINSTATED, target=target.record.name, failures=before.failures)
 
+    def _note_leaving(self, life: TargetLife, source: str, now: float) -> None:
+        if not self._leaving.add(life, now):
+            return
+        self._metrics.count(LEAVINGS)
+        target = self._targets.get(life.target)
+        is_listed = target is not None and self._leaving.includes(target.record)
+        emit(
+            TARGET_LEAVING,
+            target=life.target,
+            address=life.address,
+            started_at_ms=life.started_at_ms,
+            source=source,
+            listed=is_listed,
+            in_flight=target.in_flight if target is not None else 0,
+        )
+        if target is not None and is_listed and not target.is_leaving:
+            target.is_leaving = True
+            target.copies_until = now + self._cfg.bounds.drain_s
+
+    def _note_pause(self, life: TargetLife, requested: RequestedPause, now: float) -> None:
+        seconds = pause_s(requested)
+        if seconds is None:
+            emit(PAUSE_IGNORED, target=life.target, stated=requested.text)
+            return
+        self._metrics.count(PAUSES)
+        self._pauses = {each: end for each, end in self._pauses.items() if end > now}
+        until = max(now + seconds, self._pauses.get(life, 0.0))
+        self._pauses[life] = until
+        target = self._targets.get(life.target)
+        if target is not None and life_of(target.record) == life:
+            target.paused_until = until
+            service = target.record.service
+            self._last_pause_ends[service] = max(until, self._last_pause_ends.get(service, 0.0))
+        emit(
+            TARGET_PAUSED,
+            target=life.target,
+            address=life.address,
+            stated=requested.text,
+            paused_for_s=round(until - now, 2),
+        )
+
+    def _paused_targets(self, service: ServiceName, now: float) -> list[TrackedTarget]:
+        if now >= self._last_pause_ends.get(service, 0.0):
+            return []
+        return [
+            target
+            for target in self._by_service.get(service, [])
+            if now < target.paused_until and self._accepts_requests(target)
+        ]
+
+    def _refuse_without_target(
+        self, msg: SelectTarget, paused: list[TrackedTarget], now: float
+    ) -> Outcome[Placement]:
+        targets = self._by_service.get(msg.service, [])
+        if paused and len(paused) == sum(self._accepts_requests(target) for target in targets):
+            text = f"every target of service {msg.service} asked for a pause"
+            wait_s = retry_after_s(_first_end(paused), msg.request_id, now)
+            return refused(RefusalCode.TARGETS_PAUSED, text, retry_after_s=wait_s)
+        text = f"no target of service {msg.service} is available"
+        return refused(RefusalCode.NO_TARGET, text, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+
     def _accepts_requests(self, target: TrackedTarget) -> bool:
-        record = target.record
-        return not record.is_leaving and record.zone not in self._excluded_zones
+        return not target.is_leaving and target.record.zone not in self._excluded_zones
 
     def _to_candidate(self, target: TrackedTarget, load: float, now: float) -> TargetCandidate:
         record = target.record
@@ -290,5 +433,9 @@
     prompt_key: str
 
 
+def _first_end(paused: list[TrackedTarget]) -> float:
+    return min(target.paused_until for target in paused)
+
+
 def _has_restarted(before: TargetRecord, after: TargetRecord) -> bool:
     return before.started_at_ms != after.started_at_ms or before.address != after.address
