Return to the silent target if the one after it fails

Callers saw: a stream cut although its first target was sound: it was left while silent, and the next target failed or was full. Change: once, after such a failure, the request goes back to the target it left. That is no further target, so the limit on attempts holds.

--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -39,6 +39,7 @@
     idle_timeouts,
     keeps_answer,
     may_leave_target,
+    may_return,
     next_step,
     refusal_after,
 )
@@ -95,7 +96,8 @@
     """A call on its way: its attempts so far and, if reserved already, the next one's target.
 
     `has_answer` is set while `progress` holds a complete error response. `silent_ticket` is that of
-    the attempt whose target was last reported as silent.
+    the attempt whose target was last reported as silent. `left` is the target that the call left as
+    it was silent.
     """
 
     call: Call
@@ -106,6 +108,7 @@
     next: Placement | None = None
     has_answer: bool = False
     silent_ticket: int | None = None
+    left: TargetName | None = None
 
 
 class DeliverToTarget(Generic[P]):
@@ -143,6 +146,8 @@
             if selected.is_error():
                 if last is None:
                     return Completion(progress.started, selected.error)
+                if await self._return(delivery, last):
+                    continue
                 self._log_refused_retry(call, last, selected.error)
                 return await self._end_without_retry(delivery, last, sink, selected.error)
             delivery.tried.append(selected.ok.target)
@@ -155,7 +160,9 @@
             self._log_failure(call, selected.ok, last, step)
             if last.target_is_down:
                 self._metrics.count(CRASHES)
-            if step is AttemptStep.GIVE_UP:
+            if last.end is AttemptEnd.IDLE_TIMEOUT:
+                delivery.left = selected.ok.target
+            if step is AttemptStep.GIVE_UP and not await self._return(delivery, last):
                 return await self._end_without_retry(delivery, last, sink)
             if delivery.next is None:
                 allowed = await self._check_retry(call, attempts)
@@ -164,6 +171,24 @@
                     return await self._end_without_retry(delivery, last, sink, allowed.error)
             self._metrics.count(LATER_ATTEMPTS)
 
+    async def _return(self, delivery: _Delivery[P], last: AttemptReport) -> bool:
+        """Reserve the silent target that the call has left, since the one after it failed.
+
+        Return False if that isn't possible.
+        """
+        left, delivery.left = delivery.left, None
+        if left is None or last.end is AttemptEnd.IDLE_TIMEOUT:
+            return False
+        if not may_return(delivery.route, last, self._remaining_s(delivery.call)):
+            return False
+        wanted = self._placement_request(delivery, is_retry=True)
+        selected = await self._reserve(replace(wanted, tried_targets=(), only_target=left))
+        if selected.is_error():
+            self._log_refused_retry(delivery.call, last, selected.error)
+            return False
+        delivery.next = selected.ok
+        return True
+
     async def _complete(self, progress: P, sink: ResponseSink) -> Completion:
         await progress.flush()
         await sink.write(ResponseEnd())
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -18,7 +18,7 @@
     `tried_targets` are the targets of earlier attempts, which are not selected again. `is_retry`
     is set if an earlier attempt may have reached a target: only then does this attempt count
     against the retry budget. With `only_healthy`, a target that is merely the last resort is not
-    selected.
+    selected. `only_target` is the only target that may be selected, None for any.
     """
 
     service: ServiceName
@@ -27,6 +27,7 @@
     tried_targets: tuple[TargetName, ...] = ()
     is_retry: bool = False
     only_healthy: bool = False
+    only_target: TargetName | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -184,7 +184,9 @@
         eligible = [
             target
             for target in targets
-            if self._accepts_requests(target) and target.record.name not in msg.tried_targets
+            if self._accepts_requests(target)
+            and target.record.name not in msg.tried_targets
+            and msg.only_target in (None, target.record.name)
         ]
         paused = self._paused_targets(msg.service, now)
         if paused:
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -91,6 +91,17 @@
     return _has_attempt_left(route, with_current) and left_s >= MIN_ATTEMPT_S
 
 
+def may_return(route: Route, report: AttemptReport, left_s: float) -> bool:
+    """Return whether a request may go back to a silent target that it has left.
+
+    The target counts as one attempt with its earlier one, so this holds also after the last attempt
+    that is allowed. `report` is that of the last attempt, and `left_s` the time to the deadline in
+    seconds.
+    """
+    has_failed = report.end in BROKEN_ENDS or report.end in NOT_RUN_ENDS
+    return route.is_retryable and has_failed and left_s >= MIN_ATTEMPT_S
+
+
 def keeps_answer(had_answer: bool, report: AttemptReport) -> bool:
     """Return whether a complete response is in hand after the attempt of `report`.
 
--- a/tests/programs/test_silent_targets.py
+++ b/tests/programs/test_silent_targets.py
@@ -96,6 +96,25 @@
     run(check)
 
 
+@pytest.mark.parametrize("status", ["500 Error", "503 Full"])
+def test_a_stream_returns_to_the_silent_target_if_the_next_one_fails(status):
+    def behave(request: r.ReceivedRequest) -> r.ScriptedResponse:
+        if not runs or request.headers["x-expect-instance"] == runs[0]:
+            runs.append(request.headers["x-expect-instance"])
+            return silent_after_first_event(request)
+        extra = "X-Not-Run: 1\r\n" if status.startswith("503") else ""
+        return r.complete_response(request, b"failed", status, extra)
+
+    async def check() -> None:
+        async with running_platform(model=behave) as (_, host, _):
+            request = encode_request("/resumable/", b"x", X_Deadline_Ms="4000")
+            response = await host.send(request)
+            assert (response.is_complete, response.body) == (True, WHOLE_STREAM)
+
+    runs: list[str] = []
+    run(check)
+
+
 def test_an_error_response_is_delivered_if_no_retry_is_possible():
     def error(request: r.ReceivedRequest) -> r.ScriptedResponse:
         return r.complete_response(request, b"failed", status="500 Error")
