Excuse streams in the soak whose rest two replicas answered with an error

Change: the second such error excuses the stream. One such error doesn't, so a request that is given up after one is still found.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -139,6 +139,8 @@
         else:
             script = r.complete_response(request, request.request_id.encode())
         if chance < ERROR_SHARE:
+            if "last-event-id" in request.headers:
+                self._history.record_failed_resume(request.request_id)
             return r.complete_response(request, b"failed", "500 Internal Server Error")
         if chance < ERROR_SHARE + TRUNCATED_SHARE:
             self._history.truncated_ids.add(request.request_id)
--- a/soak/history.py
+++ b/soak/history.py
@@ -86,10 +86,20 @@
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
     host_events: list[tuple[float, float]] = field(default_factory=list)  # stops, kills, silences
+    failed_resumes: Counter[str] = field(default_factory=Counter)
     truncated_ids: set[str] = field(default_factory=set)  # requests whose response was cut short
     newest_served: dict[tuple[int, int], int] = field(default_factory=dict)
     findings: list[str] = field(default_factory=list)
 
+    def record_failed_resume(self, request_id: str) -> None:
+        """Record that a replica answered the rest of a stream with an error.
+
+        After the second such error the stream can't be whole.
+        """
+        self.failed_resumes[request_id] += 1
+        if self.failed_resumes[request_id] > 1:
+            self.truncated_ids.add(request_id)
+
     def record_served_version(self, host: int, lifetime: int, version: int) -> None:
         """Record that a host served a request that only configuration `version` routes.
 
