Judge the repeat of a whole content at its third crash

Cause: a crash is judged 0.4 s after it, when other hosts have reported what else it cut. A whole content that was in three crashes needs no such comparison: what else was cut there differs each time.

Evidence: `test_the_third_crash_of_one_content_stops_it_at_once` failed before.

Change: a crash whose whole content was in as many crashes as the least limit is judged by that content when it is learned; all others wait as before.

--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -31,6 +31,7 @@
     fatal_parts,
     is_suspect,
     is_trial_due,
+    repeated_contents,
 )
 
 MAX_PARTS = 4096  # whose last response is remembered
@@ -168,16 +169,25 @@
         for parts, quarantine in self._quarantined.items():
             if parts <= crash.parts:
                 quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
-        self._unjudged.append((now, crash))
+        repeated = repeated_contents(crash, [known for _, known in self._crashes.values()])
+        if not self._judge(crash, repeated, now):
+            self._unjudged.append((now, crash))
 
     def _judge_crashes(self, now: float) -> None:
         while self._unjudged and now - self._unjudged[0][0] >= SETTLE_S:
             _, crash = self._unjudged.popleft()
-            fatal = fatal_parts(
-                crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
-            )
-            if fatal:
-                self._quarantine(fatal, crash.crashed_at)
+            self._judge(crash, crash.parts, now)
+
+    def _judge(self, crash: Crash, suspects: PartIds, now: float) -> bool:
+        """Quarantine what caused `crash`, if it is known. Return whether it is."""
+        if not suspects:
+            return False
+        fatal = fatal_parts(
+            crash, suspects, self._recent_crashes(now), self._answered, self._quarantined.keys()
+        )
+        if fatal:
+            self._quarantine(fatal, crash.crashed_at)
+        return bool(fatal)
 
     def _quarantine(self, parts: PartIds, crashed_at: float) -> None:
         if len(self._quarantined) >= MAX_QUARANTINED:
--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/prompt_quarantine.py
@@ -19,12 +19,15 @@
 from itertools import chain
 
 from almondspindle.core.crashes import Crash, PartIds
+from almondspindle.decisions.content import is_content_id
 from almondspindle.decisions.hashing import score
 
 MIN_TARGETS = 2
 # Times that other hosts report are wrong by the delay of the report.
 REPORT_DELAY_S = 0.1
 # A crash is judged after this time, when other hosts have reported the requests that it cut there.
+# A whole content that comes again and again is judged at once: others can't be told from it by what
+# else was cut.
 SETTLE_S = 0.4
 SAME_CRASH_S = 0.5  # between the ends of attempts that the crash of one target cut
 CRASH_TTL_S = 300.0
@@ -70,23 +73,35 @@
     return len(sequence) >= LIMITS[was_answered].quarantine and len(addresses) >= MIN_TARGETS
 
 
+def repeated_contents(crash: Crash, crashes: Collection[Crash]) -> PartIds:
+    """Return the whole contents in `crash` that may be known to cause crashes, by their number."""
+    fewest = min(limits.quarantine for limits in LIMITS.values())
+    return frozenset(
+        part
+        for part in filter(is_content_id, crash.parts)
+        if sum(part in known.parts for known in crashes) >= fewest
+    )
+
+
 def fatal_parts(
     crash: Crash,
+    suspects: PartIds,
     crashes: Collection[Crash],
     answered: Mapping[str, float],
     quarantined: Iterable[PartIds],
 ) -> PartIds:
     """Return the parts that caused `crash` and others before it, or nothing if it isn't known.
 
-    `answered` has the time of the last response by part, and `quarantined` the parts in quarantine.
-    Later crashes are left out, since other hosts may not have reported yet what they cut.
+    One of `suspects`, parts of the crash, is among them. `answered` has the time of the last
+    response by part, and `quarantined` the parts in quarantine. Later crashes are left out, since
+    other hosts may not have reported yet what they cut.
     """
     explained = {
         parts: [known for known in crashes if parts <= known.parts] for parts in quarantined
     }
     if _is_same_as_any(crash, chain.from_iterable(explained.values())):
         return frozenset()
-    for part in sorted(crash.parts):
+    for part in sorted(suspects):
         others = [known for parts, all_ in explained.items() if part not in parts for known in all_]
         own = [
             known
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Prompt parts that crash targets are kept from them by all hosts, and only those parts."""
+"""What crashes targets is kept from them by all hosts, and nothing else."""
 
 import random
 
@@ -15,6 +15,8 @@
 MAX_LATE_ARRIVALS = 3
 CRASHED = AttemptReport(AttemptEnd.CONNECTION_BROKEN, 200, target_is_down=True)
 ANSWERED = AttemptReport(AttemptEnd.ANSWERED, 200, started=True, wrote_body=True)
+CONTENT, OTHER_CONTENT = "req:0123456789abcdef", "req:fedcba9876543210"
+PLAIN = "plain"
 
 
 class PromptLoad:
@@ -25,6 +27,7 @@
         self.rng = random.Random(count)
         self.targets = targets
         self.numbers = iter(range(10**9))
+        self.last_id = ""
         self.arrivals: list[float] = []
         self.fleet.run(2.0)
 
@@ -48,13 +51,17 @@
         report: AttemptReport,
         target: int = -1,
         after_s: float = 0.1,
+        service: str = "",
+        is_retry: bool = False,
     ) -> None:
         address = f"10.9.0.{self.rng.randrange(self.targets) if target < 0 else target}:1"
         now = self.fleet.now
-        request_id = f"r-{next(self.numbers)}"
-        host.quarantine.handle(
-            PromptAttemptEnded(request_id, frozenset(parts), address, now - after_s, report), now
+        if not is_retry:
+            self.last_id = f"r-{next(self.numbers)}"
+        ended = PromptAttemptEnded(
+            self.last_id, frozenset(parts), address, now - after_s, report, service
         )
+        host.quarantine.handle(ended, now)
 
     def play(self, seconds: float, fatal_per_s: float, sound_per_s: float = 20.0) -> None:
         """Play requests with the fatal part, and sound ones with the other parts."""
@@ -206,3 +213,17 @@
     load.end(host, (FATAL,), CRASHED, target=2)
     assert host.quarantine.handle(retry, load.fleet.now).is_error()
     assert load.check(host, FATAL)
+
+
+def test_the_third_crash_of_one_content_stops_it_at_once():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    for number in range(3):
+        load.end(hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        if number < 2:
+            load.fleet.run(2 * REPORT_INTERVAL_S)
+            for host in hosts:
+                load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+    assert not load.check(hosts[2], CONTENT)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    assert not any(load.check(host, CONTENT) for host in hosts)
