Count the crash that a retry met as one after the first

Callers saw: a read that crashes its targets, with one retry, ended five targets of a service that has four at a time.

Cause: between two crashes of a sequence some request of the service had to be answered. A retry follows its first attempt within 0.1 s, in which a host with some requests a second often sees no answer.

Evidence: `test_the_crash_that_a_retry_met_counts_though_no_request_was_answered_before_it` failed before.

Change: the crash of a retry of the same request follows the first if it was sent later. One request counts twice at most, the attempts of its route; the third crash is another request's, with answers in between.

--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/prompt_quarantine.py
@@ -7,9 +7,9 @@
 A part is quarantined after some crashes in sequence at more than one target, if no request with it
 has been answered since the first of them. Each request of the sequence was sent after the crash
 before, so one failure of many targets counts once. Other requests were answered in between, so a
-failure of the whole service doesn't count. Sound requests wait at a target when it crashes, too: a
-part that was ever answered needs twice as many crashes, and crashes that a part in quarantine
-explains don't count against others.
+failure of the whole service doesn't count; a retry of the same request needs none, since it follows
+too soon. Sound requests wait at a target when it crashes, too: a part that was ever answered needs
+twice as many crashes, and crashes that a part in quarantine explains don't count against others.
 """
 
 import math
@@ -58,9 +58,9 @@
 
 
 def _follows(crash: Crash, earlier: Crash) -> bool:
-    is_retry = crash.request_id == earlier.request_id
-    delay_s = 0.0 if is_retry else REPORT_DELAY_S
-    was_sent_later = crash.sent_at > earlier.crashed_at + delay_s
+    if crash.request_id == earlier.request_id:
+        return crash.sent_at > earlier.crashed_at
+    was_sent_later = crash.sent_at > earlier.crashed_at + REPORT_DELAY_S
     return was_sent_later and crash.last_response_at > earlier.crashed_at
 
 
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -227,3 +227,17 @@
     assert not load.check(hosts[2], CONTENT)
     load.fleet.run(2 * REPORT_INTERVAL_S)
     assert not any(load.check(host, CONTENT) for host in hosts)
+
+
+def test_the_crash_that_a_retry_met_counts_though_no_request_was_answered_before_it():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    load.end(hosts[0], (CONTENT,), CRASHED, target=1, service=PLAIN)
+    load.fleet.run(REPORT_INTERVAL_S)
+    load.end(hosts[0], (CONTENT,), CRASHED, target=2, after_s=0.05, service=PLAIN, is_retry=True)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    for host in hosts:
+        load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+    load.end(hosts[1], (CONTENT,), CRASHED, target=3, service=PLAIN)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    assert not any(load.check(host, CONTENT) for host in hosts)
