--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -11,7 +11,7 @@
     TargetFellSilent,
 )
 from almondspindle.controllers.placement.task import PlacementController
-from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
+from almondspindle.controllers.quarantine.messages import CheckRequest, RequestAttemptEnded
 from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call, Completion, ResponseEnd, ResponseSink
 from almondspindle.core.clock import Clock
@@ -286,7 +286,7 @@
         if not call.content_ids:
             return Ok(None)
         return await self._quarantine.request(
-            CheckPrompt(call.content_ids, is_retry=attempts.may_have_run > 0)
+            CheckRequest(call.content_ids, is_retry=attempts.may_have_run > 0)
         )
 
     async def _attempt(self, delivery: _Delivery[P], placement: Placement) -> AttemptReport:
@@ -332,7 +332,7 @@
     ) -> None:
         if call.content_ids:
             self._quarantine.send(
-                PromptAttemptEnded(
+                RequestAttemptEnded(
                     call.request_id,
                     call.content_ids,
                     placement.address,
--- a/almondspindle/chain/quarantine.py
+++ b/almondspindle/chain/quarantine.py
@@ -1,6 +1,6 @@
 """Refuse calls that crash targets."""
 
-from almondspindle.controllers.quarantine.messages import CheckPrompt
+from almondspindle.controllers.quarantine.messages import CheckRequest
 from almondspindle.controllers.quarantine.task import QuarantineController
 from almondspindle.core.calls import Call
 from almondspindle.core.metrics import QUARANTINED, MetricSender
@@ -18,7 +18,7 @@
     async def apply(self, call: Call, now: float) -> Outcome[Call]:
         """Return the call with the id of its content, or a refusal."""
         call = call.copy_with(content_id=content_id(call))
-        checked = await self._quarantine.request(CheckPrompt(call.content_ids))
+        checked = await self._quarantine.request(CheckRequest(call.content_ids))
         if checked.is_error():
             self._metrics.count(QUARANTINED)
             return Error(checked.error)
--- a/almondspindle/controllers/quarantine/__init__.py
+++ b/almondspindle/controllers/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Refuse requests whose prompts crash targets."""
+"""Refuse requests that crash targets."""
--- a/almondspindle/controllers/quarantine/messages.py
+++ b/almondspindle/controllers/quarantine/messages.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CheckPrompt(ControllerRequest[Outcome[None]]):
+class CheckRequest(ControllerRequest[Outcome[None]]):
     """Request whether a request with `parts` (`Call.content_ids`) may be sent.
 
     `is_retry` is set if an attempt at the request failed before.
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromptAttemptEnded:
+class RequestAttemptEnded:
     """An attempt at `address` ended. It was sent at `sent_at`, in s on the monotonic clock."""
 
     request_id: RequestId
--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -1,4 +1,4 @@
-"""The controller that keeps prompts which crash targets away from them."""
+"""The controller that keeps requests which crash targets away from them."""
 
 import math
 from collections import OrderedDict, deque
@@ -8,15 +8,15 @@
 
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.quarantine.messages import (
-    CheckPrompt,
+    CheckRequest,
     CrashNewsReceived,
     GetCrashNews,
-    PromptAttemptEnded,
+    RequestAttemptEnded,
 )
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
 from almondspindle.core.crashes import Crash, CrashNews, CrashReport, PartIds, QuarantineReport
-from almondspindle.core.events import PROMPT_QUARANTINED, PROMPT_RELEASED, PROMPT_TRIED
+from almondspindle.core.events import REQUEST_QUARANTINED, REQUEST_RELEASED, REQUEST_TRIED
 from almondspindle.core.identifiers import RequestId
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
@@ -24,7 +24,7 @@
 from almondspindle.core.placements import AttemptEnd
 from almondspindle.decisions.content import is_content_id
 from almondspindle.decisions.error_rate import MIN_SERVER_ERROR_STATUS
-from almondspindle.decisions.prompt_quarantine import (
+from almondspindle.decisions.request_quarantine import (
     CRASH_TTL_S,
     SETTLE_S,
     TRIAL_INTERVAL_S,
@@ -34,7 +34,7 @@
     repeated_contents,
 )
 
-MAX_PARTS = 4096  # whose last response is remembered
+MAX_PARTS = 4096  # prompt parts and contents whose last response is remembered
 MAX_CRASHES = 256
 MAX_QUARANTINED = 64
 # Each host passes on what it learns for this long; its reports reach all hosts of its zone in it.
@@ -53,7 +53,7 @@
 
 
 class QuarantineController(Controller):
-    """Own the recent crashes of targets, of all hosts, and the prompt parts in quarantine.
+    """Own the recent crashes of targets, of all hosts, and the parts of requests in quarantine.
 
     Each crash is known by its request and target, and the first report of it counts, so reports
     may arrive by several ways and more than once.
@@ -81,7 +81,7 @@
         self._hosts = frozenset({self._host, *msg.hosts})
 
     @handle.register
-    def _(self, msg: CheckPrompt, now: float) -> Outcome[None]:
+    def _(self, msg: CheckRequest, now: float) -> Outcome[None]:
         self._judge_crashes(now)
         for parts, quarantine in self._quarantined.items():
             if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
@@ -91,11 +91,11 @@
             for part in msg.parts:
                 if is_suspect(part, crashes, self._answered):
                     text = f"{part} may have crashed several targets"
-                    return refused(RefusalCode.PROMPT_QUARANTINED, text)
+                    return refused(RefusalCode.REQUEST_QUARANTINED, text)
         return Ok(None)
 
     @handle.register
-    def _(self, msg: PromptAttemptEnded, now: float) -> None:
+    def _(self, msg: RequestAttemptEnded, now: float) -> None:
         answered = _answered_parts(msg)
         if answered:
             self._last_response_at[msg.service] = now
@@ -139,14 +139,14 @@
         return news if news.crashes or news.answered or news.quarantined else None
 
     def _starts_trial(
-        self, parts: PartIds, quarantine: _Quarantine, msg: CheckPrompt, now: float
+        self, parts: PartIds, quarantine: _Quarantine, msg: CheckRequest, now: float
     ) -> bool:
         last_used_at = max(quarantine.last_crash_at, quarantine.last_trial_at)
         is_due = is_trial_due(parts, last_used_at, self._hosts, self._host, now)
         if msg.is_retry or not is_due:
             return False
         quarantine.last_trial_at = now
-        emit(PROMPT_TRIED, parts=sorted(parts))
+        emit(REQUEST_TRIED, parts=sorted(parts))
         return True
 
     def _last_response(self, service: str) -> float:
@@ -195,7 +195,7 @@
             del self._quarantined[oldest]
         self._quarantined[parts] = _Quarantine(crashed_at)
         addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
-        emit(PROMPT_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
+        emit(REQUEST_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
 
     def _adopt(self, parts: PartIds, crashed_at: float, now: float) -> None:
         """Quarantine the `parts` not answered since, unless some of them already are."""
@@ -237,7 +237,7 @@
                 continue
             del self._quarantined[parts]
             self._report_answer(part, now)
-            emit(PROMPT_RELEASED, part=part, parts=sorted(parts))
+            emit(REQUEST_RELEASED, part=part, parts=sorted(parts))
             rest = parts - {part}
             if rest:
                 self._adopt(rest, quarantine.last_crash_at, now)
@@ -246,7 +246,7 @@
         self._answers_reported[part] = now + NEWS_S
 
 
-def _answered_parts(msg: PromptAttemptEnded) -> PartIds:
+def _answered_parts(msg: RequestAttemptEnded) -> PartIds:
     """Return the parts that did not crash the target, judged by its response.
 
     A target may reject a prompt before it reads the parts, so an error speaks for the whole content
@@ -263,7 +263,7 @@
 def _refused(parts: PartIds, quarantine: _Quarantine, now: float) -> Outcome[None]:
     retry_after_s = max(1.0, quarantine.last_crash_at + TRIAL_INTERVAL_S - now)
     text = f"requests with {', '.join(sorted(parts))} crash targets"
-    return refused(RefusalCode.PROMPT_QUARANTINED, text, retry_after_s=retry_after_s)
+    return refused(RefusalCode.REQUEST_QUARANTINED, text, retry_after_s=retry_after_s)
 
 
 def _to_report(crash: Crash, now: float) -> CrashReport:
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -225,16 +225,17 @@
 TARGET_REINSTATED = event(
     1711, "target_trusted", "An ejected target responded again and was reinstated."
 )
-PROMPT_QUARANTINED = event(
+REQUEST_QUARANTINED = event(
     1715,
-    "prompt_quarantined",
-    "Prompts with these parts crash targets; requests with all of them are refused.",
+    "request_quarantined",
+    "Requests with all of these parts crash targets and are refused; 'req:' begins the digest of a"
+    " whole request.",
 )
-PROMPT_RELEASED = event(
-    1716, "prompt_released", "A prompt part in quarantine was answered; it isn't refused any more."
+REQUEST_RELEASED = event(
+    1716, "request_released", "A part in quarantine was answered; it isn't refused any more."
 )
-PROMPT_TRIED = event(
-    1717, "prompt_tried", "A request with prompt parts in quarantine is sent to a target on trial."
+REQUEST_TRIED = event(
+    1717, "request_tried", "A request with parts in quarantine is sent to a target on trial."
 )
 TARGET_LEAVING = event(
     1718,
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -53,7 +53,7 @@
     "pauses", "counter", "responses", "Rejections by targets that asked this host for a pause."
 )
 QUARANTINED = metric(
-    "quarantined", "counter", "requests", "Requests refused because their prompts crash targets."
+    "quarantined", "counter", "requests", "Requests refused because their like crash targets."
 )
 RESPONSE_TIME = metric(
     "whole_time", "timer", "ms", "Time from a request to the end of its response."
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -50,7 +50,7 @@
     TARGET_UNREACHABLE = "target_unreachable"
     RESPONSE_BROKEN = "answer_broken"
     RESUME_REFUSED = "resume_refused"
-    PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     TARGETS_PAUSED = "targets_paused"
     STORE_UNAVAILABLE = "store_unavailable"
     INTERNAL_ERROR = "internal_error"
--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/request_quarantine.py
@@ -1,4 +1,6 @@
-"""Which prompt parts crash targets, so that no more requests with them are sent.
+"""Which parts of requests crash targets, so that no more requests with them are sent.
+
+A part is a shared part of a prompt, or the whole content of a request (`decisions.content`).
 
 The load that this answers: requests with one part in common, each of which crashes the target that
 begins to respond to it. Without a memory of the parts, the next such request goes to the next
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -5,9 +5,9 @@
 import pytest
 
 from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
-from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
+from almondspindle.controllers.quarantine.messages import CheckRequest, RequestAttemptEnded
 from almondspindle.core.placements import AttemptEnd, AttemptReport
-from almondspindle.decisions.prompt_quarantine import LIMITS, TRIAL_INTERVAL_S
+from almondspindle.decisions.request_quarantine import LIMITS, TRIAL_INTERVAL_S
 from tests.standins.simulated_fleet import SimulatedFleet, SimulatedHost
 
 FIRST, SUBJECT, FATAL = "first", "subject", "fatal"
@@ -32,7 +32,7 @@
         self.fleet.run(2.0)
 
     def check(self, host: SimulatedHost, *parts: str) -> bool:
-        return host.quarantine.handle(CheckPrompt(frozenset(parts)), self.fleet.now).is_ok()
+        return host.quarantine.handle(CheckRequest(frozenset(parts)), self.fleet.now).is_ok()
 
     def send(self, *parts: str) -> bool:
         """Send a request to a host, and return whether it was passed on to a target."""
@@ -58,7 +58,7 @@
         now = self.fleet.now
         if not is_retry:
             self.last_id = f"r-{next(self.numbers)}"
-        ended = PromptAttemptEnded(
+        ended = RequestAttemptEnded(
             self.last_id, frozenset(parts), address, now - after_s, report, service
         )
         host.quarantine.handle(ended, now)
@@ -206,7 +206,7 @@
 def test_a_request_that_met_a_second_crash_of_its_part_is_not_sent_to_another_target():
     load = PromptLoad(8, "abcd")
     host = load.fleet.hosts[0]
-    retry = CheckPrompt(frozenset({FATAL}), is_retry=True)
+    retry = CheckRequest(frozenset({FATAL}), is_retry=True)
     load.end(host, (FATAL,), CRASHED, target=1)
     assert host.quarantine.handle(retry, load.fleet.now).is_ok()
     load.play(1.0, 0.0)
