Guard sound requests against blame for crashes that they only met

Guards of behaviour that holds: contents that callers keep asking for, another service's answers, parts that sound prompts share, responses that clear a content, and a bound on refused sound requests while 100 targets crash for other reasons.

--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -241,3 +241,98 @@
     load.end(hosts[1], (CONTENT,), CRASHED, target=3, service=PLAIN)
     load.fleet.run(2 * REPORT_INTERVAL_S)
     assert not any(load.check(host, CONTENT) for host in hosts)
+
+
+def test_the_crashes_of_one_content_do_not_blame_the_parts_that_sound_prompts_share():
+    load = PromptLoad(8, "abcd")
+    load.play(2.0, 0.0)
+    for number in range(3):
+        load.end(load.fleet.hosts[number], (FIRST, SUBJECT, CONTENT), CRASHED, target=number)
+        load.play(1.0, 0.0)
+    hosts = load.fleet.hosts
+    assert not any(load.check(host, FIRST, SUBJECT, CONTENT) for host in hosts)
+    assert all(load.check(host, FIRST, SUBJECT, OTHER_CONTENT) for host in hosts)
+
+
+def test_a_plain_service_that_is_down_is_not_blamed_on_contents_while_another_service_answers():
+    load = PromptLoad(8, "abcd")
+    for number in range(6):
+        load.end(load.fleet.hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        load.play(1.0, 0.0)
+    assert all(load.check(host, CONTENT) for host in load.fleet.hosts)
+
+
+@pytest.mark.parametrize(("status", "is_sound"), [(204, True), (404, True), (500, False)])
+def test_a_response_of_the_target_clears_a_content_unless_it_is_a_server_error(status, is_sound):
+    load = PromptLoad(8, "abcd")
+    report = AttemptReport(AttemptEnd.ANSWERED, status)
+    for number in range(3):
+        load.end(load.fleet.hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        load.end(load.fleet.hosts[5], (CONTENT,), report, target=9, service=PLAIN)
+        load.fleet.run(0.5)
+        for host in load.fleet.hosts:
+            load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+        load.fleet.run(0.5)
+    assert all(load.check(host, CONTENT) is is_sound for host in load.fleet.hosts)
+
+
+def test_a_content_that_callers_keep_asking_for_is_not_refused_when_targets_crash_for_other_reasons():
+    load = PromptLoad(8, "abcd")
+    refused = 0
+    for number in range(200):
+        for host in load.fleet.hosts:
+            refused += not load.check(host, CONTENT)
+            load.end(host, (CONTENT,), ANSWERED, service=PLAIN)
+        if number % 5 == 0:
+            for host in load.fleet.hosts:
+                load.end(host, (CONTENT,), CRASHED, target=number // 5, service=PLAIN)
+        load.fleet.run(REPORT_INTERVAL_S)
+    assert refused == 0
+
+
+class PlainLoad(PromptLoad):
+    """Sound plain requests to targets that crash by themselves, at regular times.
+
+    A crash cuts a share of the requests that come at its time. Callers repeat such a request twice,
+    each time at the next crash: the worst moment.
+    """
+
+    def __init__(self, contents: int, cut_share: float) -> None:
+        super().__init__(8, "abcd")
+        self.contents = [f"req:{number:016x}" for number in range(contents)]
+        self.cut_share = cut_share
+        self.asked = self.refused = 0
+
+    def play_crashes(self, crashes: int, requests_between: int) -> None:
+        repeats: list[tuple[str, int]] = []
+        for number in range(crashes):
+            self._ask_many(requests_between)
+            self.fleet.run(3 * REPORT_INTERVAL_S)
+            self._ask_many(requests_between)
+            fresh = self.rng.choices(self.contents, k=requests_between // 4)
+            due, repeats = repeats + [(content, 2) for content in fresh], []
+            for content, left in due:
+                is_cut = self.rng.random() < self.cut_share
+                if self._ask(content, number % self.targets if is_cut else -1) and is_cut and left:
+                    repeats.append((content, left - 1))
+
+    def _ask_many(self, count: int) -> None:
+        for content in self.rng.choices(self.contents, k=count):
+            self._ask(content, -1)
+
+    def _ask(self, content: str, crashed: int) -> bool:
+        host = self.rng.choice(self.fleet.hosts)
+        self.asked += 1
+        if not self.check(host, content):
+            self.refused += 1
+            return False
+        report = ANSWERED if crashed < 0 else CRASHED
+        self.end(host, (content,), report, target=crashed, service=PLAIN)
+        return True
+
+
+@pytest.mark.parametrize("contents", [1, 20, 400, 10_000])
+def test_few_sound_contents_are_refused_while_targets_crash_for_other_reasons(contents):
+    load = PlainLoad(contents, cut_share=0.25)
+    load.play_crashes(100, requests_between=20)
+    assert load.refused <= 0.01 * load.asked
