Probe a target only if it ended the response before its end

Callers saw: nothing; each faulty response of a plain service cost the target a new connection.

Cause: with content ids, all attempts that end as `cut` before a part of the body are followed by a probe, also those whose head this host refused, such as a response to another request. Such a target is up.

Change: the target is probed if the connection or the stream ended early.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -113,7 +113,8 @@
                 )
             else:
                 connection.close()
-        if report.end is AttemptEnd.CONNECTION_BROKEN and call.content_id and not report.wrote_body:
+        may_be_down = exchange.is_cut and report.end is AttemptEnd.CONNECTION_BROKEN
+        if may_be_down and call.content_id and not report.wrote_body:
             report = replace(report, target_is_down=await self._is_down(call, call.target))
         return _with_reuse_note(report, leased.ok)
 
@@ -151,6 +152,7 @@
     kept_here: int = 0  # bytes of this response in `kept`
     rejected_bytes: int = 0
     may_reuse: bool = False
+    is_cut: bool = False  # whether the response ended before it was complete
     raw_headers: tuple[tuple[str, str], ...] = ()
     metadata: ResponseMetadata | None = None
     status: int = 0
@@ -267,6 +269,7 @@
         is_rejected = metadata.is_not_run
         fault = None if is_rejected else self.progress.find_fault_at_end(self.ends_at_close)
         if fault is not None:
+            self.is_cut = True
             self._finish(AttemptEnd.CONNECTION_BROKEN, fault)
             return
         # Bytes of the request that are still unsent would be read by the target as the beginning of
@@ -281,6 +284,7 @@
 
     @process.register
     async def _(self, part: ResponseBroken) -> None:
+        self.is_cut = True
         self._finish(AttemptEnd.CONNECTION_BROKEN, part.reason)
 
     def _notify(self, metadata: ResponseMetadata) -> None:
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -276,7 +276,7 @@
     assert all(load.check(host, CONTENT) is is_sound for host in load.fleet.hosts)
 
 
-def test_a_content_that_callers_keep_asking_for_is_not_refused_when_targets_crash_for_other_reasons():
+def test_a_content_in_steady_use_is_not_refused_when_targets_crash_for_other_reasons():
     load = PromptLoad(8, "abcd")
     refused = 0
     for number in range(200):
