--- a/almondspindle/controllers/quarantine/messages.py
+++ b/almondspindle/controllers/quarantine/messages.py
@@ -10,8 +10,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CheckPrompt(ControllerRequest[Outcome[None]]):
-    """Request whether a request whose prompt has the shared `parts` may be sent.
+class CheckRequest(ControllerRequest[Outcome[None]]):
+    """Request whether a request with `parts` (`Call.content_ids`) may be sent.
 
     `is_retry` is set if an attempt at the request failed before.
     """
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromptAttemptEnded:
+class RequestAttemptEnded:
     """An attempt at `address` ended. It was sent at `sent_at`, in s on the monotonic clock."""
 
     request_id: RequestId
@@ -29,6 +29,7 @@
     address: str
     sent_at: float
     report: AttemptReport
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -1,4 +1,4 @@
-"""The controller that keeps prompts which crash targets away from them."""
+"""The controller that keeps requests which crash targets away from them."""
 
 import math
 from collections import OrderedDict, deque
@@ -8,30 +8,33 @@
 
 from almondspindle.controllers.base import Controller
 from almondspindle.controllers.quarantine.messages import (
-    CheckPrompt,
+    CheckRequest,
     CrashNewsReceived,
     GetCrashNews,
-    PromptAttemptEnded,
+    RequestAttemptEnded,
 )
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
 from almondspindle.core.crashes import Crash, CrashNews, CrashReport, PartIds, QuarantineReport
-from almondspindle.core.events import PROMPT_QUARANTINED, PROMPT_RELEASED, PROMPT_TRIED
+from almondspindle.core.events import REQUEST_QUARANTINED, REQUEST_RELEASED, REQUEST_TRIED
 from almondspindle.core.identifiers import RequestId
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.outcomes import Ok, Outcome, RefusalCode, refused
-from almondspindle.core.placements import AttemptEnd, AttemptReport
-from almondspindle.decisions.prompt_quarantine import (
+from almondspindle.core.placements import AttemptEnd
+from almondspindle.decisions.content import is_content_id
+from almondspindle.decisions.error_rate import MIN_SERVER_ERROR_STATUS
+from almondspindle.decisions.request_quarantine import (
     CRASH_TTL_S,
     SETTLE_S,
     TRIAL_INTERVAL_S,
     fatal_parts,
     is_suspect,
     is_trial_due,
+    repeated_contents,
 )
 
-MAX_PARTS = 4096  # whose last response is remembered
+MAX_PARTS = 4096  # prompt parts and contents whose last response is remembered
 MAX_CRASHES = 256
 MAX_QUARANTINED = 64
 # Each host passes on what it learns for this long; its reports reach all hosts of its zone in it.
@@ -50,7 +53,7 @@
 
 
 class QuarantineController(Controller):
-    """Own the recent crashes of targets, of all hosts, and the prompt parts in quarantine.
+    """Own the recent crashes of targets, of all hosts, and the parts of requests in quarantine.
 
     Each crash is known by its request and target, and the first report of it counts, so reports
     may arrive by several ways and more than once.
@@ -66,7 +69,7 @@
         self._suspected: dict[str, float] = {}  # the last crash of each part, of `_crashes`
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._answers_reported: dict[str, float] = {}  # until when a part's answer is reported
-        self._last_response_at = -math.inf
+        self._last_response_at: dict[str, float] = {}  # by service
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -78,7 +81,7 @@
         self._hosts = frozenset({self._host, *msg.hosts})
 
     @handle.register
-    def _(self, msg: CheckPrompt, now: float) -> Outcome[None]:
+    def _(self, msg: CheckRequest, now: float) -> Outcome[None]:
         self._judge_crashes(now)
         for parts, quarantine in self._quarantined.items():
             if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
@@ -87,20 +90,21 @@
             crashes = self._recent_crashes(now)
             for part in msg.parts:
                 if is_suspect(part, crashes, self._answered):
-                    text = f"prompt part {part} may have crashed several targets"
-                    return refused(RefusalCode.PROMPT_QUARANTINED, text)
+                    text = f"{part} may have crashed several targets"
+                    return refused(RefusalCode.REQUEST_QUARANTINED, text)
         return Ok(None)
 
     @handle.register
-    def _(self, msg: PromptAttemptEnded, now: float) -> None:
-        report = msg.report
-        if _is_answer(report):
-            self._last_response_at = now
-            for part in msg.parts:
-                self._note_answer(part, now, now)
-        elif report.target_is_down:
+    def _(self, msg: RequestAttemptEnded, now: float) -> None:
+        answered = _answered_parts(msg)
+        if answered:
+            self._last_response_at[msg.service] = now
+        for part in answered:
+            self._note_answer(part, now, now)
+        if msg.report.target_is_down:
             key = (msg.request_id, msg.address)
-            crash = Crash(*key, msg.parts, msg.sent_at, now, self._last_response_at)
+            last_at = self._last_response(msg.service)
+            crash = Crash(*key, msg.parts, msg.sent_at, now, last_at, msg.service)
             self._add_crash(key, crash, now)
 
     @handle.register
@@ -108,8 +112,8 @@
         for report in msg.news.crashes:
             key = (report.request_id, report.address)
             sent_at, crashed_at = now - report.sent_age_s, now - report.crash_age_s
-            parts = frozenset(report.parts)
-            crash = Crash(*key, parts, sent_at, crashed_at, self._last_response_at)
+            parts, last_at = frozenset(report.parts), self._last_response(report.service)
+            crash = Crash(*key, parts, sent_at, crashed_at, last_at, report.service)
             self._add_crash(key, crash, now)
         for part, age_s in msg.news.answered.items():
             if self._is_news(part, now - age_s):
@@ -135,16 +139,19 @@
         return news if news.crashes or news.answered or news.quarantined else None
 
     def _starts_trial(
-        self, parts: PartIds, quarantine: _Quarantine, msg: CheckPrompt, now: float
+        self, parts: PartIds, quarantine: _Quarantine, msg: CheckRequest, now: float
     ) -> bool:
         last_used_at = max(quarantine.last_crash_at, quarantine.last_trial_at)
         is_due = is_trial_due(parts, last_used_at, self._hosts, self._host, now)
         if msg.is_retry or not is_due:
             return False
         quarantine.last_trial_at = now
-        emit(PROMPT_TRIED, parts=sorted(parts))
+        emit(REQUEST_TRIED, parts=sorted(parts))
         return True
 
+    def _last_response(self, service: str) -> float:
+        return self._last_response_at.get(service, -math.inf)
+
     def _recent_crashes(self, now: float) -> list[Crash]:
         return [c for _, c in self._crashes.values() if now - c.crashed_at <= CRASH_TTL_S]
 
@@ -162,16 +169,25 @@
         for parts, quarantine in self._quarantined.items():
             if parts <= crash.parts:
                 quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
-        self._unjudged.append((now, crash))
+        repeated = repeated_contents(crash, [known for _, known in self._crashes.values()])
+        if not self._judge(crash, repeated, now):
+            self._unjudged.append((now, crash))
 
     def _judge_crashes(self, now: float) -> None:
         while self._unjudged and now - self._unjudged[0][0] >= SETTLE_S:
             _, crash = self._unjudged.popleft()
-            fatal = fatal_parts(
-                crash, self._recent_crashes(now), self._answered, self._quarantined.keys()
-            )
-            if fatal:
-                self._quarantine(fatal, crash.crashed_at)
+            self._judge(crash, crash.parts, now)
+
+    def _judge(self, crash: Crash, suspects: PartIds, now: float) -> bool:
+        """Quarantine what caused `crash`, if it is known. Return whether it is."""
+        if not suspects:
+            return False
+        fatal = fatal_parts(
+            crash, suspects, self._recent_crashes(now), self._answered, self._quarantined.keys()
+        )
+        if fatal:
+            self._quarantine(fatal, crash.crashed_at)
+        return bool(fatal)
 
     def _quarantine(self, parts: PartIds, crashed_at: float) -> None:
         if len(self._quarantined) >= MAX_QUARANTINED:
@@ -179,7 +195,7 @@
             del self._quarantined[oldest]
         self._quarantined[parts] = _Quarantine(crashed_at)
         addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
-        emit(PROMPT_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
+        emit(REQUEST_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
 
     def _adopt(self, parts: PartIds, crashed_at: float, now: float) -> None:
         """Quarantine the `parts` not answered since, unless some of them already are."""
@@ -221,7 +237,7 @@
                 continue
             del self._quarantined[parts]
             self._report_answer(part, now)
-            emit(PROMPT_RELEASED, part=part, parts=sorted(parts))
+            emit(REQUEST_RELEASED, part=part, parts=sorted(parts))
             rest = parts - {part}
             if rest:
                 self._adopt(rest, quarantine.last_crash_at, now)
@@ -230,15 +246,24 @@
         self._answers_reported[part] = now + NEWS_S
 
 
-def _is_answer(report: AttemptReport) -> bool:
-    is_success = HTTP_OK <= report.status < FIRST_REDIRECT_STATUS
-    return report.end is AttemptEnd.ANSWERED and is_success and report.wrote_body
+def _answered_parts(msg: RequestAttemptEnded) -> PartIds:
+    """Return the parts that did not crash the target, judged by its response.
+
+    A target may reject a prompt before it reads the parts, so an error speaks for the whole content
+    only.
+    """
+    report = msg.report
+    if report.end is not AttemptEnd.ANSWERED or report.status >= MIN_SERVER_ERROR_STATUS:
+        return frozenset()
+    if HTTP_OK <= report.status < FIRST_REDIRECT_STATUS and report.wrote_body:
+        return msg.parts
+    return frozenset(filter(is_content_id, msg.parts))
 
 
 def _refused(parts: PartIds, quarantine: _Quarantine, now: float) -> Outcome[None]:
     retry_after_s = max(1.0, quarantine.last_crash_at + TRIAL_INTERVAL_S - now)
-    text = f"prompts with {', '.join(sorted(parts))} crash targets"
-    return refused(RefusalCode.PROMPT_QUARANTINED, text, retry_after_s=retry_after_s)
+    text = f"requests with {', '.join(sorted(parts))} crash targets"
+    return refused(RefusalCode.REQUEST_QUARANTINED, text, retry_after_s=retry_after_s)
 
 
 def _to_report(crash: Crash, now: float) -> CrashReport:
@@ -248,4 +273,5 @@
         tuple(sorted(crash.parts)),
         now - crash.sent_at,
         now - crash.crashed_at,
+        crash.service,
     )
--- a/almondspindle/decisions/prompt_quarantine.py
+++ b/almondspindle/decisions/request_quarantine.py
@@ -1,4 +1,6 @@
-"""Which prompt parts crash targets, so that no more requests with them are sent.
+"""Which parts of requests crash targets, so that no more requests with them are sent.
+
+A part is a shared part of a prompt, or the whole content of a request (`decisions.content`).
 
 The load that this answers: requests with one part in common, each of which crashes the target that
 begins to respond to it. Without a memory of the parts, the next such request goes to the next
@@ -7,9 +9,9 @@
 A part is quarantined after some crashes in sequence at more than one target, if no request with it
 has been answered since the first of them. Each request of the sequence was sent after the crash
 before, so one failure of many targets counts once. Other requests were answered in between, so a
-failure of the whole service doesn't count. Sound requests wait at a target when it crashes, too: a
-part that was ever answered needs twice as many crashes, and crashes that a part in quarantine
-explains don't count against others.
+failure of the whole service doesn't count; a retry of the same request needs none, since it follows
+too soon. Sound requests wait at a target when it crashes, too: a part that was ever answered needs
+twice as many crashes, and crashes that a part in quarantine explains don't count against others.
 """
 
 import math
@@ -19,12 +21,15 @@
 from itertools import chain
 
 from almondspindle.core.crashes import Crash, PartIds
+from almondspindle.decisions.content import is_content_id
 from almondspindle.decisions.hashing import score
 
 MIN_TARGETS = 2
 # Times that other hosts report are wrong by the delay of the report.
 REPORT_DELAY_S = 0.1
 # A crash is judged after this time, when other hosts have reported the requests that it cut there.
+# A whole content that comes again and again is judged at once: others can't be told from it by what
+# else was cut.
 SETTLE_S = 0.4
 SAME_CRASH_S = 0.5  # between the ends of attempts that the crash of one target cut
 CRASH_TTL_S = 300.0
@@ -55,9 +60,9 @@
 
 
 def _follows(crash: Crash, earlier: Crash) -> bool:
-    is_retry = crash.request_id == earlier.request_id
-    delay_s = 0.0 if is_retry else REPORT_DELAY_S
-    was_sent_later = crash.sent_at > earlier.crashed_at + delay_s
+    if crash.request_id == earlier.request_id:
+        return crash.sent_at > earlier.crashed_at
+    was_sent_later = crash.sent_at > earlier.crashed_at + REPORT_DELAY_S
     return was_sent_later and crash.last_response_at > earlier.crashed_at
 
 
@@ -70,23 +75,35 @@
     return len(sequence) >= LIMITS[was_answered].quarantine and len(addresses) >= MIN_TARGETS
 
 
+def repeated_contents(crash: Crash, crashes: Collection[Crash]) -> PartIds:
+    """Return the whole contents in `crash` that may be known to cause crashes, by their number."""
+    fewest = min(limits.quarantine for limits in LIMITS.values())
+    return frozenset(
+        part
+        for part in filter(is_content_id, crash.parts)
+        if sum(part in known.parts for known in crashes) >= fewest
+    )
+
+
 def fatal_parts(
     crash: Crash,
+    suspects: PartIds,
     crashes: Collection[Crash],
     answered: Mapping[str, float],
     quarantined: Iterable[PartIds],
 ) -> PartIds:
     """Return the parts that caused `crash` and others before it, or nothing if it isn't known.
 
-    `answered` has the time of the last response by part, and `quarantined` the parts in quarantine.
-    Later crashes are left out, since other hosts may not have reported yet what they cut.
+    One of `suspects`, parts of the crash, is among them. `answered` has the time of the last
+    response by part, and `quarantined` the parts in quarantine. Later crashes are left out, since
+    other hosts may not have reported yet what they cut.
     """
     explained = {
         parts: [known for known in crashes if parts <= known.parts] for parts in quarantined
     }
     if _is_same_as_any(crash, chain.from_iterable(explained.values())):
         return frozenset()
-    for part in sorted(crash.parts):
+    for part in sorted(suspects):
         others = [known for parts, all_ in explained.items() if part not in parts for known in all_]
         own = [
             known
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -1,13 +1,13 @@
-"""Prompt parts that crash targets are kept from them by all hosts, and only those parts."""
+"""What crashes targets is kept from them by all hosts, and nothing else."""
 
 import random
 
 import pytest
 
 from almondspindle.controllers.exchange.runners import REPORT_INTERVAL_S
-from almondspindle.controllers.quarantine.messages import CheckPrompt, PromptAttemptEnded
+from almondspindle.controllers.quarantine.messages import CheckRequest, RequestAttemptEnded
 from almondspindle.core.placements import AttemptEnd, AttemptReport
-from almondspindle.decisions.prompt_quarantine import LIMITS, TRIAL_INTERVAL_S
+from almondspindle.decisions.request_quarantine import LIMITS, TRIAL_INTERVAL_S
 from tests.standins.simulated_fleet import SimulatedFleet, SimulatedHost
 
 FIRST, SUBJECT, FATAL = "first", "subject", "fatal"
@@ -15,6 +15,8 @@
 MAX_LATE_ARRIVALS = 3
 CRASHED = AttemptReport(AttemptEnd.CONNECTION_BROKEN, 200, target_is_down=True)
 ANSWERED = AttemptReport(AttemptEnd.ANSWERED, 200, started=True, wrote_body=True)
+CONTENT, OTHER_CONTENT = "req:0123456789abcdef", "req:fedcba9876543210"
+PLAIN = "plain"
 
 
 class PromptLoad:
@@ -25,11 +27,12 @@
         self.rng = random.Random(count)
         self.targets = targets
         self.numbers = iter(range(10**9))
+        self.last_id = ""
         self.arrivals: list[float] = []
         self.fleet.run(2.0)
 
     def check(self, host: SimulatedHost, *parts: str) -> bool:
-        return host.quarantine.handle(CheckPrompt(frozenset(parts)), self.fleet.now).is_ok()
+        return host.quarantine.handle(CheckRequest(frozenset(parts)), self.fleet.now).is_ok()
 
     def send(self, *parts: str) -> bool:
         """Send a request to a host, and return whether it was passed on to a target."""
@@ -48,13 +51,17 @@
         report: AttemptReport,
         target: int = -1,
         after_s: float = 0.1,
+        service: str = "",
+        is_retry: bool = False,
     ) -> None:
         address = f"10.9.0.{self.rng.randrange(self.targets) if target < 0 else target}:1"
         now = self.fleet.now
-        request_id = f"r-{next(self.numbers)}"
-        host.quarantine.handle(
-            PromptAttemptEnded(request_id, frozenset(parts), address, now - after_s, report), now
+        if not is_retry:
+            self.last_id = f"r-{next(self.numbers)}"
+        ended = RequestAttemptEnded(
+            self.last_id, frozenset(parts), address, now - after_s, report, service
         )
+        host.quarantine.handle(ended, now)
 
     def play(self, seconds: float, fatal_per_s: float, sound_per_s: float = 20.0) -> None:
         """Play requests with the fatal part, and sound ones with the other parts."""
@@ -199,10 +206,133 @@
 def test_a_request_that_met_a_second_crash_of_its_part_is_not_sent_to_another_target():
     load = PromptLoad(8, "abcd")
     host = load.fleet.hosts[0]
-    retry = CheckPrompt(frozenset({FATAL}), is_retry=True)
+    retry = CheckRequest(frozenset({FATAL}), is_retry=True)
     load.end(host, (FATAL,), CRASHED, target=1)
     assert host.quarantine.handle(retry, load.fleet.now).is_ok()
     load.play(1.0, 0.0)
     load.end(host, (FATAL,), CRASHED, target=2)
     assert host.quarantine.handle(retry, load.fleet.now).is_error()
     assert load.check(host, FATAL)
+
+
+def test_the_third_crash_of_one_content_stops_it_at_once():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    for number in range(3):
+        load.end(hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        if number < 2:
+            load.fleet.run(2 * REPORT_INTERVAL_S)
+            for host in hosts:
+                load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+    assert not load.check(hosts[2], CONTENT)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    assert not any(load.check(host, CONTENT) for host in hosts)
+
+
+def test_the_crash_that_a_retry_met_counts_though_no_request_was_answered_before_it():
+    load = PromptLoad(8, "abcd")
+    hosts = load.fleet.hosts
+    load.end(hosts[0], (CONTENT,), CRASHED, target=1, service=PLAIN)
+    load.fleet.run(REPORT_INTERVAL_S)
+    load.end(hosts[0], (CONTENT,), CRASHED, target=2, after_s=0.05, service=PLAIN, is_retry=True)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    for host in hosts:
+        load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+    load.end(hosts[1], (CONTENT,), CRASHED, target=3, service=PLAIN)
+    load.fleet.run(2 * REPORT_INTERVAL_S)
+    assert not any(load.check(host, CONTENT) for host in hosts)
+
+
+def test_the_crashes_of_one_content_do_not_blame_the_parts_that_sound_prompts_share():
+    load = PromptLoad(8, "abcd")
+    load.play(2.0, 0.0)
+    for number in range(3):
+        load.end(load.fleet.hosts[number], (FIRST, SUBJECT, CONTENT), CRASHED, target=number)
+        load.play(1.0, 0.0)
+    hosts = load.fleet.hosts
+    assert not any(load.check(host, FIRST, SUBJECT, CONTENT) for host in hosts)
+    assert all(load.check(host, FIRST, SUBJECT, OTHER_CONTENT) for host in hosts)
+
+
+def test_a_plain_service_that_is_down_is_not_blamed_on_contents_while_another_service_answers():
+    load = PromptLoad(8, "abcd")
+    for number in range(6):
+        load.end(load.fleet.hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        load.play(1.0, 0.0)
+    assert all(load.check(host, CONTENT) for host in load.fleet.hosts)
+
+
+@pytest.mark.parametrize(("status", "is_sound"), [(204, True), (404, True), (500, False)])
+def test_a_response_of_the_target_clears_a_content_unless_it_is_a_server_error(status, is_sound):
+    load = PromptLoad(8, "abcd")
+    report = AttemptReport(AttemptEnd.ANSWERED, status)
+    for number in range(3):
+        load.end(load.fleet.hosts[number], (CONTENT,), CRASHED, target=number, service=PLAIN)
+        load.end(load.fleet.hosts[5], (CONTENT,), report, target=9, service=PLAIN)
+        load.fleet.run(0.5)
+        for host in load.fleet.hosts:
+            load.end(host, (OTHER_CONTENT,), ANSWERED, service=PLAIN)
+        load.fleet.run(0.5)
+    assert all(load.check(host, CONTENT) is is_sound for host in load.fleet.hosts)
+
+
+def test_a_content_in_steady_use_is_not_refused_when_targets_crash_for_other_reasons():
+    load = PromptLoad(8, "abcd")
+    refused = 0
+    for number in range(200):
+        for host in load.fleet.hosts:
+            refused += not load.check(host, CONTENT)
+            load.end(host, (CONTENT,), ANSWERED, service=PLAIN)
+        if number % 5 == 0:
+            for host in load.fleet.hosts:
+                load.end(host, (CONTENT,), CRASHED, target=number // 5, service=PLAIN)
+        load.fleet.run(REPORT_INTERVAL_S)
+    assert refused == 0
+
+
+class PlainLoad(PromptLoad):
+    """Sound plain requests to targets that crash by themselves, at regular times.
+
+    A crash cuts a share of the requests that come at its time. Callers repeat such a request twice,
+    each time at the next crash: the worst moment.
+    """
+
+    def __init__(self, contents: int, cut_share: float) -> None:
+        super().__init__(8, "abcd")
+        self.contents = [f"req:{number:016x}" for number in range(contents)]
+        self.cut_share = cut_share
+        self.asked = self.refused = 0
+
+    def play_crashes(self, crashes: int, requests_between: int) -> None:
+        repeats: list[tuple[str, int]] = []
+        for number in range(crashes):
+            self._ask_many(requests_between)
+            self.fleet.run(3 * REPORT_INTERVAL_S)
+            self._ask_many(requests_between)
+            fresh = self.rng.choices(self.contents, k=requests_between // 4)
+            due, repeats = repeats + [(content, 2) for content in fresh], []
+            for content, left in due:
+                is_cut = self.rng.random() < self.cut_share
+                if self._ask(content, number % self.targets if is_cut else -1) and is_cut and left:
+                    repeats.append((content, left - 1))
+
+    def _ask_many(self, count: int) -> None:
+        for content in self.rng.choices(self.contents, k=count):
+            self._ask(content, -1)
+
+    def _ask(self, content: str, crashed: int) -> bool:
+        host = self.rng.choice(self.fleet.hosts)
+        self.asked += 1
+        if not self.check(host, content):
+            self.refused += 1
+            return False
+        report = ANSWERED if crashed < 0 else CRASHED
+        self.end(host, (content,), report, target=crashed, service=PLAIN)
+        return True
+
+
+@pytest.mark.parametrize("contents", [1, 20, 400, 10_000])
+def test_few_sound_contents_are_refused_while_targets_crash_for_other_reasons(contents):
+    load = PlainLoad(contents, cut_share=0.25)
+    load.play_crashes(100, requests_between=20)
+    assert load.refused <= 0.01 * load.asked
