Share the frame of a half-sent request between two tests

Cause: a read of the whole change: two tests of callers' connections set up the same server, half-sent request and wait. Change: `half_sent_request` in tests/adapters/test_caller_connections.py; the assertions are the same. No source of the package is changed.

--- a/tests/adapters/test_caller_connections.py
+++ b/tests/adapters/test_caller_connections.py
@@ -71,6 +71,18 @@
         yield sock
 
 
+@asynccontextmanager
+async def half_sent_request():
+    """Run a server that has read `REQUEST` but for its end; yield it, its clock and the socket."""
+    async with (
+        running_server(StubChain()) as (server, address, clock),
+        connected(address) as sock,
+    ):
+        sock.sendall(REQUEST[:-50])
+        await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+        yield server, clock, sock
+
+
 async def stream_of(sock: socket.socket):
     """Return reader and writer for `sock`, which doesn't block any longer."""
     sock.setblocking(False)
@@ -125,12 +137,7 @@
     """The event loop may have been held up between their arrival and the check."""
 
     async def check() -> None:
-        async with (
-            running_server(StubChain()) as (server, address, clock),
-            connected(address) as sock,
-        ):
-            sock.sendall(REQUEST[:-50])
-            await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+        async with half_sent_request() as (server, clock, sock):
             sock.sendall(REQUEST[-50:])
             clock.ahead_s = server.limits.header_timeout_s + 1
             server.close_overdue()
@@ -146,12 +153,7 @@
 
 def test_a_connection_past_its_time_out_is_closed():
     async def check() -> None:
-        async with (
-            running_server(StubChain()) as (server, address, clock),
-            connected(address) as sock,
-        ):
-            sock.sendall(REQUEST[:-50])
-            await wait_until(lambda: any(c.is_reading_request for c in server._connections))
+        async with half_sent_request() as (server, clock, sock):
             clock.ahead_s = server.limits.header_timeout_s + 1
             server.close_overdue()
             reader, _ = await stream_of(sock)
