Test that an exception in a filter is answered

Cause: a read of the whole change: the test of unexpected exceptions raised in the terminal alone; a filter goes the same way, unguarded. Change: the test. No source of the package is changed. Result: it passes with the other two tests of exceptions, and linters.

--- a/tests/programs/test_unanswered_requests.py
+++ b/tests/programs/test_unanswered_requests.py
@@ -9,6 +9,7 @@
 from almondspindle.core.calls import Call, Completion, ResponseHead, ResponseSink
 from almondspindle.core.clock import SystemClock
 from almondspindle.core.metrics import NullMetrics
+from almondspindle.core.outcomes import Outcome
 from almondspindle.platform import headers as codec
 from almondspindle.utils.addresses import listening_socket
 from tests.standins import replica as r
@@ -141,3 +142,32 @@
             server.abort()
 
     run(check)
+
+
+class FailingFilter:
+    """A filter that raises an error of a kind that nobody expects."""
+
+    async def apply(self, call: Call, now: float) -> Outcome[Call]:
+        """Raise the error."""
+        raise LookupError("a value that nobody expected")
+
+
+def test_an_unexpected_exception_in_a_filter_is_answered():
+    async def check() -> None:
+        clock = SystemClock()
+        chain = Chain((FailingFilter(),), FailingTerminal(writes_head=False), clock)
+        server = HttpServer(chain, codec, clock, NullMetrics())
+        listener = listening_socket(f"{LOOPBACK}:0")
+        await server.listen(listener)
+        try:
+            reader, writer = await asyncio.open_connection(*listener.getsockname())
+            writer.write(encode_request("/x/", b"x"))
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                response = await read_response(reader)
+                assert (response.status, response.is_complete) == (502, True)
+                assert await reader.read() == b""
+            writer.close()
+        finally:
+            server.abort()
+
+    run(check)
