--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lib.consumers import HOST, KEY, Channel  # noqa: E402
+from lib.consumers import HOST, KEY, Channel, close_channels  # noqa: E402
 from lib.nodes import Fleet, free_ports  # noqa: E402
 from lib.record import Record, has_trouble  # noqa: E402
 from lib.replicas import Replica  # noqa: E402
@@ -147,6 +147,7 @@
         finally:
             for task in [*tasks, *stops]:
                 task.cancel()
+            await close_channels()
             self.fleet.end()
             for replica in self.replicas:
                 await replica.stop()
--- a/review/lib/consumers.py
+++ b/review/lib/consumers.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 import uuid
+import weakref
 from dataclasses import dataclass, field
 
 HOST = "desk.example"
 KEY = "key-of-team-1"
+CHANNELS: "weakref.WeakSet[Channel]" = weakref.WeakSet()
 
 
 @dataclass
@@ -47,10 +49,18 @@
     return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
+async def close_channels() -> None:
+    """Close all channels at the end of a run."""
+    for channel in list(CHANNELS):
+        channel.close()
+    await asyncio.sleep(0.1)
+
+
 class Channel:
     """A channel to a node, used for one request after the other."""
 
     def __init__(self, node: str, address: tuple[str, int]) -> None:
+        CHANNELS.add(self)
         self.node = node
         self.address = address
         self.reader: asyncio.StreamReader | None = None
@@ -85,6 +95,7 @@
         answer = Answer(request_id, path, time.monotonic(), self.node)
         try:
             if not self.is_open:
+                self.close()
                 await self.open()
             assert self.reader is not None and self.writer is not None
             answer.sent_at = time.monotonic()
