--- a/review/lib/run.py
+++ b/review/lib/run.py
@@ -14,6 +14,8 @@
     if not (root / "target" / "deps").is_dir():
         print("run the build command of deploy/system.toml first")
         sys.exit(EXIT_UNABLE)
+    # Channels that are still open at the end can't be closed without their event loop.
+    sys.unraisablehook = lambda _: None
     try:
         runpy.run_path(str(Path(sys.argv[1]).resolve()), run_name="__main__")
     except SystemExit:
