Quarantine: no set of parts includes another one

Cause: a judged set was added to the quarantine though a set that it includes was there. When an answer took a part from the smaller set, the remaining parts replaced the larger set in the middle of a walk over a copy of the table, and the walk raised KeyError when it came to it. Only sets reported by other hosts were checked for inclusion.

Ruled out: the same loop elsewhere. The other loops of controllers over their own state change values only, or remove just the entry that they are at.

Change: QuarantineTable owns the sets and keeps the invariant; what an answer removes is taken out before the remaining parts are added.

--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -2,7 +2,6 @@
 
 import math
 from collections import OrderedDict, deque
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
@@ -13,6 +12,7 @@
     GetCrashNews,
     RequestAttemptEnded,
 )
+from almondspindle.controllers.quarantine.table import Quarantine, QuarantineTable
 from almondspindle.controllers.view.messages import HostsChanged
 from almondspindle.core.clock import Clock
 from almondspindle.core.crashes import Crash, CrashNews, CrashReport, PartIds, QuarantineReport
@@ -36,7 +36,6 @@
 
 MAX_PARTS = 4096  # prompt parts and contents whose last response is remembered
 MAX_CRASHES = 256
-MAX_QUARANTINED = 64
 # Each host passes on what it learns for this long; its reports reach all hosts of its zone in it.
 NEWS_S = 1.5
 HTTP_OK = 200
@@ -44,14 +43,6 @@
 MAX_CRASHES_REPORTED = 32  # 3 KB
 
 
-@dataclass(slots=True)
-class _Quarantine:
-    """When the parts last caused a crash, and when a request was last sent on trial."""
-
-    last_crash_at: float
-    last_trial_at: float = -math.inf
-
-
 class QuarantineController(Controller):
     """Own the recent crashes of targets, of all hosts, and the parts of requests in quarantine.
 
@@ -64,7 +55,7 @@
         self._host = cfg.host
         self._hosts: frozenset[str] = frozenset({cfg.host})
         self._crashes: OrderedDict[tuple[RequestId, str], tuple[float, Crash]] = OrderedDict()
-        self._quarantined: dict[PartIds, _Quarantine] = {}
+        self._quarantined = QuarantineTable()
         self._unjudged: deque[tuple[float, Crash]] = deque()
         self._suspected: dict[str, float] = {}  # the last crash of each part, of `_crashes`
         self._answered: OrderedDict[str, float] = OrderedDict()
@@ -83,7 +74,7 @@
     @handle.register
     def _(self, msg: CheckRequest, now: float) -> Outcome[None]:
         self._judge_crashes(now)
-        for parts, quarantine in self._quarantined.items():
+        for parts, quarantine in self._quarantined:
             if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
                 return _refused(parts, quarantine, now)
         if msg.is_retry:
@@ -133,13 +124,13 @@
             {part: now - self._answered[part] for part in self._answers_reported},
             tuple(
                 QuarantineReport(tuple(sorted(parts)), now - quarantine.last_crash_at)
-                for parts, quarantine in self._quarantined.items()
+                for parts, quarantine in self._quarantined
             ),
         )
         return news if news.crashes or news.answered or news.quarantined else None
 
     def _starts_trial(
-        self, parts: PartIds, quarantine: _Quarantine, msg: CheckRequest, now: float
+        self, parts: PartIds, quarantine: Quarantine, msg: CheckRequest, now: float
     ) -> bool:
         last_used_at = max(quarantine.last_crash_at, quarantine.last_trial_at)
         is_due = is_trial_due(parts, last_used_at, self._hosts, self._host, now)
@@ -166,9 +157,7 @@
         }
         for part in crash.parts & self._answered.keys():
             self._report_answer(part, now)
-        for parts, quarantine in self._quarantined.items():
-            if parts <= crash.parts:
-                quarantine.last_crash_at = max(quarantine.last_crash_at, crash.crashed_at)
+        self._note_repeated(crash.parts, crash.crashed_at)
         repeated = repeated_contents(crash, [known for _, known in self._crashes.values()])
         if not self._judge(crash, repeated, now):
             self._unjudged.append((now, crash))
@@ -183,19 +172,22 @@
         if not suspects:
             return False
         fatal = fatal_parts(
-            crash, suspects, self._recent_crashes(now), self._answered, self._quarantined.keys()
+            crash, suspects, self._recent_crashes(now), self._answered, self._quarantined.sets()
         )
         if fatal:
+            self._note_repeated(fatal, crash.crashed_at)
             self._quarantine(fatal, crash.crashed_at)
         return bool(fatal)
 
+    def _note_repeated(self, parts: PartIds, crashed_at: float) -> None:
+        """Note a crash that `parts` have caused for the quarantines that they include."""
+        for quarantine in self._quarantined.included_in(parts):
+            quarantine.last_crash_at = max(quarantine.last_crash_at, crashed_at)
+
     def _quarantine(self, parts: PartIds, crashed_at: float) -> None:
-        if len(self._quarantined) >= MAX_QUARANTINED:
-            oldest = min(self._quarantined, key=lambda p: self._quarantined[p].last_crash_at)
-            del self._quarantined[oldest]
-        self._quarantined[parts] = _Quarantine(crashed_at)
-        addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
-        emit(REQUEST_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
+        if self._quarantined.add(parts, crashed_at):
+            addresses = {c.address for _, c in self._crashes.values() if parts <= c.parts}
+            emit(REQUEST_QUARANTINED, parts=sorted(parts), targets=sorted(addresses))
 
     def _adopt(self, parts: PartIds, crashed_at: float, now: float) -> None:
         """Quarantine the `parts` not answered since, unless some of them already are."""
@@ -203,11 +195,8 @@
             if self._answered.get(part, -math.inf) > crashed_at:
                 self._report_answer(part, now)
                 parts = parts - {part}
-        if not parts or any(known <= parts for known in self._quarantined):
-            return
-        for known in [known for known in self._quarantined if parts < known]:
-            del self._quarantined[known]
-        self._quarantine(parts, crashed_at)
+        if parts:
+            self._quarantine(parts, crashed_at)
 
     def _is_news(self, part: str, answered_at: float) -> bool:
         """Return whether an answer that another host reports changes what is suspected here.
@@ -216,7 +205,7 @@
         """
         known = self._answered.get(part)
         suspected_at = [c.crashed_at for _, c in self._crashes.values() if part in c.parts]
-        suspected_at += [q.last_crash_at for parts, q in self._quarantined.items() if part in parts]
+        suspected_at += [q.last_crash_at for parts, q in self._quarantined if part in parts]
         return known is None or any(known < at < answered_at for at in suspected_at)
 
     def _note_answer(self, part: str, answered_at: float, now: float) -> None:
@@ -232,15 +221,10 @@
 
     def _exonerate(self, part: str, answered_at: float, now: float) -> None:
         """Remove `part` from the quarantines whose last crash was before the answer."""
-        for parts, quarantine in list(self._quarantined.items()):
-            if part not in parts or answered_at <= quarantine.last_crash_at:
-                continue
-            del self._quarantined[parts]
+        for parts, quarantine in self._quarantined.remove_answered(part, answered_at):
             self._report_answer(part, now)
             emit(REQUEST_RELEASED, part=part, parts=sorted(parts))
-            rest = parts - {part}
-            if rest:
-                self._adopt(rest, quarantine.last_crash_at, now)
+            self._adopt(parts - {part}, quarantine.last_crash_at, now)
 
     def _report_answer(self, part: str, now: float) -> None:
         self._answers_reported[part] = now + NEWS_S
@@ -260,7 +244,7 @@
     return frozenset(filter(is_content_id, msg.parts))
 
 
-def _refused(parts: PartIds, quarantine: _Quarantine, now: float) -> Outcome[None]:
+def _refused(parts: PartIds, quarantine: Quarantine, now: float) -> Outcome[None]:
     retry_after_s = max(1.0, quarantine.last_crash_at + TRIAL_INTERVAL_S - now)
     text = f"requests with {', '.join(sorted(parts))} crash targets"
     return refused(RefusalCode.REQUEST_QUARANTINED, text, retry_after_s=retry_after_s)
