An exception in a controller of a node costs a message, not the node

A requester of a controller that had failed waited without an end.

Cause: any exception in any task ended the process.

Change: each controller states what an exception in a handler costs. View, placement, exchange and rollouts drop the message; quarantine and durations, which are learnt again in seconds, discard their state and handle the message once more; the controllers of entry and router still end their process, as claims and ownership must not be built on half a change. Background tasks of a node run again after 1 s.

Ruled out: restarting placement or view with empty state. They count what is in flight and copy the store; an empty one would refuse requests until the next read.

--- a/almondspindle/controllers/durations/task.py
+++ b/almondspindle/controllers/durations/task.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.durations.messages import CheckTimeLeft, RequestCompleted
 from almondspindle.core.clock import Clock
 from almondspindle.core.outcomes import Outcome
@@ -16,8 +16,14 @@
 class DurationsController(Controller):
     """Own the durations of requests by route, of the routes that were used last."""
 
+    on_exception = OnException.RESET
+
     def __init__(self, clock: Clock) -> None:
         super().__init__(clock)
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget all durations."""
         self._durations: OrderedDict[str, RouteDuration] = OrderedDict()
 
     @singledispatchmethod
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -154,6 +154,7 @@
 
     async def run(self) -> None:
         """Check for peers that are ahead every `PULL_CHECK_INTERVAL_S` seconds until cancelled."""
+        self._pulling.clear()
         async with asyncio.TaskGroup() as pulls:
             while True:
                 await asyncio.sleep(PULL_CHECK_INTERVAL_S)
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -8,7 +8,7 @@
 from itertools import count
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.exchange.messages import (
     GetPeersAhead,
     GetProbeSharers,
@@ -82,6 +82,8 @@
     what they know of roll-outs, with no response counted twice.
     """
 
+    on_exception = OnException.DROP
+
     def __init__(
         self,
         cfg: NodeCfg,
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -7,7 +7,7 @@
 from itertools import count
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.placement.copy_sources import CopySources
 from almondspindle.controllers.placement.messages import (
     AttemptEnded,
@@ -85,6 +85,8 @@
 class PlacementController(Controller):
     """Own the state of all targets, including this host's requests in flight at each."""
 
+    on_exception = OnException.DROP
+
     def __init__(self, cfg: NodeCfg, clock: Clock, metrics: MetricSender | None = None) -> None:
         super().__init__(clock)
         self._cfg = cfg
--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.quarantine.messages import (
     CheckRequest,
     CrashNewsReceived,
@@ -47,13 +47,20 @@
     """Own the recent crashes of targets, of all hosts, and the parts of requests in quarantine.
 
     Each crash is known by its request and target, and the first report of it counts, so reports
-    may arrive by several ways and more than once.
+    may arrive by several ways and more than once. The other hosts report all quarantines again and
+    again, so the state may be discarded.
     """
 
+    on_exception = OnException.RESET
+
     def __init__(self, cfg: NodeCfg, clock: Clock) -> None:
         super().__init__(clock)
         self._host = cfg.host
         self._hosts: frozenset[str] = frozenset({cfg.host})
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget all crashes, answers and quarantines."""
         self._crashes: OrderedDict[tuple[RequestId, str], tuple[float, Crash]] = OrderedDict()
         self._quarantined = QuarantineTable()
         self._unjudged: deque[tuple[float, Crash]] = deque()
--- a/almondspindle/controllers/rollouts/runner.py
+++ b/almondspindle/controllers/rollouts/runner.py
@@ -46,6 +46,7 @@
 
     async def run(self) -> None:
         """Advance the roll-outs until cancelled."""
+        self._writing.clear()
         async with asyncio.TaskGroup() as writes:
             while True:
                 await asyncio.sleep(ADVANCE_INTERVAL_S)
--- a/almondspindle/controllers/rollouts/task.py
+++ b/almondspindle/controllers/rollouts/task.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.rollouts.messages import (
     AdvanceRollouts,
     AttemptObserved,
@@ -131,6 +131,8 @@
     `publish` gets the rules by which targets of the versions are selected.
     """
 
+    on_exception = OnException.DROP
+
     def __init__(
         self,
         cfg: NodeCfg,
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -6,7 +6,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from almondspindle.controllers.base import Controller
+from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import (
@@ -106,6 +106,8 @@
     so the one with the higher revision is newer, whether it was read from the store or a peer.
     """
 
+    on_exception = OnException.DROP
+
     def __init__(self, cfg: NodeCfg, clock: Clock, publish: Callable[[Publication], None]) -> None:
         super().__init__(clock)
         self._cfg = cfg
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -36,6 +36,15 @@
     1005, "drain_begun", "The process accepts no new requests; those in flight are completed."
 )
 TASK_FAILED = event(1004, "task_failed", "A task failed with an exception; the process stops.")
+MESSAGE_FAILED = event(
+    1006,
+    "message_failed",
+    "The handler of a message raised an exception; states what the controller does: it ends, drops"
+    " the message, or discards its state and handles the message again.",
+)
+TASK_RESTARTED = event(
+    1007, "task_restarted", "A task failed with an exception and is started again after a second."
+)
 
 # 1100 to 1199: requests.
 REQUEST_REFUSED = event(1100, "request_refused", "A request was refused; see code and run state.")
--- a/almondspindle/core/outcomes.py
+++ b/almondspindle/core/outcomes.py
@@ -84,7 +84,7 @@
 
 
 class InvariantError(Exception):
-    """A state that must not occur. Raising it in a task stops the process."""
+    """A state that must not occur. In a controller it is handled as any exception."""
 
 
 __all__ = [
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -243,7 +243,7 @@
         self._rollouts.send(SettingsChanged(cfg))
 
     async def run(self, stop: asyncio.Event) -> int:
-        """Serve until `stop` is set or a task fails; return the exit status."""
+        """Serve until `stop` is set or a task fails, shut down, and return the exit status."""
         self._start()
         await self._report_transport.open(f"{self._cfg.ip}:{self._cfg.peer_port}")
         await self._wait_until_ready()
@@ -251,11 +251,13 @@
         stopped = asyncio.ensure_future(stop.wait())
         failed = asyncio.ensure_future(self._tasks.wait_for_failure())
         await asyncio.wait({stopped, failed}, return_when=asyncio.FIRST_COMPLETED)
+        status = EXIT_OK
         if failed.done():
             print(f"task {failed.result()} failed", file=sys.stderr)
-            return EXIT_FAILED
+            status = EXIT_FAILED
+        # After a failure too, requests that targets work on are finished.
         await self._shut_down()
-        return EXIT_OK
+        return status
 
     async def _wait_until_ready(self) -> None:
         # The kernel queues connections meanwhile. If the store does not respond in time, the node
@@ -297,6 +299,10 @@
                 "durations": self._durations,
                 "rollouts": self._rollouts,
                 "exchange": self._exchange,
+            }
+        )
+        self._tasks.start_all_restarting(
+            {
                 "pool": self._pool,
                 "front": self._http_server,
                 "settings": self._settings,
@@ -319,7 +325,7 @@
         )
         if cfg.serves_rollouts:
             runner = RolloutRunner(self._rollouts, self._placement, self._store)
-            self._tasks.start("rollout runner", runner.run())
+            self._tasks.start_all_restarting({"rollout runner": runner})
 
     def _make_watcher(self, topic: Topic) -> TopicWatcher:
         return TopicWatcher(topic, self._store, self._view, self._exchange)
--- a/almondspindle/utils/tasks.py
+++ b/almondspindle/utils/tasks.py
@@ -4,9 +4,11 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any, Protocol
 
-from almondspindle.core.events import TASK_FAILED
+from almondspindle.core.events import TASK_FAILED, TASK_RESTARTED
 from almondspindle.core.logs import emit
 
+RESTART_DELAY_S = 1.0
+
 
 class Runner(Protocol):
     """An object with a main loop that runs until it is cancelled."""
@@ -16,6 +18,23 @@
         ...
 
 
+class RestartingRunner:
+    """Run `runner` again after an exception. Its state must not outlast a call of `run`."""
+
+    def __init__(self, name: str, runner: Runner) -> None:
+        self._name = name
+        self._runner = runner
+
+    async def run(self) -> None:
+        """Run until the runner returns or this task is cancelled."""
+        while True:
+            try:
+                return await self._runner.run()
+            except Exception as exc:
+                emit(TASK_RESTARTED, task=self._name, reason=repr(exc))
+            await asyncio.sleep(RESTART_DELAY_S)
+
+
 class TaskSet:
     """The long-lived tasks of a process. `wait_for_failure` returns at the first failure."""
 
@@ -35,6 +54,10 @@
         for name, runner in runners.items():
             self.start(name, runner.run())
 
+    def start_all_restarting(self, runners: Mapping[str, Runner]) -> None:
+        """Start each of `runners` as `start_all`, and run it again if it fails."""
+        self.start_all({name: RestartingRunner(name, each) for name, each in runners.items()})
+
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
