A response with an invalid status is broken, at once

What callers saw: a target's response with the status 600 or 999 was passed on as the answer; with 000, 042 or 099 the caller got nothing until its time budget was over.

Cause: both clients of targets asked only whether a status is below 200. One skipped what is below 100 like an interim response, the other took it for the end of a response without a head.

Change: status_kind decides for both clients which statuses are interim, final or none; with the last the attempt ends as broken at once.

--- a/almondspindle/adapters/http1/target_connection.py
+++ b/almondspindle/adapters/http1/target_connection.py
@@ -19,10 +19,10 @@
     pause_s,
 )
 from almondspindle.decisions.response_bounds import MAX_HEADERS, MAX_OVERHEAD_BYTES
+from almondspindle.decisions.responses import StatusKind, status_kind
 from almondspindle.utils.sockets import reset_connection
 
 MAX_PENDING_BYTES = 256 * 1024  # unread body bytes above which reading pauses, for a slow caller
-FIRST_FINAL_STATUS = 200
 CLOSED_EARLY = "the connection closed before the response was complete"
 # All connections read into the same buffer, as each parses what it has read at once.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
@@ -227,10 +227,13 @@
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Add the head. Skip the heads of interim (1xx) responses."""
+        """Add the head. Skip the heads of interim responses, and break off at an invalid status."""
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
-        if not self._is_busy or status < FIRST_FINAL_STATUS:
+        kind = status_kind(status)
+        if kind is StatusKind.INVALID:
+            self._break_off(f"invalid status {status}")
+        if not self._is_busy or kind is not StatusKind.FINAL:
             return
         by_name = {name.lower(): value for name, value in headers}
         length = by_name.get("content-length")
@@ -266,7 +269,8 @@
 
     def on_message_complete(self) -> None:
         """Add the end of a final response."""
-        if not self._is_busy or self._parser.get_status_code() < FIRST_FINAL_STATUS:
+        kind = status_kind(self._parser.get_status_code())
+        if not self._is_busy or kind is not StatusKind.FINAL:
             return
         self._finish(ResponseComplete())
 
--- a/almondspindle/adapters/target/delegate.py
+++ b/almondspindle/adapters/target/delegate.py
@@ -26,11 +26,15 @@
     ResponseSink,
 )
 from almondspindle.core.outcomes import InvariantError, Refusal, RefusalCode, RunState
-from almondspindle.decisions.responses import ResponseHeadInfo, ResponseValidator
+from almondspindle.decisions.responses import (
+    ResponseHeadInfo,
+    ResponseValidator,
+    StatusKind,
+    status_kind,
+)
 from almondspindle.utils.numbers import MAX_DIGITS, parse_digits
 from almondspindle.utils.idle_timer import IdleTimer
 
-FIRST_FINAL_STATUS = 200
 NO_BODY_STATUSES = frozenset({204, 304})
 RESPONSE_TRUNCATED = "the target closed the connection before the response was complete"
 NO_RESPONSE = "the target closed the connection without a response"
@@ -72,7 +76,10 @@
         """Validate the head and forward it."""
         if not isinstance(start_line, ResponseStartLine):
             raise InvariantError("a target's response began with a request line")
-        if start_line.code < FIRST_FINAL_STATUS:
+        kind = status_kind(start_line.code)
+        if kind is StatusKind.INVALID:
+            self.fail(RefusalCode.RESPONSE_BROKEN, f"invalid status {start_line.code}")
+        if kind is not StatusKind.FINAL:
             return None
         has_body = start_line.code not in NO_BODY_STATUSES and self._call.method != "HEAD"
         fault = self._read_length(headers, has_body) or self._validator.check_head(
--- a/almondspindle/decisions/responses.py
+++ b/almondspindle/decisions/responses.py
@@ -2,6 +2,7 @@
 
 import re
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from almondspindle.core.identifiers import REQUEST_ID_BYTES, RequestId
 
@@ -12,6 +13,26 @@
 REQUEST_ID_SUFFIX = re.compile(rf"(?:^|[-_:])([0-9a-f]{{{2 * REQUEST_ID_BYTES}}})$")
 
 
+class StatusKind(StrEnum):
+    """What a status says about the response."""
+
+    INTERIM = "interim"  # the final response follows
+    FINAL = "final"
+    INVALID = "invalid"  # no status of a response
+
+
+SWITCHING_PROTOCOLS = 101
+# By the first digit of a status (RFC 9110, section 15). All others are invalid.
+STATUS_KINDS = {1: StatusKind.INTERIM} | dict.fromkeys((2, 3, 4, 5), StatusKind.FINAL)
+
+
+def status_kind(status: int) -> StatusKind:
+    """Return what `status` says about the response. Requests offer no other protocol."""
+    if status == SWITCHING_PROTOCOLS:
+        return StatusKind.INVALID
+    return STATUS_KINDS.get(status // 100, StatusKind.INVALID)
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHeadInfo:
     """The parts of a response head that are checked.
--- a/tests/adapters/test_target_responses.py
+++ b/tests/adapters/test_target_responses.py
@@ -128,6 +128,14 @@
     "no length": ([JSON + b"\r\n{}"], "neither a length nor an end mark", b""),
     "not HTTP": ([b"\x00\x01\r\n\r\n"], "without a response", b""),
     "no response": ([], "without a response", b""),
+    **{
+        f"status {status}": (
+            [JSON.replace(b"200", status) + b"Content-Length: 2\r\n\r\n{}"],
+            "invalid status",
+            b"",
+        )
+        for status in (b"000", b"099", b"101", b"600", b"999")
+    },
 }
 IDLE = {
     "before the head": ([], TIMEOUTS),
