Offers of another protocol are ignored, and the request is read whole

Cause: the parser reports such a request as complete after its head and then raises; the connection queued the request and a refusal. CONNECT took the same way.

Ruled out: the codec, which drops the offer's headers; the front of entries, whose parser ignores offers.

Change: the request is parsed again from its head without the offer. CONNECT gets one refusal.

--- a/almondspindle/adapters/http1/caller_connection.py
+++ b/almondspindle/adapters/http1/caller_connection.py
@@ -115,12 +115,38 @@
             self.waiting_since = self._owner.now()
         self.is_reading_request = True
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(RefusalCode.MALFORMED_REQUEST, "upgrades are not supported")
+            self._parse(data)
         except httptools.HttpParserError as exc:
             self._refuse(RefusalCode.MALFORMED_REQUEST, f"invalid HTTP: {exc}")
 
+    def _parse(self, data: bytes) -> None:
+        """Parse `data`, and ignore offers of another protocol (RFC 9110, section 7.8).
+
+        The parser stops after the head of a request with an offer and skips the body. The request
+        is parsed again without the offer.
+        """
+        while not self._is_refused:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                rest = data[exc.args[0] :]
+            else:
+                return
+            if self._parser.get_method() == b"CONNECT":
+                self._refuse(RefusalCode.MALFORMED_REQUEST, "CONNECT is not supported")
+                return
+            data = self._head_without_offer() + rest
+            self._parser = httptools.HttpRequestParser(self)
+            self._reset()
+
+    def _head_without_offer(self) -> bytes:
+        method, version = self._parser.get_method(), self._parser.get_http_version().encode()
+        start_line = b"%s %s HTTP/%s\r\n" % (method, self._url, version)
+        headers = (
+            f"{name}: {value}\r\n" for name, value in self._headers if name.lower() != "upgrade"
+        )
+        return start_line + "".join(headers).encode("latin-1") + b"\r\n"
+
     def pause_writing(self) -> None:
         """Make `drain` wait, since the write buffer is full. Called by asyncio."""
         self._drained = asyncio.get_running_loop().create_future()
@@ -200,6 +226,8 @@
 
         Ask for a body that the caller holds back until 100 Continue, if no request is in process.
         """
+        if self._parser.should_upgrade():
+            return
         self.has_head = True
         headers = {name.lower(): value for name, value in self._headers}
         coding = headers.get("transfer-encoding")
@@ -219,7 +247,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the connection's task."""
-        if self._is_refused:
+        if self._is_refused or self._parser.should_upgrade():
             return
         self.is_reading_request = False
         request = RequestReceived(
--- a/tests/adapters/test_caller_connections.py
+++ b/tests/adapters/test_caller_connections.py
@@ -227,3 +227,82 @@
     unsent = [each for each in events if each["event"] == "response_unsent"]
     assert [each["request_id"] for each in unsent] == ["r-1"]
     assert unsent[0]["bytes"] > 0
+
+
+OFFERS = {
+    "h2c": "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n",
+    "websocket": "Upgrade: websocket\r\nConnection: keep-alive, upgrade\r\n",
+}
+CHUNKED_BODY = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+
+
+def with_offer(offer: str, request_id: str, is_chunked: bool = False) -> bytes:
+    """Return a request with the body "abcde" that offers another protocol."""
+    head, _, body = encode_request("/commit/x", b"abcde", request_id).partition(b"\r\n\r\n")
+    if is_chunked:
+        head = head.replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")
+        body = CHUNKED_BODY
+    return head + b"\r\n" + offer.encode() + b"\r\n" + body
+
+
+@pytest.mark.parametrize("piece", [1, 7, 100_000], ids=["bytes", "pieces", "at once"])
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("offer", OFFERS.values(), ids=OFFERS.keys())
+def test_a_request_that_offers_another_protocol_is_served_whole(offer, is_chunked, piece):
+    """It ran with an empty body, and a refusal that nobody asked for came after its response."""
+    chain = StubChain()
+    data = b"".join(
+        (
+            with_offer(offer, "r-1", is_chunked),
+            encode_request("/commit/y", b"second", "r-2"),
+            with_offer(offer, "r-3", is_chunked),
+            encode_request("/commit/y", b"last", "r-4", Connection="close"),
+        )
+    )
+
+    async def check() -> None:
+        async with running_server(chain) as (_, address, _), connected(address) as sock:
+            reader, writer = await stream_of(sock)
+            for start in range(0, len(data), piece):
+                writer.write(data[start : start + piece])
+                await writer.drain()
+            responses = await reader.read()
+            assert responses.count(b"HTTP/1.1 ") == responses.count(b"HTTP/1.1 200 OK") == 4
+
+    asyncio.run(asyncio.wait_for(check(), 20))
+    assert [(call.request_id, call.body) for call in chain.calls] == [
+        ("r-1", b"abcde"),
+        ("r-2", b"second"),
+        ("r-3", b"abcde"),
+        ("r-4", b"last"),
+    ]
+    names = {name.lower() for call in chain.calls for name, _ in call.headers}
+    assert not names & {"upgrade", "http2-settings", "connection"}
+
+
+def test_a_request_to_connect_gets_one_refusal():
+    chain = StubChain()
+
+    async def check() -> None:
+        async with running_server(chain) as (_, address, _), connected(address) as sock:
+            reader, writer = await stream_of(sock)
+            writer.write(b"CONNECT h.example:443 HTTP/1.1\r\nHost: h.example:443\r\n\r\n")
+            assert (await read_response(reader)).status == 400
+            assert await reader.read() == b""
+
+    asyncio.run(asyncio.wait_for(check(), 20))
+    assert not chain.calls
+
+
+def test_the_continuation_of_a_request_with_an_offer_is_asked_for_once():
+    async def check() -> None:
+        async with running_server(StubChain()) as (_, address, _), connected(address) as sock:
+            reader, writer = await stream_of(sock)
+            offer = OFFERS["h2c"] + "Expect: 100-continue\r\n"
+            head, _, body = with_offer(offer, "r-1").partition(b"\r\n\r\n")
+            writer.write(head + b"\r\n\r\n")
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(body)
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(asyncio.wait_for(check(), 20))
