A stream leaves a silent target only after a silence that no sound one keeps

Cause: one time served two purposes. After 4 objectives without a byte (1.2 s) other requests should avoid the target, and the stream left it, too.

Ruled out: asking the target whether it works on the request, which only confirms that a sound one is sound.

Change: the first time-out reports the target as silent. The stream waits until three quarters of its caller's patience are over (1.8 s with objectives of 300 ms), so that the next target can still answer in time.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -78,11 +78,12 @@
         call: Call,
         progress: ResponseBuffer,
         timeouts: IdleTimeouts,
-        may_leave: Callable[[], Awaitable[bool]],
+        may_leave: Callable[[int], Awaitable[bool]],
     ) -> AttemptReport:
         """Send `call` to its target once and feed the response to `progress`.
 
-        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on.
+        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on. That
+        gets the number of time-outs since the last byte.
         """
         if call.target is None:
             raise InvariantError("a call was sent without a target")
@@ -157,7 +158,7 @@
     codec: HeaderCodec
     clock: Clock
     kept: KeptBytes
-    may_leave: Callable[[], Awaitable[bool]]
+    may_leave: Callable[[int], Awaitable[bool]]
     on_notice: Callable[[TargetNotice], None]
     kept_here: int = 0  # bytes of this response in `kept`
     rejected_bytes: int = 0
@@ -170,6 +171,7 @@
     ends_at_close: bool = False
     report: AttemptReport | None = None
     parts: int = 0  # of the response that were received
+    timeouts: int = 0  # since the last of them
     events: int = 0  # of a stream that were received
     sent_at: float = 0.0
     first_byte_s: float | None = None
@@ -193,6 +195,7 @@
                 while self.report is None:
                     part = await self.connection.next_part()
                     self.parts += 1
+                    self.timeouts = 0
                     timer.note_progress()
                     await self.process(part)
                     timer.start_waiting()
@@ -226,8 +229,9 @@
 
     async def _leave(self, timer: IdleTimer) -> None:
         parts = self.parts
+        self.timeouts += 1
         try:
-            may_leave = await self.may_leave()
+            may_leave = await self.may_leave(self.timeouts)
         except Exception as exc:
             emit(CONNECTION_FAILED, request_id=self.call.request_id, reason=repr(exc))
             may_leave = False
--- a/almondspindle/chain/attempt_client.py
+++ b/almondspindle/chain/attempt_client.py
@@ -41,10 +41,11 @@
         call: Call,
         progress: P,
         timeouts: IdleTimeouts,
-        may_leave: Callable[[], Awaitable[bool]],
+        may_leave: Callable[[int], Awaitable[bool]],
     ) -> AttemptReport:
         """Send `call` to its target once and feed the response to `progress`.
 
-        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on.
+        After each idle time-out the attempt ends if `may_leave` allows it, and else waits on. That
+        gets the number of time-outs since the last byte.
         """
         ...
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -39,6 +39,7 @@
     RequestAttempts,
     add_attempt,
     idle_timeouts,
+    is_silence_over,
     keeps_answer,
     may_leave_target,
     may_return,
@@ -190,15 +191,16 @@
             report = AttemptReport(AttemptEnd.ABANDONED)
             self._placement.send(AttemptEnded(selected.ok.ticket, report))
 
-    async def _may_leave(self, delivery: _Delivery[P], placement: Placement) -> bool:
+    async def _may_leave(self, delivery: _Delivery[P], placement: Placement, timeouts: int) -> bool:
         """Reserve a target to which the call may go from the silent target of `placement`.
 
         Return False if there is none. The silent target may be sound and is given up only then, but
-        it is reported, so that other requests avoid it.
+        it is reported, so that other requests avoid it. `timeouts` is the number of idle time-outs
+        since its last byte.
         """
         if delivery.next is not None:
             return True
-        reserved = await self._reserve_next(delivery)
+        reserved = await self._reserve_next(delivery, timeouts)
         if reserved.is_ok():
             delivery.next = reserved.ok
             return True
@@ -214,8 +216,10 @@
             )
         return False
 
-    async def _reserve_next(self, delivery: _Delivery[P]) -> Outcome[Placement]:
+    async def _reserve_next(self, delivery: _Delivery[P], timeouts: int) -> Outcome[Placement]:
         call = delivery.call
+        if not is_silence_over(delivery.route, timeouts):
+            return refused(RefusalCode.TARGET_UNREACHABLE, "a sound target may be silent as long")
         if not may_leave_target(delivery.route, delivery.attempts, self._remaining_s(call)):
             return refused(RefusalCode.TARGET_UNREACHABLE, "this is the last attempt")
         allowed = await self._check_retry(call, add_attempt(delivery.attempts, SILENT))
@@ -285,7 +289,7 @@
                     attempt_call,
                     progress,
                     timeouts,
-                    lambda: self._may_leave(delivery, placement),
+                    lambda timeouts: self._may_leave(delivery, placement, timeouts),
                 )
         except TimeoutError:
             report = AttemptReport(AttemptEnd.TIMED_OUT, started=progress.started)
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -14,8 +14,16 @@
 RETRY_AFTER_S = 0.3
 MIN_ATTEMPT_S = 0.05  # with less time left an attempt can't finish before the deadline
 READ_IDLE_OBJECTIVES = 2.0  # latency objectives without a byte after which a read is retried
-STREAM_IDLE_OBJECTIVES = 4.0  # the same for a stream, in terms of its larger objective
+# The same for a stream, in terms of its larger objective, after which it is avoided by others.
+STREAM_IDLE_OBJECTIVES = 4.0
+# Callers abandon a stream after the longest of these times without an event.
+CALLER_PATIENCE_S = 2.0
+CALLER_PATIENCE_OBJECTIVES = 4.0
+CALLER_PATIENCE_GAPS = 8.0
+# The share of that time after which a stream leaves its target. The rest is for the next one.
+STREAM_LEAVE_SHARE = 0.75
 MIN_IDLE_TIMEOUT_S = 0.1  # for routes without an objective
+MIN_REPEAT_S = 0.1  # a shorter wait after the first time-out isn't worth it
 # Longer than usual deadlines: an idle time-out gains nothing for work that must not be retried.
 UNRETRYABLE_IDLE_TIMEOUT_S = 3600.0
 
@@ -81,6 +89,15 @@
     return route.is_retryable and attempts.may_have_run < route.attempts
 
 
+def is_silence_over(route: Route, timeouts: int) -> bool:
+    """Return whether a target is silent for longer than a sound one.
+
+    `timeouts` is the number of idle time-outs (`idle_timeouts`) since its last byte. A sound target
+    may be silent for a second or so, and works on meanwhile.
+    """
+    return timeouts > 1 or idle_timeouts(route).repeat_s is None
+
+
 def may_leave_target(route: Route, attempts: RequestAttempts, left_s: float) -> bool:
     """Return whether a request may leave its silent target for another one.
 
@@ -126,7 +143,7 @@
 def idle_timeouts(route: Route) -> IdleTimeouts:
     """Return how long a target may send nothing before it counts as silent.
 
-    The request leaves it for another target then, if it may.
+    A read leaves it for another target then, if it may. A stream does after `repeat_s` more.
     """
     if not route.is_retryable or route.attempts < 2:
         return IdleTimeouts(UNRETRYABLE_IDLE_TIMEOUT_S, UNRETRYABLE_IDLE_TIMEOUT_S)
@@ -135,4 +152,16 @@
     else:
         timeout_s = STREAM_IDLE_OBJECTIVES * max(route.objective_s, route.gap_objective_s)
     timeout_s = max(MIN_IDLE_TIMEOUT_S, timeout_s)
-    return IdleTimeouts(timeout_s, timeout_s)
+    repeat_s = _stream_leave_s(route) - timeout_s
+    if route.work is WorkKind.READ or repeat_s < MIN_REPEAT_S:
+        return IdleTimeouts(timeout_s, timeout_s)
+    return IdleTimeouts(timeout_s, timeout_s, repeat_s)
+
+
+def _stream_leave_s(route: Route) -> float:
+    patience_s = max(
+        CALLER_PATIENCE_S,
+        CALLER_PATIENCE_OBJECTIVES * route.objective_s,
+        CALLER_PATIENCE_GAPS * route.gap_objective_s,
+    )
+    return STREAM_LEAVE_SHARE * patience_s
--- a/almondspindle/utils/idle_timer.py
+++ b/almondspindle/utils/idle_timer.py
@@ -46,9 +46,7 @@
     def restart(self) -> None:
         """Count idle time anew after the time-out, since the reader waits on or is busy."""
         self.fired = False
-        self._monitor.suspected_at = None
-        if self._monitor.waiting_since is not None:
-            self.start_waiting()
+        self._monitor.restart(self._clock.monotonic())
         self._check()
 
     def note_progress(self) -> None:
