Quarantine: a crash costs milliseconds however many streams it cuts

Cause: with responses that had begun as evidence, one crash brings as many requests as its target had slots, and each was compared with all known contents; a report could name any number of answered parts.

Change: only parts in three crashes or more are judged, only the contents of the new request are counted, and a report names 128 answers at most.

--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -45,6 +45,7 @@
 HTTP_OK = 200
 FIRST_REDIRECT_STATUS = 300
 MAX_CRASHES_REPORTED = 32  # 3 KB
+MAX_ANSWERS_REPORTED = 128  # 3 KB
 
 
 class QuarantineController(Controller):
@@ -134,9 +135,10 @@
         self._answers_reported = {
             part: until for part, until in self._answers_reported.items() if now < until
         }
+        answered = [*self._answers_reported][-MAX_ANSWERS_REPORTED:]
         news = CrashNews(
             tuple(_to_report(crash, now) for crash in self._most_suspect(cut)),
-            {part: now - self._answered[part] for part in self._answers_reported},
+            {part: now - self._answered[part] for part in answered},
             tuple(
                 QuarantineReport(tuple(sorted(parts)), now - quarantine.last_crash_at)
                 for parts, quarantine in self._quarantined
@@ -170,7 +172,7 @@
         for part in cut.parts & self._answered.keys():
             self._report_answer(part, now)
         self._note_repeated(cut.parts, cut.crashed_at)
-        repeated = repeated_contents(crash, self._crashes.recent(now)) & cut.parts
+        repeated = repeated_contents(cut.parts, self._crashes.recent(now))
         is_pending = any(crash is pending for _, pending in self._unjudged)
         if not self._judge(crash, repeated, now) and not is_pending:
             self._unjudged.append((now, crash))
--- a/almondspindle/decisions/request_quarantine.py
+++ b/almondspindle/decisions/request_quarantine.py
@@ -62,6 +62,9 @@
 }
 
 
+FEWEST_CRASHES = min(limits.quarantine for limits in LIMITS.values())
+
+
 def is_same_crash(crash: TargetCrash, cut: Crash) -> bool:
     """Return whether the attempt `cut` was ended by `crash`."""
     is_same_time = abs(crash.crashed_at - cut.crashed_at) <= SAME_CRASH_S
@@ -100,16 +103,17 @@
     return was_sent_later and crash.last_response_at > earlier.crashed_at
 
 
-def repeated_contents(crash: TargetCrash, crashes: Collection[TargetCrash]) -> PartIds:
-    """Return the whole contents in `crash` that may be known to cause crashes, by their number."""
-    fewest = min(limits.quarantine for limits in LIMITS.values())
+def repeated_contents(parts: PartIds, crashes: Collection[TargetCrash]) -> PartIds:
+    """Return the whole contents in `parts` that may be known to cause crashes, by their number."""
     return frozenset(
-        part
-        for part in filter(is_content_id, crash.parts)
-        if sum(part in known.parts for known in crashes) >= fewest
+        part for part in filter(is_content_id, parts) if _is_in_enough_crashes(part, crashes)
     )
 
 
+def _is_in_enough_crashes(part: str, crashes: Iterable[TargetCrash]) -> bool:
+    return sum(part in crash.parts for crash in crashes) >= FEWEST_CRASHES
+
+
 def fatal_parts(
     crash: TargetCrash,
     suspects: Iterable[str],
@@ -127,7 +131,7 @@
     if _is_explained(crash, known):
         return frozenset()
     earlier = [each for each in crashes if each.crashed_at <= crash.crashed_at]
-    for part in sorted(suspects):
+    for part in sorted(part for part in suspects if _is_in_enough_crashes(part, earlier)):
         unexplained = [each for each in earlier if not _is_explained(each, known, apart_from=part)]
         sequence = crash_sequence(part, unexplained, answered.get(part, -math.inf))
         if _is_fatal(part, sequence, part in answered, unexplained):
