Placement: a list that fails in its middle leaves the known targets in use

Cause: a dropped message keeps what its handler has changed so far, and the handler of a list of targets emptied the table first. Reading the handlers of the controllers that drop messages found no other one of this kind. A request that waited for space in the inbox of a controller that ended waited for good.

Change: the new tables replace the old ones at the end of the handler; the requester is told. The count of idle time-outs is called silences, since the settings of the timer are timeouts.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -171,7 +171,7 @@
     ends_at_close: bool = False
     report: AttemptReport | None = None
     parts: int = 0  # of the response that were received
-    timeouts: int = 0  # since the last of them
+    silences: int = 0  # idle time-outs since the last of them
     events: int = 0  # of a stream that were received
     sent_at: float = 0.0
     first_byte_s: float | None = None
@@ -195,7 +195,7 @@
                 while self.report is None:
                     part = await self.connection.next_part()
                     self.parts += 1
-                    self.timeouts = 0
+                    self.silences = 0
                     timer.note_progress()
                     await self.process(part)
                     timer.start_waiting()
@@ -229,9 +229,9 @@
 
     async def _leave(self, timer: IdleTimer) -> None:
         parts = self.parts
-        self.timeouts += 1
+        self.silences += 1
         try:
-            may_leave = await self.may_leave(self.timeouts)
+            may_leave = await self.may_leave(self.silences)
         except Exception as exc:
             emit(CONNECTION_FAILED, request_id=self.call.request_id, reason=repr(exc))
             may_leave = False
--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -191,16 +191,16 @@
             report = AttemptReport(AttemptEnd.ABANDONED)
             self._placement.send(AttemptEnded(selected.ok.ticket, report))
 
-    async def _may_leave(self, delivery: _Delivery[P], placement: Placement, timeouts: int) -> bool:
+    async def _may_leave(self, delivery: _Delivery[P], placement: Placement, silences: int) -> bool:
         """Reserve a target to which the call may go from the silent target of `placement`.
 
         Return False if there is none. The silent target may be sound and is given up only then, but
-        it is reported, so that other requests avoid it. `timeouts` is the number of idle time-outs
+        it is reported, so that other requests avoid it. `silences` is the number of idle time-outs
         since its last byte.
         """
         if delivery.next is not None:
             return True
-        reserved = await self._reserve_next(delivery, timeouts)
+        reserved = await self._reserve_next(delivery, silences)
         if reserved.is_ok():
             delivery.next = reserved.ok
             return True
@@ -216,9 +216,9 @@
             )
         return False
 
-    async def _reserve_next(self, delivery: _Delivery[P], timeouts: int) -> Outcome[Placement]:
+    async def _reserve_next(self, delivery: _Delivery[P], silences: int) -> Outcome[Placement]:
         call = delivery.call
-        if not is_silence_over(delivery.route, timeouts):
+        if not is_silence_over(delivery.route, silences):
             return refused(RefusalCode.TARGET_UNREACHABLE, "a sound target may be silent as long")
         if not may_leave_target(delivery.route, delivery.attempts, self._remaining_s(call)):
             return refused(RefusalCode.TARGET_UNREACHABLE, "this is the last attempt")
@@ -289,7 +289,7 @@
                     attempt_call,
                     progress,
                     timeouts,
-                    lambda timeouts: self._may_leave(delivery, placement, timeouts),
+                    lambda silences: self._may_leave(delivery, placement, silences),
                 )
         except TimeoutError:
             report = AttemptReport(AttemptEnd.TIMED_OUT, started=progress.started)
--- a/almondspindle/controllers/base.py
+++ b/almondspindle/controllers/base.py
@@ -97,9 +97,10 @@
 
     async def _put_request(self, request: ControllerRequest[R]) -> "asyncio.Future[R]":
         future: asyncio.Future[R] = asyncio.get_running_loop().create_future()
-        if self._ended:
+        if not self._ended:
+            await self._inbox.put(_Envelope(request, future))
+        if self._ended:  # it may have ended while the inbox was full
             raise MessageFailed(f"{type(self).__name__} has ended")
-        await self._inbox.put(_Envelope(request, future))
         return future
 
     async def run(self) -> None:
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -181,8 +181,8 @@
             if name not in msg.targets:
                 self._copy_sources.retain_unlisted(unlisted, self._cfg.bounds.drain_s, now)
                 self._paces.remove(name)
-        self._targets = {}
-        self._by_service = {}
+        targets: dict[TargetName, TrackedTarget] = {}
+        by_service: dict[ServiceName, list[TrackedTarget]] = {}
         for record in msg.targets.values():
             target = target_before = previous.get(record.name)
             if target is None or _has_restarted(target.record, record):
@@ -210,8 +210,10 @@
             target.is_leaving = record.is_leaving or self._leaving.includes(record)
             if record.is_leaving:
                 target.copies_until = math.inf  # it is listed while it serves
-            self._targets[record.name] = target
-            self._by_service.setdefault(record.service, []).append(target)
+            targets[record.name] = target
+            by_service.setdefault(record.service, []).append(target)
+        # Both change together: if the message fails, the targets known before are still used.
+        self._targets, self._by_service = targets, by_service
 
     @handle.register
     def _(self, msg: SelectTarget, now: float) -> Outcome[Placement]:
--- a/almondspindle/decisions/attempts.py
+++ b/almondspindle/decisions/attempts.py
@@ -89,13 +89,13 @@
     return route.is_retryable and attempts.may_have_run < route.attempts
 
 
-def is_silence_over(route: Route, timeouts: int) -> bool:
+def is_silence_over(route: Route, silences: int) -> bool:
     """Return whether a target is silent for longer than a sound one.
 
-    `timeouts` is the number of idle time-outs (`idle_timeouts`) since its last byte. A sound target
+    `silences` is the number of idle time-outs (`idle_timeouts`) since its last byte. A sound target
     may be silent for a second or so, and works on meanwhile.
     """
-    return timeouts > 1 or idle_timeouts(route).repeat_s is None
+    return silences > 1 or idle_timeouts(route).repeat_s is None
 
 
 def may_leave_target(route: Route, attempts: RequestAttempts, left_s: float) -> bool:
--- a/tests/controllers/test_failures.py
+++ b/tests/controllers/test_failures.py
@@ -14,9 +14,14 @@
     MessageFailed,
     OnException,
 )
+from almondspindle.controllers.placement.messages import SelectTarget
+from almondspindle.controllers.placement.task import PlacementController
+from almondspindle.controllers.view.messages import TargetsChanged
 from almondspindle.core.clock import ManualClock
+from almondspindle.core.identifiers import ServiceName, TargetName
 from almondspindle.utils import tasks
 from almondspindle.utils.tasks import RestartingRunner
+from tests.controllers.test_placement import make_cfg, make_target
 
 WAIT_S = 5.0
 
@@ -116,6 +121,18 @@
     play(OnException.DROP, check)
 
 
+def test_the_known_targets_are_used_after_a_list_that_raises():
+    """A list that raised in its middle left the targets before that point only."""
+    placement = PlacementController(make_cfg(), ManualClock())
+    known = {name: make_target(name) for name in (TargetName("t1"), TargetName("t2"))}
+    placement.handle(TargetsChanged(known), 1.0)
+    bad = {"t3": make_target("t3"), "t4": make_target("t4", cold_left_s="long")}
+    with pytest.raises(TypeError):
+        placement.handle(TargetsChanged(bad), 2.0)
+    wanted = SelectTarget(ServiceName("s"), "", "r-1", ())
+    assert placement.handle(wanted, 3.0).ok.target in known
+
+
 def test_a_runner_that_raises_is_run_again(monkeypatch):
     monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.0)
     runs = []
