--- a/review/11/case.py
+++ b/review/11/case.py
@@ -23,8 +23,10 @@
 COPY_AT_S = 3.0
 AWAY_AT_S, BACK_AT_S = 8.5, 9.5
 LAST_CHANGES_AT_S = 14.0
+EXITS_AFTER_S = 4.0  # the leaving replica, after its report
 END_AT_S = 30.0
-SEND_INTERVAL_S = 0.1
+SEND_INTERVAL_S = 0.04
+WORK_S = 0.09
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 SKEW_S = BOUNDS["skew_max_ms"] / 1000
 EVAC_S = BOUNDS["evac_ms"] / 1000
@@ -82,6 +84,7 @@
         await self._store.start()
         self._store.put("config", "main", manifest(3, OLD, both, 1500))
         for replica in self._replicas.values():
+            replica.work_s = WORK_S
             await replica.start()
         with Fleet(ZONES, self._store.address) as fleet:
             if not await fleet.start():
@@ -130,6 +133,9 @@
         leaving = self._replicas["old-2"]
         leaving.state = "draining"
         self._record.add("ack", kind="servers", name="old-2", revision=leaving.report())
+        await self._until(LAST_CHANGES_AT_S + EXITS_AFTER_S)
+        await leaving.stop()
+        self._record.add("exits", replica="old-2")
         await self._until(END_AT_S)
 
     def _put(self, kind: str, name: str, spec: dict) -> None:
@@ -182,6 +188,12 @@
             r["t"] > draining_at + DRAIN_S and r["replica"] == "old-2" for _, r in runs
         ),
     }
+    got = {entry["id"]: entry["status"] for entry in record.select("gets")}
+    exits_at = record.select("exits")[-1]["t"]
+    counts["LOST: cut off by its exit, of these"] = sum(
+        exits_at - WORK_S < r["t"] < exits_at and r["replica"] == "old-2" and got[s["id"]] != 200
+        for s, r in runs
+    )
     for text, count in counts.items():
         record.add("count", text=text, count=count)
         print(f"{count:5}  {text}")
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -27,7 +27,8 @@
 POWER_LOST_AT_S, LATER_A_ROUND_S = 1.0, 0.08
 DARK_S = 2.0
 LEAVES_AFTER_S = 0.02
-EXITS_AFTER_S = 4.0  # after the report; the replica serves for `drain_ms` and a little longer
+EXITS_AFTER_S = 2.1  # after the report; the replica serves for `drain_ms` and a little longer
+WORK_S = 0.09
 SEND_INTERVAL_S = 0.02
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 STABLE_S = BOUNDS["stable_window_ms"] / 1000
@@ -83,6 +84,7 @@
         await self._store.start()
         self._store.put("config", "main", manifest())
         for replica in self._replicas:
+            replica.work_s = WORK_S
             await replica.start()
         zones = [zone for zone, count in LOST_ZONES.items() for _ in range(count)]
         with Fleet([*zones, *[KEPT_ZONE] * KEPT], self._store.address) as fleet:
@@ -112,6 +114,7 @@
                 node.wait()
             self._record.add("power is lost", nodes=[node.name for node in lost])
         await asyncio.sleep(LEAVES_AFTER_S)
+        acked_at = self._record.now()
         first = number * LEAVING_A_ROUND
         leaving = self._replicas[first : first + LEAVING_A_ROUND]
         for replica in leaving:
@@ -122,7 +125,7 @@
             for node in lost:
                 node.start()
             self._record.add("power is back")
-        await asyncio.sleep(EXITS_AFTER_S - DARK_S)
+        await asyncio.sleep(max(0.0, acked_at + EXITS_AFTER_S - self._record.now()))
         for replica in leaving:
             await replica.stop()
             self._record.add("exits", name=replica.name)
@@ -149,9 +152,13 @@
         for entry in record.select("reaches")
         if entry["replica"] in acks and entry["t"] > acks[entry["replica"]] + DRAIN_S
     ]
+    got = {entry["id"]: entry["status"] for entry in record.select("gets")}
+    ran = {entry["id"] for entry in record.select("runs")}
+    lost = [e for e in late if e["id"] in ran and got[e["id"]] != 200]
     text = (
         f"{len(late)} requests reached a replica later than {DRAIN_S:g} s after the ack of its"
-        f" leaving, the last {max((e['after_s'] for e in late), default=0)} s after it"
+        f" leaving, the last {max((e['after_s'] for e in late), default=0)} s after it; {len(lost)} of them"
+        " ran and were cut off by its exit"
     )
     record.add("count", text=text, late=late)
     print(text)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -199,8 +199,11 @@
             )
             if is_deadly and is_settled and request["t"] > since:
                 counted.append(entry)
+    got = {entry["id"]: entry["status"] for entry in record.select("gets")}
+    cut = [e for e in record.select("runs") if sent[e["id"]]["path"] == "/draft/sound"]
+    cut = [e for e in cut if _is_cut(e, crashes) and got[e["id"]] != 200]
     text = (
-        f"{len(crashes)} crashes; {len(counted)} deadly requests of nodes in touch reached replicas"
+        f"{len(crashes)} crashes, which cut {len(cut)} sound streams; {len(counted)} deadly requests of nodes in touch reached replicas"
         f" later than {STABLE_S:g} s after the fifth"
     )
     record.add("count", text=text, ids=[entry["id"] for entry in counted])
@@ -208,6 +211,15 @@
     return len(counted) > MAX_REQUESTS
 
 
+def _is_cut(run: dict, crashes: list[dict]) -> bool:
+    """Return whether a crash came at the replica of `run` while that went on."""
+    took_s = EVENTS * EVENT_INTERVAL_S + 0.1
+    return any(
+        crash["replica"] == run["replica"] and run["t"] <= crash["t"] <= run["t"] + took_s
+        for crash in crashes
+    )
+
+
 def main() -> int:
     """Run the case and return its exit status."""
     record = Record(Path(__file__).with_name("record.txt"))
