--- a/review/lib3/nodes.py
+++ b/review/lib3/nodes.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import tomllib
 from pathlib import Path
@@ -169,6 +170,7 @@
             self.nodes.append(Node(name, ip, zone, settings, self._folder))
 
     def __enter__(self) -> "Fleet":
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the context is left
         return self
 
     def __exit__(self, *exc: object) -> None:
