--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -1,17 +1,22 @@
 """Send and receive reports of hosts as UDP datagrams.
 
-A datagram is one byte that tells the kind of report, and the report as a MessagePack array.
+A datagram is one byte that tells the kind of report, and the report as a MessagePack array. Fields
+are only added at its end, so hosts of different versions understand each other.
 """
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Any
+from dataclasses import replace
+from functools import singledispatch
+from typing import Any, TypeVar
 
 import msgspec
 from msgspec import Struct
 
 from almondspindle.core.events import DATAGRAM_IGNORED
+from almondspindle.core.inventory import Revision
 from almondspindle.core.logs import emit
+from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.reports import HostReport, OutsideReport, Report, ZoneReport
 from almondspindle.core.rollouts import RolloutStage
 from almondspindle.utils.addresses import check_address, split_address
@@ -98,6 +103,7 @@
     leaving: tuple[_Life, ...] = ()
     rollouts: tuple[_RolloutProgress, ...] = ()
     paced: dict[str, _Counts] = {}
+    eras: dict[str, int] = {}
 
 
 class _ZoneReport(Struct, array_like=True):
@@ -111,6 +117,7 @@
     leaving: tuple[_Life, ...] = ()
     rollouts: tuple[_RolloutProgress, ...] = ()
     paced: dict[str, _Counts] = {}
+    eras: dict[str, int] = {}
 
 
 class _OutsideReport(Struct, array_like=True):
@@ -121,31 +128,92 @@
     paced: dict[str, _Counts] = {}
 
 
-_WIRE_TYPES: dict[type[Report], tuple[bytes, type[Struct]]] = {
-    HostReport: (b"h", _HostReport),
-    ZoneReport: (b"z", _ZoneReport),
-    OutsideReport: (b"o", _OutsideReport),
+_KINDS: dict[type[Report], bytes] = {HostReport: b"h", ZoneReport: b"z", OutsideReport: b"o"}
+_WIRE_TYPES: dict[bytes, type[Struct]] = {
+    b"h": _HostReport,
+    b"z": _ZoneReport,
+    b"o": _OutsideReport,
 }
-_TYPES_BY_KIND = {kind: (wire, report) for report, (kind, wire) in _WIRE_TYPES.items()}
+_Revisions = TypeVar("_Revisions", HostReport, ZoneReport)
+_WireRevisions = TypeVar("_WireRevisions", _HostReport, _ZoneReport)
 
 
 def encode_report(report: Report) -> bytes:
     """Return the datagram for `report`."""
-    kind, wire_type = _WIRE_TYPES[type(report)]
-    wire = msgspec.convert(report, wire_type, from_attributes=True)
-    return kind + msgspec.msgpack.encode(wire)
+    return _KINDS[type(report)] + msgspec.msgpack.encode(_to_wire(report))
+
+
+@singledispatch
+def _to_wire(report: object) -> Struct:
+    raise InvariantError(f"unexpected report {type(report).__name__}")
+
+
+@_to_wire.register
+def _(report: HostReport) -> Struct:
+    return _with_numbers(report, _HostReport)
+
+
+@_to_wire.register
+def _(report: ZoneReport) -> Struct:
+    return _with_numbers(report, _ZoneReport)
+
+
+@_to_wire.register
+def _(report: OutsideReport) -> Struct:
+    sender = replace(report.sender, revisions={})
+    wire = msgspec.convert(replace(report, sender=sender), _OutsideReport, from_attributes=True)
+    wire.sender = _with_numbers(report.sender, _HostReport)
+    return wire
+
+
+def _with_numbers(
+    report: HostReport | ZoneReport, wire_type: type[_WireRevisions]
+) -> _WireRevisions:
+    """Return the wire form of `report`, with the eras of revisions apart from their numbers."""
+    wire = msgspec.convert(replace(report, revisions={}), wire_type, from_attributes=True)
+    wire.revisions = {topic: revision.number for topic, revision in report.revisions.items()}
+    wire.eras = {t: revision.era for t, revision in report.revisions.items() if revision.era}
+    return wire
+
+
+@singledispatch
+def _from_wire(wire: object) -> Report:
+    raise InvariantError(f"unexpected report {type(wire).__name__}")
+
+
+@_from_wire.register
+def _(wire: _HostReport) -> Report:
+    return _with_revisions(wire, HostReport)
+
+
+@_from_wire.register
+def _(wire: _ZoneReport) -> Report:
+    return _with_revisions(wire, ZoneReport)
+
+
+@_from_wire.register
+def _(wire: _OutsideReport) -> Report:
+    sender = _with_revisions(wire.sender, HostReport)
+    wire.sender.revisions = {}
+    return replace(msgspec.convert(wire, OutsideReport, from_attributes=True), sender=sender)
+
+
+def _with_revisions(wire: _HostReport | _ZoneReport, report_type: type[_Revisions]) -> _Revisions:
+    numbers, wire.revisions = wire.revisions, {}
+    report = msgspec.convert(wire, report_type, from_attributes=True)
+    revisions = {t: Revision(wire.eras.get(t, 0), number) for t, number in numbers.items()}
+    return replace(report, revisions=revisions)
 
 
 def decode_report(data: bytes) -> Report:
     """Return the report in a datagram. Raise `ValueError` if it is malformed."""
-    if data[:1] not in _TYPES_BY_KIND:
+    if data[:1] not in _WIRE_TYPES:
         raise msgspec.DecodeError(f"unknown kind of report {data[:1]!r}")
-    wire_type, report_type = _TYPES_BY_KIND[data[:1]]
     try:
-        wire = msgspec.msgpack.decode(data[1:], type=wire_type)
+        wire = msgspec.msgpack.decode(data[1:], type=_WIRE_TYPES[data[:1]])
     except RecursionError as exc:
         raise ValueError(str(exc)) from None
-    report = msgspec.convert(wire, report_type, from_attributes=True)
+    report = _from_wire(wire)
     _check_sender(report)
     return report
 
--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -7,6 +7,7 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 
 import msgspec
 
@@ -14,7 +15,15 @@
 from almondspindle.adapters.exchange.patches import Part, apply_patch, make_patch
 from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.adapters.platform.transport import StoreTransport
-from almondspindle.core.inventory import CopyVersion, Record, Snapshot, Topic, TopicUpdate
+from almondspindle.core.inventory import (
+    NO_REVISION,
+    CopyVersion,
+    Record,
+    Revision,
+    Snapshot,
+    Topic,
+    TopicUpdate,
+)
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.utils.numbers import parse_digits
 
@@ -22,18 +31,20 @@
 HTTP_OK = 200
 PULL_TIMEOUT_S = 1.0
 COMPRESSION_LEVEL = 1  # higher levels take twice the time and save a few per cent
+PATH_PARTS = 5  # a topic, two numbers and two eras
 CACHED_REPLIES = 8  # most peers that pull at the same time have the same version
 
 # The last argument is the highest revision that a record can have.
-DecodeRecord = Callable[[Topic, bytes, int], Record | None]
+DecodeRecord = Callable[[Topic, bytes, Revision], Record | None]
 GetUpdate = Callable[[Topic, CopyVersion], Awaitable[TopicUpdate]]
 
 
 class _WirePatch(msgspec.Struct):
-    """Parts that make a record's bytes out of its version at revision `base`."""
+    """Parts that make a record's bytes out of its version at revision `base` of `base_era`."""
 
     base: int
     parts: list[bytes | tuple[int, int]]
+    base_era: int = 0
 
 
 class _WireUpdate(msgspec.Struct):
@@ -42,7 +53,8 @@
     `records` has the bytes of whole records as stored, and `patches` the patches of others by name.
     They include records that the sending host could not decode itself. `lapsing` is
     `TopicUpdate.retained`, and `lapsing_is_final` is `TopicUpdate.retention_is_final`. `newest` is
-    the highest revision of the changed records, which may be above `revision`.
+    the highest number of a revision of the changed records, which may be above `revision`. All
+    revisions are of `era`, but for the records in `earlier_eras`.
     """
 
     revision: int
@@ -52,6 +64,8 @@
     lapsing: dict[str, float] = {}
     lapsing_is_final: bool = False
     newest: int = 0
+    era: int = 0
+    earlier_eras: dict[str, int] = {}
 
 
 def encode_update(update: TopicUpdate) -> bytes:
@@ -59,43 +73,46 @@
     whole = [change.record.raw for change in update.changed if change.base is None]
     patches = {
         change.record.name: _WirePatch(
-            change.base_revision, make_patch(change.base, change.record.raw)
+            change.base_revision.number,
+            make_patch(change.base, change.record.raw),
+            change.base_revision.era,
         )
         for change in update.changed
         if change.base is not None
     }
+    revisions = {change.record.name: change.record.revision for change in update.changed}
+    era = update.revision.era
     wire = _WireUpdate(
-        update.revision,
+        update.revision.number,
         whole,
         patches,
         list(update.unchanged),
         dict(update.retained),
         update.retention_is_final,
-        max((change.record.revision for change in update.changed), default=0),
+        max((revision.number for revision in revisions.values()), default=0),
+        era,
+        {name: revision.era for name, revision in revisions.items() if revision.era != era},
     )
     return zlib.compress(msgspec.msgpack.encode(wire), COMPRESSION_LEVEL)
 
 
 class TopicServer:
-    """Serve updates of this host's topics at the path TOPIC/REVISION/NEWEST.
+    """Serve updates of this host's topics at the path TOPIC/REVISION/NEWEST[/ERA/ERA].
 
-    The numbers are those of the requester's `CopyVersion`.
+    The numbers are those of the requester's `CopyVersion`, followed by the eras of both revisions
+    unless they are 0.
     """
 
     def __init__(self, get_update: GetUpdate) -> None:
         self._get_update = get_update
-        self._replies: OrderedDict[tuple[Topic, CopyVersion, int], Reply] = OrderedDict()
+        self._replies: OrderedDict[tuple[Topic, CopyVersion, Revision], Reply] = OrderedDict()
 
     async def respond(self, path: str) -> Reply:
         """Return the update for the requester's version, or status 404 for another path."""
-        match path.split("/"):
-            case [name, *numbers] if len(numbers) == 2 and name in set(Topic):
-                revision, newest = map(parse_digits, numbers)
-            case _:
-                return NOT_FOUND
-        if revision is None or newest is None:
+        name, *numbers = path.split("/", PATH_PARTS)
+        since = _parse_version(numbers)
+        if since is None or name not in set(Topic):
             return NOT_FOUND
-        since = CopyVersion(revision, newest)
         update = await self._get_update(Topic(name), since)
         key = (update.topic, since, update.revision)
         cached = self._replies.get(key)
@@ -127,14 +144,16 @@
         """
         result = await self._fetch(address, base, response_timeout_s)
         if result.is_error() and result.error.code is StoreErrorCode.MALFORMED:
-            return await self._fetch(address, Snapshot(base.topic, 0, ()), response_timeout_s)
+            return await self._fetch(
+                address, Snapshot(base.topic, NO_REVISION, ()), response_timeout_s
+            )
         return result
 
     async def _fetch(
         self, address: str, base: Snapshot, response_timeout_s: float
     ) -> Result[Snapshot, StoreError]:
-        newest = max((record.revision for record in base.records), default=0)
-        path = f"{TOPIC_PATH}{base.topic}/{base.revision}/{newest}"
+        newest = max((record.revision for record in base.records), default=NO_REVISION)
+        path = f"{TOPIC_PATH}{base.topic}/{_format_version(CopyVersion(base.revision, newest))}"
         transport = StoreTransport(f"http://{address}")
         result = await transport.fetch(
             "GET",
@@ -154,17 +173,38 @@
         except (zlib.error, ValueError, KeyError, RecursionError) as exc:
             text = f"malformed update of topic {base.topic}: {exc!r}"
             return Error(StoreError(StoreErrorCode.MALFORMED, text))
-        limit = max(wire.revision, wire.newest)
+        limit = Revision(wire.era, max(wire.revision, wire.newest))
         raws = [*wire.records, *patched]
         decoded = [self._decode_record(base.topic, raw, limit) for raw in raws]
-        changed = [record for record in decoded if record is not None]
+        changed = [_with_era(record, wire) for record in decoded if record is not None]
+        revision = Revision(wire.era, wire.revision)
         records = (*unchanged, *changed)
-        return Ok(Snapshot(base.topic, wire.revision, records, wire.lapsing, wire.lapsing_is_final))
+        return Ok(Snapshot(base.topic, revision, records, wire.lapsing, wire.lapsing_is_final))
+
+
+def _format_version(version: CopyVersion) -> str:
+    revision, newest = version.revision, version.newest
+    numbers = f"{revision.number}/{newest.number}"
+    return f"{numbers}/{revision.era}/{newest.era}" if revision.era or newest.era else numbers
+
+
+def _parse_version(numbers: list[str]) -> CopyVersion | None:
+    match [parse_digits(number) for number in numbers]:
+        case [int(revision), int(newest)]:
+            return CopyVersion(Revision(0, revision), Revision(0, newest))
+        case [int(revision), int(newest), int(era), int(newest_era)]:
+            return CopyVersion(Revision(era, revision), Revision(newest_era, newest))
+    return None
+
+
+def _with_era(record: Record, wire: _WireUpdate) -> Record:
+    era = wire.earlier_eras.get(record.name, wire.era)
+    return replace(record, revision=Revision(era, record.revision.number))
 
 
 def _patch(own: Mapping[str, Record], name: str, patch: _WirePatch) -> bytes:
     base = own[name]
-    if base.revision != patch.base:
+    if base.revision != Revision(patch.base_era, patch.base):
         raise ValueError(f"the base of {name} is revision {patch.base}, not {base.revision}")
     parts: list[Part] = list(patch.parts)
     return apply_patch(base.raw, parts)
--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from almondspindle.controllers.base import ControllerRequest
-from almondspindle.core.inventory import Topic
+from almondspindle.core.inventory import Revision, Topic
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.topic_watchers import WatchTurn
 
@@ -64,7 +64,7 @@
 
     topic: Topic
     address: str
-    revision: int
+    revision: Revision
     response_timeout_s: float
 
 
@@ -83,7 +83,7 @@
     `revisions` maps each topic in question to this host's revision of it.
     """
 
-    revisions: Mapping[Topic, int]
+    revisions: Mapping[Topic, Revision]
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -177,8 +177,10 @@
             TOPIC_PULLED,
             topic=peer.topic,
             peer=peer.address,
-            revision=base.revision,
-            found=result.ok.revision if result.is_ok() else None,
+            era=base.revision.era,
+            revision=base.revision.number,
+            found_era=result.ok.revision.era if result.is_ok() else None,
+            found=result.ok.revision.number if result.is_ok() else None,
             reason=None if result.is_ok() else result.error.message,
         )
         if result.is_ok():
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -29,7 +29,7 @@
 from almondspindle.controllers.view.messages import HostsChanged, PeerContactReported
 from almondspindle.core.clock import Clock
 from almondspindle.core.identifiers import HostName, ZoneName
-from almondspindle.core.inventory import Topic
+from almondspindle.core.inventory import NO_REVISION, Revision, Topic
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.core.rollouts import RolloutProgress
@@ -215,13 +215,13 @@
         else:
             self._silent.pop(msg.address, None)
 
-    def _pull_source(self, topic: Topic, revision: int, now: float) -> PeerAhead | None:
+    def _pull_source(self, topic: Topic, revision: Revision, now: float) -> PeerAhead | None:
         reports = self._recent_reports(now)
         sources: list[HostReport | ZoneReport] = [*reports, *self._recent_zone_reports(now)]
         ahead = [
             _to_peer(report, topic)
             for report in sources
-            if report.revisions.get(topic, 0) > revision
+            if report.revisions.get(topic, NO_REVISION) > revision
         ]
         if not ahead:
             self._behind_since.pop(topic, None)
@@ -329,6 +329,6 @@
 
 
 def _to_peer(report: HostReport | ZoneReport, topic: Topic | None = None) -> Peer:
-    revision = report.revisions.get(topic, 0) if topic else 0
+    revision = report.revisions.get(topic, NO_REVISION) if topic else NO_REVISION
     link_mbps = report.link_mbps if isinstance(report, HostReport) else 0.0
     return Peer(report.host, report.address, report.zone, link_mbps, revision)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -79,6 +79,7 @@
 COLD_RETRY_AFTER_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.3
 CAP_RETRY_AFTER_S = 0.5
+NOT_REPORTED = -math.inf  # when a leaving was learned that other hosts know from its record
 OWN_RESPONSE = "response"  # the source of what a target said to this host itself
 
 
@@ -210,6 +211,7 @@
             target.is_leaving = record.is_leaving or self._leaving.includes(record)
             if record.is_leaving:
                 target.copies_until = math.inf  # it is listed while it serves
+                self._remember_leaving(record)
             targets[record.name] = target
             by_service.setdefault(record.service, []).append(target)
         # Both change together: if the message fails, the targets known before are still used.
@@ -376,6 +378,14 @@
             target.is_leaving = True
             target.copies_until = now + self._cfg.bounds.drain_s
 
+    def _remember_leaving(self, record: TargetRecord) -> None:
+        """Keep out the target of a leaving `record` for the rest of its lifetime.
+
+        The store may come back from a copy in which the record doesn't state it yet.
+        """
+        if record.started_at_ms:
+            self._leaving.add(life_of(record), NOT_REPORTED)
+
     def _note_pause(self, life: TargetLife, requested: RequestedPause, now: float) -> None:
         target = self._targets.get(life.target)
         record = target.record if target is not None and life_of(target.record) == life else None
--- a/almondspindle/controllers/view/history.py
+++ b/almondspindle/controllers/view/history.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from almondspindle.core.inventory import Record
+from almondspindle.core.inventory import Record, Revision
 
 MIN_RECORD_BYTES = 2048  # smaller records are sent whole
 MAX_VERSIONS = 16
@@ -13,7 +13,7 @@
     """The bytes of the latest versions of large records, bounded in number and in size."""
 
     def __init__(self) -> None:
-        self._versions: OrderedDict[tuple[str, int], bytes] = OrderedDict()
+        self._versions: OrderedDict[tuple[str, Revision], bytes] = OrderedDict()
         self._size = 0
 
     def add(self, record: Record) -> None:
@@ -29,6 +29,6 @@
             _, oldest = self._versions.popitem(last=False)
             self._size -= len(oldest)
 
-    def find(self, name: str, revision: int) -> bytes | None:
+    def find(self, name: str, revision: Revision) -> bytes | None:
         """Return the bytes of record `name` as written at `revision`, if they are stored."""
         return self._versions.get((name, revision))
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -6,8 +6,10 @@
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import (
+    NO_REVISION,
     CopyVersion,
     HostRecord,
+    Revision,
     Snapshot,
     TargetRecord,
     Topic,
@@ -65,13 +67,13 @@
 class TopicRevision:
     """The store revision of this host's copy of a topic, and that of the topic's last change.
 
-    Both are 0 before the topic is first read. The store's revision counts the changes of all
-    topics, so `current` also grows without a change of the topic. This host received the last
-    change `unchanged_s` seconds ago.
+    Both are `NO_REVISION` before the topic is first read. The store counts the changes of all
+    topics together, so `current` also grows without a change of the topic. This host received the
+    last change `unchanged_s` seconds ago.
     """
 
-    current: int = 0
-    last_change: int = 0
+    current: Revision = NO_REVISION
+    last_change: Revision = NO_REVISION
     unchanged_s: float = 0.0
 
 
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -38,13 +38,16 @@
     STORE_CALL_FAILED,
     STORE_LOST,
     STORE_PROBED,
+    STORE_RESTORED,
     VIEW_CHANGED,
 )
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.inventory import (
+    NO_REVISION,
     Record,
     RecordUpdate,
     RecordValue,
+    Revision,
     Snapshot,
     Topic,
     TopicUpdate,
@@ -58,7 +61,9 @@
     PeerContact,
     StoreAvailability,
     after_failure,
+    after_restore,
     after_success,
+    lost_record_retention_s,
     retain_until,
 )
 from almondspindle.decisions.store_probing import (
@@ -86,8 +91,8 @@
     that reaches the store has decided the time.
     """
 
-    revision: int = 0
-    last_change: int = 0
+    revision: Revision = NO_REVISION
+    last_change: Revision = NO_REVISION
     changed_at: float = 0.0
     records: dict[str, Record] = field(default_factory=dict)
     retained_until: dict[str, float] = field(default_factory=dict)
@@ -103,7 +108,9 @@
     """Own the records of all topics, and publish their changes.
 
     A topic's revision never decreases. All copies of a topic are ordered by the store's revision,
-    so the one with the higher revision is newer, whether it was read from the store or a peer.
+    so the one with the higher revision is newer, whether it was read from the store or a peer. A
+    store that came back from an older copy is in a higher era, whose copies are newer than all of
+    the era before. Until what was lost is written again, some records of that era remain in use.
     """
 
     on_exception = OnException.DROP
@@ -117,7 +124,8 @@
         self._contact_since: float | None = None  # since when no call to the store has failed
         self._responded_at = 0.0
         self._peer_contacts: dict[HostName, PeerContact] = {}
-        self._revision_at_recovery = 0
+        self._revision_at_recovery = NO_REVISION
+        self._era = 0  # the highest one seen
         self._probes: ProbeState | None = None  # None while calls to the store succeed
         self._route_table: RouteTable | None = None
 
@@ -139,16 +147,23 @@
         state = self._topics[snapshot.topic]
         if snapshot.revision < state.revision:
             return
+        is_restored = snapshot.revision.era > state.revision.era and bool(state.records)
+        if snapshot.revision.era > self._era:
+            self._note_era(snapshot, state.revision, now)
         records = {
             record.name: _renumber(state, record, snapshot.revision) for record in snapshot.records
         }
         missing = [name for name in state.records if name not in records]
-        newest = max((record.revision for record in records.values()), default=0)
+        newest = max((record.revision for record in records.values()), default=NO_REVISION)
         last_change = snapshot.revision if missing else newest
-        is_first = state.revision == 0
+        is_first = state.revision == NO_REVISION
         for name in missing:
-            # A peer's snapshot includes its retained records, so the peer has removed this one.
-            until = self._retain_until(snapshot.topic, now) if is_from_store else None
+            if is_restored:
+                # A peer may have no copy from before.
+                until = self._retain_lost_until(snapshot.topic, now)
+            else:
+                # A peer's snapshot includes its retained records, so the peer has removed this one.
+                until = self._retain_until(snapshot.topic, now) if is_from_store else None
             self._remove_record(state, snapshot.topic, name, until, now)
         for record in records.values():
             self._set_record(state, snapshot.topic, record)
@@ -285,7 +300,23 @@
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
         return self._route_table
 
-    def _record_success(self, revision: int, now: float) -> None:
+    def _note_era(self, snapshot: Snapshot, before: Revision, now: float) -> None:
+        """Note that `snapshot` is of a higher era than all records before it."""
+        is_first, self._era = self._era == 0, snapshot.revision.era
+        if is_first and before == NO_REVISION:
+            return
+        self._availability = after_restore(self._availability, now)
+        self._revision_at_recovery = snapshot.revision
+        emit(
+            STORE_RESTORED,
+            topic=snapshot.topic,
+            era=snapshot.revision.era,
+            revision=snapshot.revision.number,
+            previous_era=before.era,
+            previous_revision=before.number,
+        )
+
+    def _record_success(self, revision: Revision, now: float) -> None:
         if self._availability.failing_since is not None:
             emit(STORE_BACK, after_s=round(now - self._availability.failing_since, 3))
             self._revision_at_recovery = revision
@@ -310,6 +341,11 @@
         existed_at_recovery = self._topics[topic].revision >= self._revision_at_recovery
         return retain_until(self._availability, now, existed_at_recovery, self._cfg.bounds.drain_s)
 
+    def _retain_lost_until(self, topic: Topic, now: float) -> float | None:
+        """Return until when to retain a record that the store lost when it was restored."""
+        retention_s = lost_record_retention_s(topic, self._cfg.bounds.evacuation_s)
+        return now + retention_s if retention_s > 0 else None
+
     def _remove_record(
         self, state: _TopicState, topic: Topic, name: str, until: float | None, now: float
     ) -> None:
@@ -326,8 +362,9 @@
         emit(
             VIEW_CHANGED,
             topic=topic,
-            revision=state.revision,
-            changed=state.last_change,
+            revision=state.revision.number,
+            era=state.revision.era,
+            changed=state.last_change.number,
             source=source,
             records=len(state.records),
         )
@@ -352,7 +389,7 @@
         return RoutesChanged(newest)
 
 
-def _renumber(state: _TopicState, record: Record, revision: int) -> Record:
+def _renumber(state: _TopicState, record: Record, revision: Revision) -> Record:
     """Return `record`, read at the store's `revision`, with a revision that fits this copy.
 
     A record that is new to this copy, but names a revision that the copy includes, gets that of the
@@ -361,7 +398,7 @@
     known = state.records.get(record.name)
     if known is not None and known.raw == record.raw:
         return known if isinstance(known.value, UnreadableRecord) else record
-    if record.revision > state.revision or state.revision == 0:
+    if record.revision > state.revision or state.revision == NO_REVISION:
         return record
     return replace(record, revision=revision)
 
@@ -369,4 +406,4 @@
 def _log_unreadable(topic: Topic, record: Record) -> None:
     name = record.name[:MAX_LOGGED_NAME_LENGTH]
     reason = record.value.reason if isinstance(record.value, UnreadableRecord) else ""
-    emit(RECORD_UNREADABLE, topic=topic, name=name, revision=record.revision, reason=reason)
+    emit(RECORD_UNREADABLE, topic=topic, name=name, revision=record.revision.number, reason=reason)
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -24,6 +24,7 @@
 from almondspindle.core.inventory import (
     HistoryUnavailable,
     HostRecord,
+    Revision,
     Snapshot,
     Topic,
     TopicChanges,
@@ -53,7 +54,7 @@
         """Return all records of `topic`."""
         ...
 
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> WatchResult:
+    async def watch(self, topic: Topic, after: Revision, wait_s: float) -> WatchResult:
         """Return the changes of `topic` after revision `after`, waiting up to `wait_s` seconds."""
         ...
 
@@ -102,6 +103,7 @@
         self._exchange = exchange
         self._turns = StoreTurns(view, exchange)
         self._failures = 0
+        self._rereads = 0  # in a row, without another outcome of a watch in between
         self._watches: set[asyncio.Task[WatchResult]] = set()
 
     async def run(self) -> None:
@@ -110,12 +112,13 @@
         Read it again whenever the store no longer has all changes since the last read.
         """
         try:
+            await self._read_topic()
+            # After this pause, hosts that started together know which of them watch the topic.
+            await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
             while True:
-                await self._read_topic()
-                # After this pause, hosts that started together know which of them watch the topic.
-                await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 while await self._watch_once():
                     pass
+                await self._read_topic()
         finally:
             for watch in self._watches:
                 watch.cancel()
@@ -152,14 +155,17 @@
         self._failures = 0
         if isinstance(result.ok, HistoryUnavailable):
             self._view.send(StoreCallReleased(self._topic))
-            await asyncio.sleep(DELAY_BEFORE_REREAD_S)
+            self._rereads += 1
+            is_repeated = self._rereads > 1
+            await asyncio.sleep(ROLE_CHECK_INTERVAL_S if is_repeated else DELAY_BEFORE_REREAD_S)
             return False
+        self._rereads = 0
         self._view.send(ChangesReceived(result.ok))
         if result.ok.changes:
             await asyncio.sleep(DELAY_AFTER_CHANGES_S)
         return True
 
-    async def _watch(self, after: int, wait_s: float) -> WatchResult:
+    async def _watch(self, after: Revision, wait_s: float) -> WatchResult:
         """Watch the topic, with a second watch if the first gets no response in time.
 
         The second one has a new connection, and does not wait for changes. The first response of
@@ -180,7 +186,7 @@
         )
         return earlier.result() if earlier.result().is_ok() else await later
 
-    def _start_watch(self, after: int, wait_s: float) -> "asyncio.Task[WatchResult]":
+    def _start_watch(self, after: Revision, wait_s: float) -> "asyncio.Task[WatchResult]":
         watch = asyncio.get_running_loop().create_task(
             self._store.watch(self._topic, after, wait_s)
         )
@@ -190,6 +196,7 @@
 
     async def _back_off(self, error: StoreError) -> None:
         self._failures += 1
+        self._rereads = 0
         self._view.send(StoreCallFailed(self._topic, error.message))
         await asyncio.sleep(retry_delay_s(self._failures, random.random()))
 
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -240,6 +240,12 @@
     "The store did not end a watch in time, so it was asked on a new connection too; states which"
     " of the two responded first.",
 )
+STORE_RESTORED = event(
+    1729,
+    "store_restored",
+    "The store came back from an older copy: the era has risen; states the old and new era and"
+    " revision of the topic that showed it.",
+)
 TARGET_EJECTED = event(
     1710, "target_doubted", "A target failed and was ejected as an outlier for some time."
 )
--- a/almondspindle/core/inventory.py
+++ b/almondspindle/core/inventory.py
@@ -19,6 +19,22 @@
     ROLLOUTS = "rollouts"
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Revision:
+    """A position in the history of the store: the `number` of a change, counted within an `era`.
+
+    A store that comes back from an older copy counts again from the number of that copy, in the
+    next era, so revisions are ordered by era first. Both are 0 before anything was read, and the
+    era is 0 if the store states none.
+    """
+
+    era: int = 0
+    number: int = 0
+
+
+NO_REVISION = Revision()
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
     """A target as it registered itself.
@@ -76,14 +92,14 @@
     """A stored record. `revision` is that of its last change, `raw` its bytes as stored."""
 
     name: str
-    revision: int
+    revision: Revision
     value: RecordValue
     raw: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All records of a topic at the store's `revision`.
+    """All records of a topic at the store's `revision`. Those that are retained may be older.
 
     `retained` has the records that are missing from the store after an outage but may return. It
     maps their names to the seconds for which they are still used. Only snapshots sent by a host
@@ -92,7 +108,7 @@
     """
 
     topic: Topic
-    revision: int
+    revision: Revision
     records: tuple[Record, ...]
     retained: Mapping[str, float] = field(default_factory=dict)
     retention_is_final: bool = False
@@ -103,11 +119,11 @@
     """The version of a host's copy of a topic.
 
     `revision` is the store's revision of the copy, and `newest` the highest revision of any of its
-    records. Both are 0 if the host has no copy.
+    records. Both are `NO_REVISION` if the host has no copy.
     """
 
-    revision: int = 0
-    newest: int = 0
+    revision: Revision = NO_REVISION
+    newest: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +136,7 @@
 
     record: Record
     base: bytes | None = None
-    base_revision: int = 0
+    base_revision: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +148,7 @@
     """
 
     topic: Topic
-    revision: int
+    revision: Revision
     changed: tuple[RecordUpdate, ...]
     unchanged: tuple[str, ...] = ()
     retained: Mapping[str, float] = field(default_factory=dict)
@@ -152,7 +168,7 @@
     """The changes of a topic up to the store's `revision`, in order."""
 
     topic: Topic
-    revision: int
+    revision: Revision
     changes: tuple[RecordChange, ...]
 
 
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -4,6 +4,7 @@
 
 from almondspindle.core.crashes import CrashNews
 from almondspindle.core.identifiers import HostName, TargetName, ZoneName
+from almondspindle.core.inventory import Revision
 from almondspindle.core.placements import TargetLife
 from almondspindle.core.rollouts import RolloutProgress
 
@@ -46,7 +47,7 @@
     link_mbps: float = 0.0
     reaches_store: bool = True
     contact: StoreContact | None = None
-    revisions: dict[str, int] = field(default_factory=dict)
+    revisions: dict[str, Revision] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
@@ -66,7 +67,7 @@
     host: HostName
     address: str
     zone: ZoneName
-    revisions: dict[str, int] = field(default_factory=dict)
+    revisions: dict[str, Revision] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
--- a/almondspindle/decisions/peer_pull.py
+++ b/almondspindle/decisions/peer_pull.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from almondspindle.core.identifiers import HostName, ZoneName
+from almondspindle.core.inventory import NO_REVISION, Revision
 from almondspindle.decisions.hashing import score
 
 # The watch on the store normally delivers a change within about 10 ms. After this delay a host that
@@ -39,7 +40,7 @@
     address: str
     zone: ZoneName
     link_mbps: float
-    revision: int = 0
+    revision: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/decisions/record_retention.py
+++ b/almondspindle/decisions/record_retention.py
@@ -3,12 +3,17 @@
 The store removes records whose writers have not contacted it for a while. This may also happen
 while the store itself is down. Live writers register again soon after the store recovers.
 
+The store may also come back from a copy that is some seconds old. What it lacks then was not
+removed: its writers write it again.
+
 A host may also lose the store alone. Records that are removed meanwhile are then gone: the store
 was up, and their writers could write.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from almondspindle.core.inventory import Topic
 
 REREGISTRATION_S = 2.3  # the platform documents about two seconds after the store's recovery
 # Margin before a leaving target's drain time ends. The view checks for expired records four times
@@ -72,6 +77,29 @@
     return StoreAvailability(failing_since=None, recovered_at=now, was_local=was_local)
 
 
+def after_restore(availability: StoreAvailability, now: float) -> StoreAvailability:
+    """Return the availability after the store came back from an older copy.
+
+    It was away for all hosts, whether calls failed or not.
+    """
+    return replace(availability, recovered_at=now, was_local=False)
+
+
+def lost_record_retention_s(topic: Topic, evacuation_s: float) -> float:
+    """Return for how long to use a record that the store lost when it came back, in seconds.
+
+    The operator's exclusion of a zone must be in force `evacuation_s` seconds after its writing, so
+    a lost one is written again within that time. Route tables have versions of their own, and the
+    one in use isn't replaced by an older one.
+    """
+    retention_s = {
+        Topic.TARGETS: REREGISTRATION_S,
+        Topic.HOSTS: REREGISTRATION_S,
+        Topic.ZONES: max(REREGISTRATION_S, evacuation_s),
+    }
+    return retention_s.get(topic, 0.0)
+
+
 def retain_until(
     availability: StoreAvailability, now: float, existed_at_recovery: bool, drain_s: float
 ) -> float | None:
--- a/almondspindle/platform/objects.py
+++ b/almondspindle/platform/objects.py
@@ -12,6 +12,7 @@
     HostRecord,
     Record,
     RecordValue,
+    Revision,
     TargetRecord,
     Topic,
     UnreadableRecord,
@@ -165,22 +166,27 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LINK_MBPS)] = 0.0
 
 
-def decode_record(topic: Topic, raw: bytes, store_revision: int | None = None) -> Record | None:
+def decode_record(
+    topic: Topic, raw: bytes, store_revision: Revision | None = None
+) -> Record | None:
     """Return the record in `raw`, or None if its name can't be decoded.
 
     If anything else of it can't be decoded or used, the record's value is an `UnreadableRecord`.
     So it is if its revision isn't one that the store has given by `store_revision`, which becomes
-    the record's revision. None stands for a store whose revision isn't known.
+    the record's revision. The record gets the era of that one. None stands for a store whose
+    revision isn't known.
     """
     stored = _split_object(raw)
     if stored is None:
         return None
-    name, revision, fault = stored.name, stored.revision, stored.fault
-    if store_revision is not None and not 0 < revision <= store_revision:
-        fault = fault or UnreadableRecord("the revision is not one of the store's")
-        revision = store_revision
+    number, fault, era = stored.revision, stored.fault, 0
+    if store_revision is not None:
+        era = store_revision.era
+        if not 0 < number <= store_revision.number:
+            fault = fault or UnreadableRecord("the revision is not one of the store's")
+            number = store_revision.number
     value = fault or _decode_value(topic, stored)
-    return Record(name, revision, value, bytes(raw))
+    return Record(stored.name, Revision(era, number), value, bytes(raw))
 
 
 class _SplitObject(NamedTuple):
--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -16,6 +16,7 @@
     HostRecord,
     Record,
     RecordChange,
+    Revision,
     Snapshot,
     Topic,
     TopicChanges,
@@ -31,6 +32,7 @@
     encode_rollout_status,
 )
 from almondspindle.platform.pages import Events, Page, decode_events, decode_page
+from almondspindle.utils.numbers import parse_digits
 
 HTTP_OK = 200
 HTTP_CREATED = 201
@@ -41,6 +43,7 @@
 WRITE_TIMEOUT_S = 2.0
 T = TypeVar("T")
 JSON_HEADERS = {"Content-Type": "application/json"}
+ERA_HEADER = "Store-Era"
 
 
 class PlatformStore:
@@ -52,26 +55,31 @@
     def set_address(self, address: str) -> None:
         """Send later calls to the store at `address`."""
         self._transport = StoreTransport(f"http://{address}")
+        self._last_era = 0
 
     async def read(self, topic: Topic) -> Result[Snapshot, StoreError]:
         """Return all records of `topic`.
 
         The snapshot gets the revision of its first page, since later changes may be missing from
-        it. Objects whose names can't be decoded are left out. If there is no name from which to
-        read on, the result is an error.
+        it. It is read again from the start if the store's era changes in between. Objects whose
+        names can't be decoded are left out. If there is no name from which to read on, the result
+        is an error.
         """
         records: list[Record] = []
-        revision: int | None = None
+        revision: Revision | None = None
         after = ""
         used = {after}
         while True:
             result = await self._read_page(topic, after)
             if result.is_error():
                 return Error(result.error)
-            page = result.ok
-            decoded = _decode_objects(topic, page.items, page.store_revision)
+            page, page_revision = result.ok
+            if revision is not None and page_revision.era != revision.era:
+                records, revision, after, used = [], None, "", {""}
+                continue
+            decoded = _decode_objects(topic, page.items, page_revision)
             records.extend(decoded)
-            revision = page.store_revision if revision is None else revision
+            revision = page_revision if revision is None else revision
             if not page.more or not page.items:
                 return Ok(Snapshot(topic, revision, tuple(records)))
             # A name that was used already would lead to the same pages again.
@@ -82,26 +90,46 @@
             after = names[-1]
             used.add(after)
 
-    async def _read_page(self, topic: Topic, after: str) -> Result[Page, StoreError]:
+    async def _read_page(
+        self, topic: Topic, after: str
+    ) -> Result[tuple[Page, Revision], StoreError]:
         path = _collection_path(topic) + (f"?after={quote(after, safe='')}" if after else "")
         result = await self._transport.fetch(
             "GET", path, frozenset({HTTP_OK}), timeout_s=READ_TIMEOUT_S
         )
-        return result.bind(lambda response: _decode(response, decode_page))
+        if result.is_error():
+            return Error(result.error)
+        era = self._era_of(result.ok)
+        decoded = _decode(result.ok, decode_page)
+        return decoded.map(lambda page: (page, Revision(era, page.store_revision)))
 
     async def watch(
-        self, topic: Topic, after: int, wait_s: float
+        self, topic: Topic, after: Revision, wait_s: float
     ) -> Result[TopicChanges | HistoryUnavailable, StoreError]:
         """Return the changes of `topic` after revision `after`.
 
         Wait up to `wait_s` seconds for a change. Return `HistoryUnavailable` if the store no
-        longer has all changes since `after`; the topic must then be read again.
+        longer has all changes since `after`, or is in another era; the topic must then be read
+        again.
         """
-        path = f"{_collection_path(topic)}?watch={after}&wait_ms={int(wait_s * 1000)}"
+        path = f"{_collection_path(topic)}?watch={after.number}&wait_ms={int(wait_s * 1000)}"
         result = await self._transport.fetch(
             "GET", path, frozenset({HTTP_OK, HTTP_GONE}), timeout_s=wait_s + READ_TIMEOUT_S
         )
-        return result.bind(lambda response: _decode_changes(topic, response))
+        if result.is_error():
+            return Error(result.error)
+        era = self._era_of(result.ok)
+        if result.ok.code == HTTP_GONE or era != after.era:
+            return Ok(HistoryUnavailable(topic))
+        return _decode_changes(topic, result.ok, era)
+
+    def _era_of(self, response: HTTPResponse) -> int:
+        """Return the era that `response` states, or the last known one if it states none."""
+        era = parse_digits(response.headers.get(ERA_HEADER, ""))
+        if era is None:
+            return self._last_era
+        self._last_era = max(era, self._last_era)
+        return era
 
     async def announce(self, record: HostRecord) -> Result[None, StoreError]:
         """Write `record` to the store, where other hosts find it. Replace any previous record."""
@@ -162,12 +190,12 @@
     return f"/-/objects/{OBJECT_KINDS[topic]}"
 
 
-def _decode_objects(topic: Topic, objects: list[Raw], store_revision: int) -> list[Record]:
+def _decode_objects(topic: Topic, objects: list[Raw], store_revision: Revision) -> list[Record]:
     decoded = [_decode_object(topic, raw, store_revision) for raw in objects]
     return [record for record in decoded if record is not None]
 
 
-def _decode_object(topic: Topic, raw: Raw, store_revision: int) -> Record | None:
+def _decode_object(topic: Topic, raw: Raw, store_revision: Revision) -> Record | None:
     record = decode_record(topic, bytes(raw), store_revision)
     if record is None:
         emit(RECORD_UNREADABLE, topic=topic, reason="the name can't be decoded")
@@ -182,22 +210,20 @@
 
 
 def _decode_changes(
-    topic: Topic, response: HTTPResponse
+    topic: Topic, response: HTTPResponse, era: int
 ) -> Result[TopicChanges | HistoryUnavailable, StoreError]:
-    if response.code == HTTP_GONE:
-        return Ok(HistoryUnavailable(topic))
     events = _decode(response, decode_events)
     if events.is_error():
         # The list has only the latest version of each object, and may be readable.
         emit(RECORD_UNREADABLE, topic=topic, reason=events.error.message[:MAX_REASON_LENGTH])
         return Ok(HistoryUnavailable(topic))
-    return Ok(_to_changes(topic, events.ok))
+    return Ok(_to_changes(topic, events.ok, Revision(era, events.ok.store_revision)))
 
 
-def _to_changes(topic: Topic, response: Events) -> TopicChanges:
+def _to_changes(topic: Topic, response: Events, store_revision: Revision) -> TopicChanges:
     changes = []
     for event in response.events:
-        record = _decode_object(topic, event.object, response.store_revision)
+        record = _decode_object(topic, event.object, store_revision)
         if record is not None:
             changes.append(RecordChange(record, event.deleted))
-    return TopicChanges(topic, response.store_revision, tuple(changes))
+    return TopicChanges(topic, store_revision, tuple(changes))
--- a/tests/adapters/test_datagrams.py
+++ b/tests/adapters/test_datagrams.py
@@ -28,7 +28,7 @@
 
 
 # The fields that later releases have added at the end, the last one first.
-ADDED_FIELDS = ({}, [], [])  # paced targets, roll-outs, leaving targets
+ADDED_FIELDS = ({}, {}, [], [])  # eras, paced targets, roll-outs, leaving targets
 
 
 @pytest.mark.parametrize("report", [HOST, ZONE])
--- a/tests/adapters/test_odd_records_from_peers.py
+++ b/tests/adapters/test_odd_records_from_peers.py
@@ -27,6 +27,7 @@
     CopyVersion,
     Record,
     RecordChange,
+    Revision,
     Snapshot,
     Topic,
     TopicChanges,
@@ -37,6 +38,7 @@
 from almondspindle.platform.objects import decode_record
 from tests.adapters.test_topic_transfer import CFG, serve_topics
 from tests.standins.odd_objects import DEEP, ODD_REPLICAS, ODD_REVISIONS, REPLICA, stored
+from tests.standins.revisions import at
 
 PEER = "10.0.0.2:7340"
 ODD = {**ODD_REPLICAS, "long": stored(b'"' + b"x" * 5000 + b'"', "odd")}
@@ -49,12 +51,16 @@
         self.watcher, self.peer = make_view(), make_view()
 
     def read(self, revision: int, *raws: bytes) -> None:
-        snapshot = Snapshot(Topic.TARGETS, revision, tuple(decode(raw, revision) for raw in raws))
+        snapshot = Snapshot(
+            Topic.TARGETS, at(revision), tuple(decode(raw, revision) for raw in raws)
+        )
         self.watcher.handle(SnapshotReceived(snapshot, STORE_SOURCE), 1.0)
 
     def watch(self, revision: int, raw: bytes, removed: bool = False) -> None:
         changes = (RecordChange(decode(raw, revision), removed),)
-        self.watcher.handle(ChangesReceived(TopicChanges(Topic.TARGETS, revision, changes)), 1.0)
+        self.watcher.handle(
+            ChangesReceived(TopicChanges(Topic.TARGETS, at(revision), changes)), 1.0
+        )
 
     def pull(self) -> None:
         async def fetch() -> None:
@@ -84,12 +90,12 @@
 
 
 def decode(raw: bytes, revision: int) -> Record:
-    record = decode_record(Topic.TARGETS, raw, revision)
+    record = decode_record(Topic.TARGETS, raw, at(revision))
     assert record is not None
     return record
 
 
-def last_change(view: ViewController) -> int:
+def last_change(view: ViewController) -> Revision:
     return view.handle(GetRevisions(), 1.0)[Topic.TARGETS].last_change
 
 
@@ -130,7 +136,7 @@
     fleet = Fleet()
     fleet.read(10, stored(REPLICA, "a"), stored(REPLICA, "odd", rev))
     fleet.pull()
-    assert (last_change(fleet.watcher), last_change(fleet.peer)) == (10, 10)
+    assert (last_change(fleet.watcher), last_change(fleet.peer)) == (at(10), at(10))
     revisions = {"targets": last_change(fleet.watcher)}
     report = HostReport(HostName("h"), PEER, 1, ZoneName("a"), revisions=revisions)
     assert decode_report(encode_report(report)) == report
@@ -139,7 +145,7 @@
 def test_a_change_after_the_first_page_is_believed_by_a_peer():
     fleet = Fleet()
     newer = decode(stored(REPLICA, "b", b"12"), 13)
-    snapshot = Snapshot(Topic.TARGETS, 10, (decode(stored(REPLICA, "a"), 10), newer))
+    snapshot = Snapshot(Topic.TARGETS, at(10), (decode(stored(REPLICA, "a"), 10), newer))
     fleet.watcher.handle(SnapshotReceived(snapshot, STORE_SOURCE), 1.0)
     fleet.pull()
     assert fleet.names() == [{"a", "b"}, {"a", "b"}]
@@ -152,7 +158,7 @@
     for revision in (11, 12):  # the list is read again
         fleet.read(revision, odd)
     assert len(unreadable_logged) == 1
-    assert last_change(fleet.watcher) == 10
+    assert last_change(fleet.watcher) == at(10)
     fleet.watch(13, stored(REPLICA, "odd", b"8" * 400))
     assert len(unreadable_logged) == 2
 
@@ -165,14 +171,14 @@
 @pytest.mark.parametrize("body", [b"", b"x", DEEP, b"\x91" * 5000])
 def test_a_malformed_update_of_a_peer_is_an_error_result(body):
     client = TopicClient(decode_record)
-    result = client._decode(Snapshot(Topic.TARGETS, 0, ()), body)
+    result = client._decode(Snapshot(Topic.TARGETS, at(0), ()), body)
     assert result.error.code is StoreErrorCode.MALFORMED
 
 
 def test_a_deeply_nested_update_of_a_peer_is_an_error_result():
 
     body = zlib.compress(b"\x81\xa1x" + b"\x91" * 5000 + b"\x01")
-    result = TopicClient(decode_record)._decode(Snapshot(Topic.TARGETS, 0, ()), body)
+    result = TopicClient(decode_record)._decode(Snapshot(Topic.TARGETS, at(0), ()), body)
     assert result.error.code is StoreErrorCode.MALFORMED
 
 
@@ -190,6 +196,6 @@
 )
 def test_a_peer_that_asks_for_an_odd_version_is_told_that_there_is_none(path):
     async def get_update(topic: Topic, since: CopyVersion) -> TopicUpdate:
-        return TopicUpdate(topic, 1, ())
+        return TopicUpdate(topic, at(1), ())
 
     assert asyncio.run(TopicServer(get_update).respond(path)) == NOT_FOUND
--- a/tests/adapters/test_topic_transfer.py
+++ b/tests/adapters/test_topic_transfer.py
@@ -27,6 +27,7 @@
 from almondspindle.platform.objects import decode_record
 from tests.standins.node_fleet import wait_until
 from tests.standins.ports import LOOPBACK, free_port
+from tests.standins.revisions import at
 from tests.standins.slow_link import SlowLink
 
 CFG = NodeCfg(HostName("h0"), ZoneName("a"), "10.0.0.1", "", "", "", 7340, 7341, 99, Bounds())
@@ -37,7 +38,7 @@
 TRANSFER_BOUND_S = 1.4
 # Of these 2 s, reports take up to 0.2 s.
 SPREAD_BOUND_S = 1.8
-AHEAD = {str(Topic.ROUTES): 7}
+AHEAD = {str(Topic.ROUTES): at(7)}
 
 
 def manifest(version: int, count: int = ROUTE_COUNT) -> bytes:
@@ -63,7 +64,7 @@
     view = ViewController(CFG, ManualClock(), lambda _: None)
     for version in versions:
         record = decode_record(Topic.ROUTES, manifest(version))
-        snapshot = Snapshot(Topic.ROUTES, version, (record,))
+        snapshot = Snapshot(Topic.ROUTES, at(version), (record,))
         view.handle(SnapshotReceived(snapshot, STORE_SOURCE), 1.0)
     return view
 
@@ -102,7 +103,7 @@
             client = TopicClient(decode_record)
 
             async def is_served() -> bool:
-                base = Snapshot(Topic.ROUTES, 0, ())
+                base = Snapshot(Topic.ROUTES, at(0), ())
                 return (await client.fetch(link.address, base, RESPONSE_TIMEOUT_S)).is_ok()
 
             pulls = [wait_until(is_served, TRANSFER_BOUND_S) for _ in range(8)]
@@ -145,7 +146,7 @@
             self.fetched.append(base.topic)
             if base.topic is Topic.ROUTES:
                 await asyncio.Event().wait()
-            return Ok(Snapshot(base.topic, 50, ()))
+            return Ok(Snapshot(base.topic, at(50), ()))
 
     async def check() -> None:
         view = ViewController(CFG, SystemClock(), lambda _: None)
@@ -153,7 +154,7 @@
         client = StalledRoutes()
         runners = [view, exchange, Puller(view, exchange, client)]
         tasks = [asyncio.ensure_future(runner.run()) for runner in runners]
-        ahead = {str(topic): 50 for topic in (Topic.ROUTES, Topic.TARGETS)}
+        ahead = {str(topic): at(50) for topic in (Topic.ROUTES, Topic.TARGETS)}
         peer = HostReport(HostName("h1"), "10.0.0.2:1", 1, ZoneName("a"), revisions=ahead)
         exchange.send(ReportReceived(peer))
         await wait_until(lambda: Topic.TARGETS in client.fetched)
@@ -189,7 +190,7 @@
         tasks = [asyncio.ensure_future(runner.run()) for runner in runners]
 
         async def is_applied() -> bool:
-            return (await view.request(GetSnapshot(Topic.ROUTES))).revision == 7
+            return (await view.request(GetSnapshot(Topic.ROUTES))).revision == at(7)
 
         await wait_until(is_applied, SPREAD_BOUND_S)
         server.close()
@@ -214,7 +215,7 @@
         server = InternalHttpServer({TOPIC_PATH: TopicServer(get_update).respond})
         address = f"{LOOPBACK}:{free_port()}"
         server.listen(address)
-        base = Snapshot(Topic.ROUTES, 0, ())
+        base = Snapshot(Topic.ROUTES, at(0), ())
         client = TopicClient(decode_record)
         early = await client.fetch(address, base, RESPONSE_TIMEOUT_S)
         assert early.is_error()
--- a/tests/controllers/test_exchange.py
+++ b/tests/controllers/test_exchange.py
@@ -16,6 +16,7 @@
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.peer_pull import WATCHER_PULL_DELAY_S
 from almondspindle.decisions.report_scope import REPORT_FANOUT
+from tests.standins.revisions import at
 
 CFG = NodeCfg(
     HostName("h0"), ZoneName("a"), "10.0.0.1", "", "", "", 7340, 7341, 4200, Bounds(),
@@ -48,22 +49,22 @@
 
 def test_topic_is_pulled_from_a_peer_only_if_the_store_has_not_delivered_it():
     controller = make_controller()
-    revisions = {Topic.ROUTES: 10, Topic.TARGETS: 30}
-    receive_report(controller, 1, now=1.0, revisions={"routes": 12, "targets": 20})
+    revisions = {Topic.ROUTES: at(10), Topic.TARGETS: at(30)}
+    receive_report(controller, 1, now=1.0, revisions={"routes": at(12), "targets": at(20)})
     assert controller.handle(GetPeersAhead(revisions), 1.0) == []
     ahead = controller.handle(GetPeersAhead(revisions), 1.0 + WATCHER_PULL_DELAY_S)
     assert [(peer.topic, peer.address, peer.revision) for peer in ahead] == [
-        (Topic.ROUTES, "10.0.1.1:7340", 12)
+        (Topic.ROUTES, "10.0.1.1:7340", at(12))
     ]
-    caught_up = {**revisions, Topic.ROUTES: 12}
+    caught_up = {**revisions, Topic.ROUTES: at(12)}
     assert controller.handle(GetPeersAhead(caught_up), 2.0) == []
 
 
 def test_nothing_is_pulled_from_a_peer_without_recent_reports():
     controller = make_controller()
-    receive_report(controller, 1, now=1.0, revisions={"routes": 12})
+    receive_report(controller, 1, now=1.0, revisions={"routes": at(12)})
     for now in (1.0 + REPORT_TTL_S + 0.1, 2.0 + REPORT_TTL_S):
-        assert controller.handle(GetPeersAhead({Topic.ROUTES: 10}), now) == []
+        assert controller.handle(GetPeersAhead({Topic.ROUTES: at(10)}), now) == []
 
 
 def test_hosts_that_cannot_reach_the_store_are_not_counted_as_watchers():
--- a/tests/controllers/test_odd_values.py
+++ b/tests/controllers/test_odd_values.py
@@ -32,6 +32,7 @@
 from tests.controllers.test_placement import make_cfg
 from tests.platform.test_objects import MANIFEST
 from tests.standins.odd_objects import HOST, REPLICA, ROLLOUT, stored
+from tests.standins.revisions import at
 
 COLD_REPLICA = {**REPLICA, "service": "s1", "cold_left_ms": 5000}
 SPECS = {Topic.TARGETS: COLD_REPLICA, Topic.HOSTS: HOST, Topic.ROUTES: MANIFEST, Topic.ZONES: {},
@@ -68,9 +69,9 @@
     exchange = ExchangeController(cfg, clock, random.Random(1))
     rollouts = RolloutsController(cfg, clock, lambda rules: placement.handle(rules, 1.0))
     for topic in Topic:
-        decoded = [decode_record(t, raw, 100) for t, raw in found if t is topic]
+        decoded = [decode_record(t, raw, at(100)) for t, raw in found if t is topic]
         records = tuple(record for record in decoded if record is not None)
-        view.handle(SnapshotReceived(Snapshot(topic, 100, records), STORE_SOURCE), 1.0)
+        view.handle(SnapshotReceived(Snapshot(topic, at(100), records), STORE_SOURCE), 1.0)
         update = view.handle(GetTopicUpdate(topic, CopyVersion()), 1.0)
         assert len(update.changed) == len({record.name for record in records})
         assert update.unchanged == ()
@@ -93,4 +94,4 @@
     exchange.handle(GetReportReceivers(), 1.0)
     exchange.handle(GetZoneRelay(HostReport(HostName("h0"), "10.0.0.1:1", 1, ZoneName("a"))), 1.0)
     revisions = view.handle(GetRevisions(), 1.0).values()
-    assert all(0 <= revision.last_change <= 100 for revision in revisions)
+    assert all(at(0) <= revision.last_change <= at(100) for revision in revisions)
--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -31,6 +31,7 @@
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import StoreContact
 from almondspindle.decisions.record_retention import REREGISTRATION_S
+from tests.standins.revisions import at
 
 CFG = NodeCfg(HostName("h0"), ZoneName("a"), "", "", "", "", 1, 2, 100, Bounds(drain_s=2.0))
 PEER = "10.0.0.2:7340"
@@ -40,14 +41,14 @@
     value = TargetRecord(
         TargetName(name), ServiceName("s"), "10.1.0.1:80", ZoneName("a"), 8, False, 0.0
     )
-    return Record(name, revision, value)
+    return Record(name, at(revision), value)
 
 
 def make_view(*names: str) -> tuple[ViewController, list[Publication]]:
     published: list[Publication] = []
     view = ViewController(CFG, ManualClock(), published.append)
     records = tuple(make_record(name) for name in names)
-    view.handle(SnapshotReceived(Snapshot(Topic.TARGETS, 10, records), STORE_SOURCE), 1.0)
+    view.handle(SnapshotReceived(Snapshot(Topic.TARGETS, at(10), records), STORE_SOURCE), 1.0)
     return view, published
 
 
@@ -59,13 +60,13 @@
 
 def removal(name: str, revision: int) -> ChangesReceived:
     change = RecordChange(make_record(name), removed=True)
-    return ChangesReceived(TopicChanges(Topic.TARGETS, revision, (change,)))
+    return ChangesReceived(TopicChanges(Topic.TARGETS, at(revision), (change,)))
 
 
 def test_target_removed_soon_after_store_recovery_is_retained_for_less_than_drain_time():
     view, published = make_view("t0", "t1")
     view.handle(StoreCallFailed(Topic.TARGETS, "timed out"), 5.0)
-    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, 12, ())), 8.0)
+    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, at(12), ())), 8.0)
     view.handle(removal("t0", 13), 8.1)
     assert target_names(published) == {"t0", "t1"}
     view.handle(ExpireRetainedRecords(), 8.1 + 2.0 - 0.3)
@@ -85,7 +86,7 @@
 def test_target_removed_at_a_peer_is_not_retained_while_this_host_cannot_reach_the_store():
     view, published = make_view("t0", "t1")
     view.handle(StoreCallFailed(Topic.TARGETS, "refused"), 5.0)
-    view.handle(SnapshotReceived(Snapshot(Topic.TARGETS, 12, (make_record("t1"),)), PEER), 6.0)
+    view.handle(SnapshotReceived(Snapshot(Topic.TARGETS, at(12), (make_record("t1"),)), PEER), 6.0)
     assert target_names(published) == {"t1"}
 
 
@@ -145,7 +146,7 @@
 
 def test_the_contact_with_the_store_is_reported_and_ends_with_a_failed_call():
     view, _ = make_view("t0")
-    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, 12, ())), 4.0)
+    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, at(12), ())), 4.0)
     assert view.handle(GetStoreContact(), 6.0) == StoreContact(5.0, 2.0)
     view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 7.0)
     assert view.handle(GetStoreContact(), 7.0) is None
@@ -160,7 +161,7 @@
         view.handle(StoreCallFailed(Topic.ROUTES, "reset"), 5.0)
         view.handle(StoreCallFailed(Topic.ZONES, "reset"), 5.0)
         assert view.handle(ReserveStoreCall(Topic.ZONES, 3), 5.1) == 0.0
-        view.handle(ChangesReceived(TopicChanges(Topic.ZONES, 12, ())), 5.2)
+        view.handle(ChangesReceived(TopicChanges(Topic.ZONES, at(12), ())), 5.2)
     finally:
         eliot.remove_destination(lines.append)
     fields = ("event", "topic", "reason", "caller", "failures", "waited_s", "sharers", "after_s")
--- a/tests/controllers/test_zone_reports.py
+++ b/tests/controllers/test_zone_reports.py
@@ -8,6 +8,7 @@
 from almondspindle.core.node import Bounds
 from almondspindle.core.placements import TargetLife
 from almondspindle.decisions.topic_watchers import WATCHERS_PER_TOPIC
+from tests.standins.revisions import at
 from tests.standins.simulated_fleet import TARGET, SimulatedFleet
 
 LEAVING = TargetLife(TARGET, "10.1.0.1:80", 5)
@@ -57,7 +58,7 @@
 def test_a_change_reaches_the_delegates_of_each_zone_and_then_its_hosts():
     fleet = SimulatedFleet(80, "abcd")
     fleet.run(2.0)
-    fleet.hosts[0].routes_revision = 2
+    fleet.hosts[0].routes_revision = at(2)
     pulled_across = 0
     for _ in range(8):
         fleet.run(REPORT_INTERVAL_S)
@@ -66,7 +67,7 @@
             for source in host.exchange.handle(GetPeersAhead(own), fleet.now):
                 host.routes_revision = source.revision
                 pulled_across += fleet.by_address[source.address].cfg.zone != host.cfg.zone
-    assert {host.routes_revision for host in fleet.hosts} == {2}
+    assert {host.routes_revision for host in fleet.hosts} == {at(2)}
     assert pulled_across <= 8
 
 
--- a/tests/decisions/test_store_probing.py
+++ b/tests/decisions/test_store_probing.py
@@ -24,6 +24,7 @@
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.store_probing import PROBE_DURATION_S, RECOVERY_PROBE_S
 from tests.controllers.test_zone_reports import SimulatedFleet
+from tests.standins.revisions import at
 
 OUTAGE_S = 8.0
 TICK_S = 0.05
@@ -168,7 +169,7 @@
 def test_every_topic_goes_on_at_once_after_the_store_responds():
     view = failing_view()
     assert view.handle(ReserveStoreCall(Topic.ROUTES, ZONE_HOSTS), 0.05) > 0
-    view.handle(ChangesReceived(TopicChanges(Topic.ROUTES, 5, ())), 0.2)
+    view.handle(ChangesReceived(TopicChanges(Topic.ROUTES, at(5), ())), 0.2)
     assert [view.handle(ReserveStoreCall(t, ZONE_HOSTS), 0.2) for t in Topic] == [0.0] * len(Topic)
 
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -14,6 +14,7 @@
 )
 from almondspindle.core.routes import RouteTable
 from almondspindle.platform.objects import decode_record, encode_host
+from tests.standins.revisions import at
 
 REPLICA = {
     "service": "huvo11a",
@@ -49,7 +50,7 @@
 def test_replica_is_decoded_as_target():
     record = decode_record(Topic.TARGETS, stored(REPLICA, "i-1"))
     assert record is not None
-    assert (record.name, record.revision) == ("i-1", 5)
+    assert (record.name, record.revision) == ("i-1", at(5))
     target = record.value
     assert isinstance(target, TargetRecord)
     assert target.cold_left_s == 1.5
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -27,8 +27,9 @@
     ROLLOUT,
     stored,
 )
+from tests.standins.revisions import at
 
-STORE_REVISION = 100
+STORE_REVISION = at(100)
 OBJECTS = {
     **{(Topic.TARGETS, label): raw for label, raw in ODD_REPLICAS.items()},
     **{(Topic.HOSTS, label): raw for label, raw in ODD_HOSTS.items()},
@@ -47,7 +48,7 @@
     assert record is not None
     assert record.name == "odd"
     assert isinstance(record.value, UnreadableRecord)
-    assert 0 < record.revision <= STORE_REVISION
+    assert at(0) < record.revision <= STORE_REVISION
     assert len(record.value.reason) <= MAX_REASON_LENGTH
 
 
@@ -99,7 +100,7 @@
     document = {"meta": {"name": name, "rev": rev}, "spec": spec}
     record = decode_record(topic, json.dumps(document).encode(), STORE_REVISION)
     assert (record is None) is not isinstance(name, str)
-    assert record is None or 0 < record.revision <= STORE_REVISION
+    assert record is None or at(0) < record.revision <= STORE_REVISION
 
 
 @given(st.sampled_from(Topic), st.binary() | json_values.map(lambda v: json.dumps(v).encode()))
@@ -234,7 +235,7 @@
     async def check() -> None:
         async with ObjectStore() as store:
             await store.put_bytes("evacuations", "a", b'{"meta":')
-            result = await PlatformStore(store.address).watch(Topic.ZONES, 0, 0.1)
+            result = await PlatformStore(store.address).watch(Topic.ZONES, at(0), 0.1)
             assert result.ok == HistoryUnavailable(Topic.ZONES)
 
     run(check)
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -15,7 +15,7 @@
 
     While `error_status` is not 0, it is the status of the response to every call.
     `is_unresponsive` keeps connections open without a response. `lose_responses` does writes, but
-    closes the connection without a response.
+    closes the connection without a response. `era` is stated in each response unless it is 0.
     """
 
     address: str = ""
@@ -23,6 +23,7 @@
     objects: dict[str, dict[str, Any]] = field(default_factory=dict)
     history: list[tuple[int, str, bytes, bool]] = field(default_factory=list)
     oldest_revision: int = 0
+    era: int = 0
     error_status: int = 0
     is_unresponsive: bool = False
     lose_responses: bool = False
@@ -80,6 +81,17 @@
         """Respond with 410 to watches that start before the current revision."""
         self.oldest_revision = self.revision
 
+    def copy(self) -> tuple[int, dict[str, dict[str, Any]]]:
+        """Return a copy from which the store can come back."""
+        return self.revision, {kind: dict(group) for kind, group in self.objects.items()}
+
+    def restore(self, copy: tuple[int, dict[str, dict[str, Any]]]) -> None:
+        """Go back to a copy without any history. Revisions are given out again."""
+        revision, objects = copy
+        self.revision, self.objects = revision, {k: dict(group) for k, group in objects.items()}
+        self.history, self.oldest_revision = [], revision
+        self.era += 1
+
     async def _write(self, kind: str, name: str, raw: bytes, removed: bool) -> None:
         group = self.objects.setdefault(kind, {})
         if removed:
@@ -117,8 +129,9 @@
             return
         status, content = response
         if not (self.lose_responses and method != "GET"):
+            era = f"Store-Era: {self.era}\r\n" if self.era else ""
             length = f"Content-Length: {len(content)}\r\nConnection: close\r\n\r\n"
-            writer.write(f"HTTP/1.1 {status} X\r\n{length}".encode() + content)
+            writer.write(f"HTTP/1.1 {status} X\r\n{era}{length}".encode() + content)
         writer.close()
 
     async def _respond(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
@@ -147,7 +160,7 @@
         return b'{"items":[%b],"more":%b,"store_revision":%d}' % (items, more, self.revision)
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> tuple[int, bytes]:
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return 410, b""
 
         def new_events() -> list[bytes]:
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -25,6 +25,7 @@
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.leaving_targets import LeavingTargets
+from tests.standins.revisions import at
 
 TARGET = TargetName("t")
 MESSAGES = {
@@ -56,7 +57,7 @@
             on_leaving=self._on_leaving,
         )
         self.quarantine = QuarantineController(self.cfg, ManualClock())
-        self.routes_revision = 1
+        self.routes_revision = at(1)
         self.leaving = LeavingTargets()
 
     def _on_loads(self, loads: PeerLoadsReported) -> None:
