View: a host whose copy nobody has confirmed asks the store itself

Callers saw: with six of eight hosts without power, the other two sent requests to leaving targets up to 2.4 s after the store's acknowledgement (2 s are allowed), and the targets' exit cut them.

Cause: a host that doesn't watch a topic waited until the last reports of the lost watchers were 2 s old, and looked at its role each 0.5 s. Watchers that are cut off from the store and still report have the same effect.

Change: each copy has the time at which the store last confirmed it, to this host or to a peer, and reports pass it on.

Ruled out: the spread of the change, since the two hosts had nobody to learn it from.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -22,6 +22,7 @@
 from almondspindle.utils.addresses import check_address, split_address
 
 MAX_DATAGRAM_BYTES = 60_000
+MS_PER_S = 1000
 
 
 class _Counts(Struct, array_like=True):
@@ -104,6 +105,7 @@
     rollouts: tuple[_RolloutProgress, ...] = ()
     paced: dict[str, _Counts] = {}
     eras: dict[str, int] = {}
+    ages_ms: dict[str, int] = {}
 
 
 class _ZoneReport(Struct, array_like=True):
@@ -118,6 +120,7 @@
     rollouts: tuple[_RolloutProgress, ...] = ()
     paced: dict[str, _Counts] = {}
     eras: dict[str, int] = {}
+    ages_ms: dict[str, int] = {}
 
 
 class _OutsideReport(Struct, array_like=True):
@@ -171,6 +174,7 @@
 ) -> _WireRevisions:
     """Return the wire form of `report`, with the eras of revisions apart from their numbers."""
     wire = msgspec.convert(replace(report, revisions={}), wire_type, from_attributes=True)
+    wire.ages_ms = {topic: round(age_s * MS_PER_S) for topic, age_s in report.ages_s.items()}
     wire.revisions = {topic: revision.number for topic, revision in report.revisions.items()}
     wire.eras = {t: revision.era for t, revision in report.revisions.items() if revision.era}
     return wire
@@ -202,7 +206,8 @@
     numbers, wire.revisions = wire.revisions, {}
     report = msgspec.convert(wire, report_type, from_attributes=True)
     revisions = {t: Revision(wire.eras.get(t, 0), number) for t, number in numbers.items()}
-    return replace(report, revisions=revisions)
+    ages_s = {topic: age_ms / MS_PER_S for topic, age_ms in wire.ages_ms.items()}
+    return replace(report, revisions=revisions, ages_s=ages_s)
 
 
 def decode_report(data: bytes) -> Report:
--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -94,6 +94,13 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class GetMaxCopyAge(ControllerRequest[float]):
+    """Request the age in seconds at which this host asks the store about `topic` itself."""
+
+    topic: Topic
+
+
 @dataclass(frozen=True, slots=True)
 class GetWatchTurn(ControllerRequest[WatchTurn | None]):
     """Request this host's turn as a watcher of `topic` in the store, or None if it isn't one."""
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -1,6 +1,7 @@
 """The tasks that send reports and fetch topics from peers."""
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from itertools import count
 from typing import Protocol
@@ -41,6 +42,7 @@
 from almondspindle.core.outcomes import Result
 from almondspindle.core.reports import AttemptCounts, HostReport, Report
 from almondspindle.core.rollouts import RolloutProgress
+from almondspindle.decisions.copy_age import TOPICS_WITH_BOUND
 
 REPORT_INTERVAL_S = 0.2  # loads change within the duration of a request, about 0.3 s
 PULL_CHECK_INTERVAL_S = 0.15
@@ -105,6 +107,11 @@
             reaches_store=await self._view.request(IsStoreReachable()),
             contact=await self._view.request(GetStoreContact()),
             revisions={str(topic): revisions[topic].last_change for topic in self._cfg.topics},
+            ages_s={
+                str(topic): revisions[topic].age_s
+                for topic in TOPICS_WITH_BOUND
+                if math.isfinite(revisions[topic].age_s)
+            },
             in_flight=dict(loads),
             failures=dict(failures),
             crashes=await self._quarantine.request(GetCrashNews()),
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -10,6 +10,7 @@
 
 from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.exchange.messages import (
+    GetMaxCopyAge,
     GetPeersAhead,
     GetProbeSharers,
     GetReportReceivers,
@@ -26,13 +27,18 @@
 from almondspindle.controllers.quarantine.messages import CrashNewsReceived
 from almondspindle.controllers.rollouts.messages import PeerRolloutsReported
 from almondspindle.controllers.settings import SettingsChanged
-from almondspindle.controllers.view.messages import HostsChanged, PeerContactReported
+from almondspindle.controllers.view.messages import (
+    HostsChanged,
+    PeerContactReported,
+    PeerCopiesReported,
+)
 from almondspindle.core.clock import Clock
 from almondspindle.core.identifiers import HostName, ZoneName
 from almondspindle.core.inventory import NO_REVISION, Revision, Topic
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.core.rollouts import RolloutProgress
+from almondspindle.decisions.copy_age import max_copy_age_s
 from almondspindle.decisions.peer_pull import (
     SILENCE_TTL_S,
     Peer,
@@ -56,6 +62,7 @@
     WHOLE_FLEET,
     WatcherGroup,
     WatchTurn,
+    position_after_watchers,
     watch_turn,
 )
 
@@ -77,9 +84,9 @@
     of the records.
 
     `on_loads` gets the loads of other hosts and zones, none of them counted twice, `on_contact` the
-    contact of other hosts with the store, `on_crashes` what they know of crashes of targets, and
-    `on_leaving` the targets of which they have learned that they are leaving. `on_rollouts` gets
-    what they know of roll-outs, with no response counted twice.
+    contact of other hosts with the store and the state of their copies, `on_crashes` what they know
+    of crashes of targets, and `on_leaving` the targets of which they have learned that they are
+    leaving. `on_rollouts` gets what they know of roll-outs, with no response counted twice.
     """
 
     on_exception = OnException.DROP
@@ -90,7 +97,9 @@
         clock: Clock,
         rng: random.Random,
         on_loads: Callable[[PeerLoadsReported], None] = lambda loads: None,
-        on_contact: Callable[[PeerContactReported], None] = lambda contact: None,
+        on_contact: Callable[
+            [PeerContactReported | PeerCopiesReported], None
+        ] = lambda contact: None,
         on_crashes: Callable[[CrashNewsReceived], None] = lambda news: None,
         on_leaving: Callable[[PeerLeavingReported], None] = lambda leaving: None,
         on_rollouts: Callable[[PeerRolloutsReported], None] = lambda rollouts: None,
@@ -181,6 +190,7 @@
                 own.address,
                 own.zone,
                 msg.own.revisions,
+                msg.own.ages_s,
                 sum_in_flight(in_zone),
                 sum_failures(in_zone),
                 msg.own.crashes,
@@ -203,6 +213,14 @@
     def _(self, msg: GetWatchTurn, now: float) -> WatchTurn | None:
         return self._watch_turn(msg.topic, now)
 
+    @handle.register
+    def _(self, msg: GetMaxCopyAge, now: float) -> float:
+        others = self._others_that_reach_store(now)
+        position = position_after_watchers(
+            msg.topic, self._own_peer(), others, self._watcher_group()
+        )
+        return max_copy_age_s(msg.topic, self._cfg.bounds, position)
+
     @handle.register
     def _(self, msg: GetPeersAhead, now: float) -> list[PeerAhead]:
         sources = (self._pull_source(t, revision, now) for t, revision in msg.revisions.items())
@@ -240,9 +258,12 @@
         return PeerAhead(topic, peer.address, peer.revision, source.response_timeout_s)
 
     def _watch_turn(self, topic: Topic, now: float) -> WatchTurn | None:
-        others = [_to_peer(report) for report in self._group_reports(now) if report.reaches_store]
+        others = self._others_that_reach_store(now)
         return watch_turn(topic, self._own_peer(), others, self._watcher_group())
 
+    def _others_that_reach_store(self, now: float) -> list[Peer]:
+        return [_to_peer(report) for report in self._group_reports(now) if report.reaches_store]
+
     def _watcher_group(self) -> WatcherGroup:
         if self._reports_to_all():
             return WHOLE_FLEET
@@ -271,6 +292,8 @@
             self._pass_rollouts(report.host, _without_tallies(report.rollouts))
 
     def _pass_news(self, report: HostReport | ZoneReport) -> None:
+        if report.ages_s:
+            self._on_contact(PeerCopiesReported(report.revisions, report.ages_s))
         if report.crashes is not None:
             self._on_crashes(CrashNewsReceived(report.crashes))
         if report.leaving:
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -1,5 +1,6 @@
 """Messages to the view controller, and the messages that it publishes."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -69,12 +70,14 @@
 
     Both are `NO_REVISION` before the topic is first read. The store counts the changes of all
     topics together, so `current` also grows without a change of the topic. This host received the
-    last change `unchanged_s` seconds ago.
+    last change `unchanged_s` seconds ago. The store last confirmed the copy `age_s` seconds ago, to
+    this host or to a peer with the same copy.
     """
 
     current: Revision = NO_REVISION
     last_change: Revision = NO_REVISION
     unchanged_s: float = 0.0
+    age_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,14 @@
     contact: StoreContact
 
 
+@dataclass(frozen=True, slots=True)
+class PeerCopiesReported:
+    """A peer reported its copies of topics: their last changes, and their ages in seconds."""
+
+    revisions: Mapping[str, Revision]
+    ages_s: Mapping[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class ReserveStoreCall(ControllerRequest[float]):
     """Ask to call the store now. The result is 0, or the seconds after which to ask again.
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -1,5 +1,6 @@
 """The controller that owns this host's copy of the platform's records."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -21,6 +22,7 @@
     GetTopicUpdate,
     IsStoreReachable,
     PeerContactReported,
+    PeerCopiesReported,
     Publication,
     ReserveStoreCall,
     RoutesChanged,
@@ -85,7 +87,8 @@
 class _TopicState:
     """The records of one topic, and the store revisions of this copy and its last change.
 
-    This host received that change at `changed_at`, in seconds on the monotonic clock.
+    This host received that change at `changed_at`, and the store confirmed at `confirmed_at` that
+    there was no later one, both in seconds on the monotonic clock.
     `retained_until` maps the names of records that are missing from the store to the time, in
     seconds on the monotonic clock, until which they are still used. For those in `final` a peer
     that reaches the store has decided the time.
@@ -94,6 +97,7 @@
     revision: Revision = NO_REVISION
     last_change: Revision = NO_REVISION
     changed_at: float = 0.0
+    confirmed_at: float = -math.inf
     records: dict[str, Record] = field(default_factory=dict)
     retained_until: dict[str, float] = field(default_factory=dict)
     final: set[str] = field(default_factory=set)
@@ -175,6 +179,8 @@
             state.last_change = max(last_change, state.last_change)
             state.changed_at = now
             self._publish_topic(snapshot.topic, state, msg.source)
+        if is_from_store:
+            self._confirm_copies(snapshot.revision, now)
 
     @handle.register
     def _(self, msg: ChangesReceived, now: float) -> None:
@@ -182,6 +188,7 @@
         self._record_success(changes.revision, now)
         state = self._topics[changes.topic]
         if changes.revision <= state.revision:
+            self._confirm_copies(changes.revision, now)
             return
         for change in changes.changes:
             if change.removed:
@@ -195,6 +202,7 @@
             state.last_change = changes.revision
             state.changed_at = now
             self._publish_topic(changes.topic, state, STORE_SOURCE)
+        self._confirm_copies(changes.revision, now)
 
     @handle.register
     def _(self, msg: StoreCallFailed, now: float) -> None:
@@ -229,7 +237,12 @@
     @handle.register
     def _(self, msg: GetRevisions, now: float) -> Mapping[Topic, TopicRevision]:
         return {
-            topic: TopicRevision(state.revision, state.last_change, now - state.changed_at)
+            topic: TopicRevision(
+                state.revision,
+                state.last_change,
+                now - state.changed_at,
+                now - state.confirmed_at,
+            )
             for topic, state in self._topics.items()
         }
 
@@ -250,6 +263,14 @@
             now, now - contact.unbroken_s, now - contact.response_age_s
         )
 
+    @handle.register
+    def _(self, msg: PeerCopiesReported, now: float) -> None:
+        for topic, state in self._topics.items():
+            age_s, last_change = msg.ages_s.get(topic), msg.revisions.get(topic)
+            # A copy that includes the peer's last change was as current as the peer's.
+            if age_s is not None and last_change is not None and last_change <= state.revision:
+                state.confirmed_at = max(state.confirmed_at, now - max(0.0, age_s))
+
     @handle.register
     def _(self, msg: ReserveStoreCall, now: float) -> float:
         if self._probes is None:
@@ -300,6 +321,12 @@
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
         return self._route_table
 
+    def _confirm_copies(self, revision: Revision, now: float) -> None:
+        """Note that the store was at `revision` now: no copy of that revision lacks a change."""
+        for state in self._topics.values():
+            if state.revision >= revision and state.revision.era == revision.era:
+                state.confirmed_at = now
+
     def _note_era(self, snapshot: Snapshot, before: Revision, now: float) -> None:
         """Note that `snapshot` is of a higher era than all records before it."""
         is_first, self._era = self._era == 0, snapshot.revision.era
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -1,11 +1,16 @@
 """The tasks that read the platform's store for the view, and register this host in it."""
 
 import asyncio
+import math
 import random
 from typing import Protocol
 
 from almondspindle.adapters.platform.base import StoreError
-from almondspindle.controllers.exchange.messages import GetProbeSharers, GetWatchTurn
+from almondspindle.controllers.exchange.messages import (
+    GetMaxCopyAge,
+    GetProbeSharers,
+    GetWatchTurn,
+)
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
     ANNOUNCEMENT,
@@ -20,7 +25,7 @@
     StoreCallReleased,
 )
 from almondspindle.controllers.view.task import STORE_SOURCE, ViewController
-from almondspindle.core.events import WATCH_OVERDUE
+from almondspindle.core.events import COPY_OLD, WATCH_OVERDUE
 from almondspindle.core.inventory import (
     HistoryUnavailable,
     HostRecord,
@@ -134,17 +139,19 @@
             await self._back_off(result.error)
 
     async def _watch_once(self) -> bool:
-        """Wait for the next changes, if this host is a watcher of the topic.
+        """Wait for the next changes, if this host is a watcher of the topic or its copy is old.
 
         Return False if the store no longer has all changes since this host's revision.
         """
         turn = await self._exchange.request(GetWatchTurn(self._topic))
         if turn is None:
-            await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
-            return True
+            fresh_s = await self._fresh_for_s()
+            if fresh_s > 0:
+                await asyncio.sleep(min(fresh_s, ROLE_CHECK_INTERVAL_S))
+                return True
         await self._turns.wait(self._topic)
         revision = (await self._view.request(GetRevisions()))[self._topic]
-        if await self._view.request(IsStoreReachable()):
+        if turn is not None and await self._view.request(IsStoreReachable()):
             wait_s = watch_wait_s(self._topic, turn, revision.unchanged_s)
             result = await self._watch(revision.current, wait_s)
         else:
@@ -168,16 +175,19 @@
     async def _watch(self, after: Revision, wait_s: float) -> WatchResult:
         """Watch the topic, with a second watch if the first gets no response in time.
 
-        The second one has a new connection, and does not wait for changes. The first response of
-        the two counts; the other watch ends by its time-out.
+        The same if the copy gets old before that. The second one has a new connection, and does not
+        wait for changes. The first response of the two counts; the other watch ends by its
+        time-out.
         """
         first = self._start_watch(after, wait_s)
-        await asyncio.wait({first}, timeout=wait_s + OVERDUE_S)
+        is_overdue = await self._is_overdue(first, wait_s + OVERDUE_S)
         if first.done():
             return first.result()
         second = self._start_watch(after, PROBE_WATCH_S)
         await asyncio.wait({first, second}, return_when=asyncio.FIRST_COMPLETED)
         earlier, later = (first, second) if first.done() else (second, first)
+        if not is_overdue:
+            return earlier.result()
         emit(
             WATCH_OVERDUE,
             topic=self._topic,
@@ -186,6 +196,30 @@
         )
         return earlier.result() if earlier.result().is_ok() else await later
 
+    async def _is_overdue(self, watch: "asyncio.Task[WatchResult]", timeout_s: float) -> bool:
+        """Wait for `watch`, and return whether it has no response after `timeout_s` seconds.
+
+        Return False earlier if the copy of the topic gets old.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while not watch.done() and loop.time() < end:
+            fresh_s = await self._fresh_for_s()
+            if fresh_s <= 0:
+                return False
+            await asyncio.wait({watch}, timeout=min(fresh_s, end - loop.time()))
+        return not watch.done()
+
+    async def _fresh_for_s(self) -> float:
+        """Return the seconds after which the copy of the topic is old; 0 or less if it is now."""
+        max_age_s = await self._exchange.request(GetMaxCopyAge(self._topic))
+        if math.isinf(max_age_s):
+            return max_age_s
+        age_s = (await self._view.request(GetRevisions()))[self._topic].age_s
+        if age_s >= max_age_s:
+            emit(COPY_OLD, topic=self._topic, age_s=round(age_s, 3))
+        return max_age_s - age_s
+
     def _start_watch(self, after: Revision, wait_s: float) -> "asyncio.Task[WatchResult]":
         watch = asyncio.get_running_loop().create_task(
             self._store.watch(self._topic, after, wait_s)
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -240,6 +240,12 @@
     "The store did not end a watch in time, so it was asked on a new connection too; states which"
     " of the two responded first.",
 )
+COPY_OLD = event(
+    1708,
+    "copy_old",
+    "Neither the store nor a peer has confirmed this host's copy of a topic for some time, so the"
+    " host asks the store; states the age in seconds.",
+)
 STORE_RESTORED = event(
     1729,
     "store_restored",
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -31,7 +31,8 @@
 
     `number` is the sequence number of the report. `reaches_store` tells whether the host's calls
     to the store succeed. `revisions` maps each topic's name to the store revision of its last
-    known change. `in_flight` counts the host's requests at each target, and `failures` has the
+    known change, and `ages_s` to the time since the store last confirmed the host's copy, in
+    seconds. `in_flight` counts the host's requests at each target, and `failures` has the
     targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
     if it is unknown. `contact` describes the host's contact with the store, None without any.
     `crashes` is what the host knows of crashes of targets, its own and those of other hosts, and
@@ -48,6 +49,7 @@
     reaches_store: bool = True
     contact: StoreContact | None = None
     revisions: dict[str, Revision] = field(default_factory=dict)
+    ages_s: dict[str, float] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
@@ -61,13 +63,14 @@
     """The loads of all hosts of a zone, which its delegate `host` sends to those of other zones.
 
     `in_flight`, `failures`, `paced` and the counts in `rollouts` are sums over the zone's hosts;
-    `revisions`, `crashes` and `leaving` are the delegate's own.
+    `revisions`, `ages_s`, `crashes` and `leaving` are the delegate's own.
     """
 
     host: HostName
     address: str
     zone: ZoneName
     revisions: dict[str, Revision] = field(default_factory=dict)
+    ages_s: dict[str, float] = field(default_factory=dict)
     in_flight: dict[TargetName, int] = field(default_factory=dict)
     failures: dict[TargetName, AttemptCounts] = field(default_factory=dict)
     crashes: CrashNews | None = None
--- a/almondspindle/decisions/topic_watchers.py
+++ b/almondspindle/decisions/topic_watchers.py
@@ -68,15 +68,24 @@
 
     `others` are the hosts of its group that reach the store and whose reports it gets.
     """
-    rank = _watcher_rank(topic, own)
-    ahead = sum(_watcher_rank(topic, other) > rank for other in others)
-    wanted = max(1, round(WATCHERS_PER_TOPIC[topic] * group.share))
+    ahead = _hosts_ahead(topic, own, others)
+    wanted = _watchers_wanted(topic, group)
     if ahead >= wanted:
         return None
     count = min(wanted, len(others) + 1)
     return WatchTurn(ahead * group.count + group.index, count * group.count)
 
 
+def position_after_watchers(
+    topic: Topic, own: Peer, others: Collection[Peer], group: WatcherGroup = WHOLE_FLEET
+) -> int:
+    """Return the position of the host `own` after the watchers of `topic`, 0 if it is one.
+
+    The arguments are those of `watch_turn`.
+    """
+    return max(0, _hosts_ahead(topic, own, others) - _watchers_wanted(topic, group) + 1)
+
+
 def watch_wait_s(topic: Topic, turn: WatchTurn, unchanged_s: float) -> float:
     """Return for how long a watch that begins now waits for a change, in seconds.
 
@@ -89,5 +98,14 @@
     return min(wait_s if wait_s >= MIN_WATCH_S else wait_s + period_s, MAX_WATCH_S)
 
 
+def _hosts_ahead(topic: Topic, own: Peer, others: Collection[Peer]) -> int:
+    rank = _watcher_rank(topic, own)
+    return sum(_watcher_rank(topic, other) > rank for other in others)
+
+
+def _watchers_wanted(topic: Topic, group: WatcherGroup) -> int:
+    return max(1, round(WATCHERS_PER_TOPIC[topic] * group.share))
+
+
 def _watcher_rank(topic: Topic, peer: Peer) -> tuple[float, int]:
     return peer.link_mbps, score(topic, peer.host)
--- a/tests/adapters/test_datagrams.py
+++ b/tests/adapters/test_datagrams.py
@@ -17,6 +17,7 @@
     Tally,
 )
 from almondspindle.decisions.leaving_targets import MAX_REPORTED
+from tests.standins.revisions import at
 
 HOST = HostReport(HostName("h0"), "10.0.0.1:7340", 1, ZoneName("a"))
 ZONE = ZoneReport(HostName("h0"), "10.0.0.1:7340", ZoneName("a"))
@@ -28,7 +29,7 @@
 
 
 # The fields that later releases have added at the end, the last one first.
-ADDED_FIELDS = ({}, {}, [], [])  # eras, paced targets, roll-outs, leaving targets
+ADDED_FIELDS = ({}, {}, {}, [], [])  # ages, eras, paced targets, roll-outs, leaving targets
 
 
 @pytest.mark.parametrize("report", [HOST, ZONE])
@@ -41,6 +42,15 @@
     assert decode_report(older) == report
 
 
+@pytest.mark.parametrize("report", [HOST, ZONE])
+def test_eras_and_ages_of_copies_are_reported(report):
+    revisions = {"routes": at(7, era=2), "targets": at(900)}
+    copies = replace(report, revisions=revisions, ages_s={"routes": 0.25, "targets": 1.5})
+    assert decode_report(encode_report(copies)) == copies
+    outside = OutsideReport(replace(HOST, revisions=revisions, ages_s={"routes": 0.25}))
+    assert decode_report(encode_report(outside)) == outside
+
+
 ROLLOUT = RolloutProgress(
     RolloutKey(ServiceName("s"), "v2", 7), 1.5, RolloutStage.SHIFT, 90, 8,
     (RouteTally("r", TargetName("t"), Tally(5, 1, (0, 4))),),
--- a/tests/standins/black_hole.py
+++ b/tests/standins/black_hole.py
@@ -17,6 +17,7 @@
     upstream: str
     address: str = ""
     connections: int = 0
+    is_cut: bool = False
     _generation: int = 0
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -35,11 +36,18 @@
         """Drop all further data on the connections that are open now."""
         self._generation += 1
 
+    def cut(self) -> None:
+        """Drop all further data, also on connections that are opened later."""
+        self.is_cut = True
+        self.drop_data()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        if self.is_cut:
+            await asyncio.Event().wait()
         host, _, port = self.upstream.rpartition(":")
         up_reader, up_writer = await asyncio.open_connection(host, int(port))
         generation = self._generation
