Headers: read Retry-After in time that doesn't depend on its length

Callers saw: one head of 60 KB from a target stopped a host for 9 s; no request was answered in 4 s.

Cause: a pattern with two adjacent repeats was matched against the whole value of `Retry-After`.

Change: `parse_decimal` bounds the text and reads it once. Lines 1008 `loop_stalled` and 1009 `step_slow`, and the counter `loop_stalls`, show a loop that stands still and on which step.

--- a/almondspindle/adapters/http1/target_client.py
+++ b/almondspindle/adapters/http1/target_client.py
@@ -30,6 +30,7 @@
     ResponseMetadata,
     TargetNotice,
 )
+from almondspindle.core.steps import TimedStep
 from almondspindle.decisions.idle_timeout import IdleTimeouts
 from almondspindle.decisions.response_bounds import (
     MAX_REJECTION_BYTES,
@@ -254,7 +255,9 @@
         self.status = part.status
         self.keep_alive = part.keep_alive
         self.ends_at_close = part.ends_at_close
-        self.metadata = metadata = self.codec.read_response_head(part.status, part.headers)
+        with TimedStep(self.clock, "response head", target=self.call.target, status=part.status):
+            metadata = self.codec.read_response_head(part.status, part.headers)
+        self.metadata = metadata
         self._notify(metadata)
         fault = self._find_fault(metadata)
         if fault is not None:
--- a/almondspindle/controllers/base.py
+++ b/almondspindle/controllers/base.py
@@ -11,6 +11,7 @@
 from almondspindle.core.events import MESSAGE_FAILED
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import InvariantError
+from almondspindle.core.steps import TimedStep
 
 R = TypeVar("R")  # type of the response to a request
 
@@ -119,8 +120,10 @@
 
     def _process(self, envelope: _Envelope) -> None:
         now = self._clock.monotonic()
+        step = TimedStep(self._clock, type(self).__name__, message=type(envelope.message).__name__)
         try:
-            response = self._handle_or_reset(envelope.message, now)
+            with step:
+                response = self._handle_or_reset(envelope.message, now)
         except Exception as exc:
             _fail(envelope, repr(exc))
             self._failures += 1
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -36,6 +36,12 @@
     1005, "drain_begun", "The process accepts no new requests; those in flight are completed."
 )
 TASK_FAILED = event(1004, "task_failed", "A task failed with an exception; the process stops.")
+LOOP_STALLED = event(
+    1008,
+    "loop_stalled",
+    "The process did nothing for some time, since a step took long or it got no processor.",
+)
+STEP_SLOW = event(1009, "step_slow", "A single step of the process took long; states which one.")
 MESSAGE_FAILED = event(
     1006,
     "message_failed",
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -55,6 +55,9 @@
 QUARANTINED = metric(
     "quarantined", "counter", "requests", "Requests refused because their like crash targets."
 )
+LOOP_STALLS = metric(
+    "loop_stalls", "counter", "times", "Times for which the event loop stood still for 0.2 s."
+)
 PACED = metric("paced", "counter", "targets", "Targets whose pace began on this host.")
 EXPOSED = metric(
     "exposed", "counter", "requests", "Requests assigned to a version before its verdict."
--- a/almondspindle/platform/headers.py
+++ b/almondspindle/platform/headers.py
@@ -1,13 +1,11 @@
 """Translate the headers of requests and responses to and from the project's types."""
 
-import re
-
 from almondspindle.core.calls import Call, Headers
 from almondspindle.core.identifiers import RequestId, TargetName
 from almondspindle.core.outcomes import Ok, Outcome, Refusal, RefusalCode, RunState, refused
 from almondspindle.core.placements import Occupancy, RequestedPause, ResponseMetadata
 from almondspindle.core.prompts import Prompt, PromptPart
-from almondspindle.utils.numbers import parse_digits
+from almondspindle.utils.numbers import parse_decimal, parse_digits
 
 MS_PER_S = 1000.0
 MAX_DEADLINE_S = 3600.0
@@ -85,7 +83,6 @@
 GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 DEFAULT_RETRY_AFTER_S = 0.3
-SECONDS = re.compile(r"[+-]?(\d+\.?\d*|\.\d+)", re.ASCII)
 MAX_LOAD_CHARS = 200
 PERCENT = 100.0
 MAX_LOGGED_CHARS = 40  # of a header's value
@@ -228,8 +225,7 @@
     if status != NOT_RUN_STATUS or text is None:
         return None
     number = text.strip()
-    seconds = float(number) if SECONDS.fullmatch(number) else None
-    return RequestedPause(number[:MAX_LOGGED_CHARS], seconds)
+    return RequestedPause(number[:MAX_LOGGED_CHARS], parse_decimal(number))
 
 
 def _parse_occupancy(text: str | None) -> Occupancy | None:
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -84,6 +84,7 @@
 from almondspindle.platform.settings import read_settings, settings_path
 from almondspindle.platform.store import PlatformStore
 from almondspindle.programs.base import StopSignal
+from almondspindle.utils.loop_monitor import LoopMonitor
 from almondspindle.utils.tasks import TaskSet
 
 STDOUT_FD = 1
@@ -306,6 +307,7 @@
                 "pool": self._pool,
                 "front": self._http_server,
                 "settings": self._settings,
+                "loop monitor": LoopMonitor(self._clock, self._metrics),
                 "announcer": Announcer(
                     record, self._store, self._view, StoreTurns(self._view, self._exchange)
                 ),
