--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -30,6 +30,7 @@
 TOPIC_PATH = "/topics/"
 HTTP_OK = 200
 PULL_TIMEOUT_S = 1.0
+MAX_UPDATE_BYTES = 32 * 1024 * 1024  # after decompression, as of a response of the store
 COMPRESSION_LEVEL = 1  # higher levels take twice the time and save a few per cent
 PATH_PARTS = 5  # a topic, two numbers and two eras
 CACHED_REPLIES = 8  # most peers that pull at the same time have the same version
@@ -167,7 +168,7 @@
     def _decode(self, base: Snapshot, body: bytes) -> Result[Snapshot, StoreError]:
         own = {record.name: record for record in base.records}
         try:
-            wire = msgspec.msgpack.decode(zlib.decompress(body), type=_WireUpdate)
+            wire = msgspec.msgpack.decode(_decompress(body), type=_WireUpdate)
             patched = [_patch(own, name, patch) for name, patch in wire.patches.items()]
             unchanged = [own[name] for name in wire.unchanged]
         except (zlib.error, ValueError, KeyError, RecursionError) as exc:
@@ -182,6 +183,14 @@
         return Ok(Snapshot(base.topic, revision, records, wire.lapsing, wire.lapsing_is_final))
 
 
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(body, MAX_UPDATE_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"truncated, or more than {MAX_UPDATE_BYTES} bytes")
+    return data
+
+
 def _format_version(version: CopyVersion) -> str:
     revision, newest = version.revision, version.newest
     numbers = f"{revision.number}/{newest.number}"
--- a/tests/adapters/test_reading_costs.py
+++ b/tests/adapters/test_reading_costs.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+import zlib
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -13,11 +14,14 @@
 from eliot import add_destinations, remove_destination
 
 from almondspindle.adapters.exchange.datagrams import decode_report
+from almondspindle.adapters.exchange.patches import MAX_PATCHED_BYTES, apply_patch, make_patch
+from almondspindle.adapters.exchange.topics import MAX_UPDATE_BYTES, TopicClient
 from almondspindle.adapters.http1.pool import idle_limit_s
+from almondspindle.adapters.platform.base import StoreErrorCode
 from almondspindle.adapters.target.events import EventScanner, EventTooLong
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.events import LOOP_STALLED, STEP_SLOW
-from almondspindle.core.inventory import Topic
+from almondspindle.core.inventory import Snapshot, Topic
 from almondspindle.core.metrics import LOOP_STALLS
 from almondspindle.core.registry import MetricRegistry
 from almondspindle.core.steps import MAX_STEP_S, TimedStep
@@ -67,6 +71,15 @@
     return make
 
 
+def distinct_pieces(n: int, first: int) -> bytes:
+    return b"".join(b"{%d" % number for number in range(first, first + n // 8))
+
+
+def patch(n: int) -> Reader:
+    base, new = distinct_pieces(n, 10**6), distinct_pieces(n, 3 * 10**6)
+    return lambda: make_patch(base, new)
+
+
 def unreadable(text: Callable[[int], bytes]) -> Callable[[int], Reader]:
     def make(n: int) -> Reader:
         raw = b'{"meta":{"name":"a","rev":5},"spec":' + text(n) + b"}"
@@ -105,6 +118,7 @@
     "event without an end": (EVENT_BYTES, chunks(b"data: 12345\n")),
     "event of carriage returns": (EVENT_BYTES, chunks(b"\r" * 16)),
     "events": (EVENT_BYTES, chunks(b"id: 1\ndata: x\n\n")),
+    "new manifest": (STORE_BYTES, patch),
     "nested record": (STORE_BYTES, unreadable(lambda n: b"[" * n + b"]" * n)),
     "long number": (STORE_BYTES, unreadable(lambda n: b"1" * n)),
     "long fraction": (STORE_BYTES, unreadable(lambda n: b"0." + b"1" * n)),
@@ -134,6 +148,18 @@
     assert cost_s(make(bound)) <= MAX_GROWTH * shorter
 
 
+def test_a_patch_that_repeats_pieces_without_end_is_rejected():
+    base = b"{" + b"x" * 1_000_000
+    with pytest.raises(ValueError, match="more than"):
+        apply_patch(base, [(1, 1)] * (MAX_PATCHED_BYTES // 1_000_000 + 1))
+
+
+def test_an_update_that_decompresses_without_end_is_rejected():
+    body = zlib.compress(b"\x00" * (MAX_UPDATE_BYTES + 1))
+    result = TopicClient(decode_record)._decode(Snapshot(Topic.TARGETS, at(0), ()), body)
+    assert result.error.code is StoreErrorCode.MALFORMED
+
+
 def test_a_step_that_stops_the_loop_is_logged_and_counted():
     clock, metrics, lines = ManualClock(), MetricRegistry(), []
 
