Quarantine: a request with a suspected part is sent to another target than the crashed one

Callers saw: one request in 240 crashed the same target of five each 4 s, and each crash cut some twelve sound streams, for as long as such requests came.

Cause: a part is blamed after crashes at two targets. Its requests have the same first choice, which was back each time, so the second target was left to chance.

Change: after two crashes in sequence (four for a part that was ever answered) another healthy target is preferred. An answer there clears the part, a crash is the evidence that was missing. At a service of one target five crashes in sequence decide, if the part was never answered and no crash was without it.

Ruled out: a lower number of crashes with one target, which refuses sound parts at a target that crashes by itself.

--- a/almondspindle/chain/deliver.py
+++ b/almondspindle/chain/deliver.py
@@ -250,13 +250,14 @@
             tried,
             is_retry=is_retry,
             version=call.version,
+            avoided_addresses=call.avoided_addresses,
             objective_s=delivery.route.objective_s,
         )
 
-    async def _check_retry(self, call: Call, attempts: RequestAttempts) -> Outcome[None]:
+    async def _check_retry(self, call: Call, attempts: RequestAttempts) -> Outcome[frozenset[str]]:
         """Return a refusal if the call is suspected to crash the next target, too."""
         if not call.content_ids:
-            return Ok(None)
+            return Ok(frozenset())
         return await self._quarantine.request(
             CheckRequest(call.content_ids, is_retry=attempts.may_have_run > 0)
         )
--- a/almondspindle/controllers/placement/messages.py
+++ b/almondspindle/controllers/placement/messages.py
@@ -21,7 +21,8 @@
     against the retry budget. With `only_healthy`, a target that is merely the last resort is not
     selected. `only_target` is the only target that may be selected, None for any. `version` is the
     one for the request while its service is moved to another version. `objective_s` is the latency
-    objective of its route, in seconds.
+    objective of its route, in seconds. Targets at `avoided_addresses` are selected only if no other
+    healthy one can be.
     """
 
     service: ServiceName
@@ -33,6 +34,7 @@
     only_target: TargetName | None = None
     version: VersionChoice = VersionChoice.ANY
     objective_s: float = 0.0
+    avoided_addresses: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -245,6 +245,8 @@
         )
         rule = self._version_rules.get(msg.service)
         pools = version_pools(eligible, rule, msg.version, bool(msg.tried_targets))
+        if msg.avoided_addresses:
+            pools = [*_without(pools, msg.avoided_addresses), *pools]
         if not pools:
             return self._refuse_without_target(msg, paused, now)
         choice = self._choose(pools, loads, ranked, msg.request_id, cap, now)
@@ -507,6 +509,17 @@
     objective_s: float
 
 
+def _without(
+    pools: list[list[TrackedTarget]], avoided_addresses: frozenset[str]
+) -> list[list[TrackedTarget]]:
+    """Return what is left of `pools` without the targets at `avoided_addresses`."""
+    rest = (
+        [target for target in pool if target.record.address not in avoided_addresses]
+        for pool in pools
+    )
+    return [pool for pool in rest if pool]
+
+
 def _first_end(paused: list[TrackedTarget]) -> float:
     return min(target.paused_until for target in paused)
 
--- a/almondspindle/controllers/quarantine/messages.py
+++ b/almondspindle/controllers/quarantine/messages.py
@@ -10,9 +10,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CheckRequest(ControllerRequest[Outcome[None]]):
+class CheckRequest(ControllerRequest[Outcome[frozenset[str]]]):
     """Request whether a request with `parts` (`Call.content_ids`) may be sent.
 
+    If so, the response has the addresses of targets that it should not meet, if there are others.
     `is_retry` is set if an attempt at the request failed before.
     """
 
--- a/almondspindle/controllers/quarantine/task.py
+++ b/almondspindle/controllers/quarantine/task.py
@@ -15,7 +15,7 @@
     RequestAttemptEnded,
 )
 from almondspindle.controllers.quarantine.table import Quarantine, QuarantineTable
-from almondspindle.controllers.view.messages import HostsChanged
+from almondspindle.controllers.view.messages import HostsChanged, TargetsChanged
 from almondspindle.core.clock import Clock
 from almondspindle.core.crashes import (
     Crash,
@@ -39,6 +39,7 @@
     is_suspect,
     is_trial_due,
     repeated_contents,
+    targets_to_avoid,
 )
 
 MAX_PARTS = 4096  # prompt parts and contents whose last response is remembered
@@ -60,6 +61,7 @@
         super().__init__(clock)
         self._host = cfg.host
         self._hosts: frozenset[str] = frozenset({cfg.host})
+        self._sole_targets: frozenset[str] = frozenset()
         self.reset()
 
     def reset(self) -> None:
@@ -73,7 +75,7 @@
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
-        """Handle a message from `quarantine.messages`, or a change of the hosts."""
+        """Handle a message from `quarantine.messages`, or a change of the hosts or targets."""
         return super().handle(msg, now)
 
     @handle.register
@@ -81,18 +83,30 @@
         self._hosts = frozenset({self._host, *msg.hosts})
 
     @handle.register
-    def _(self, msg: CheckRequest, now: float) -> Outcome[None]:
+    def _(self, msg: TargetsChanged, now: float) -> None:
+        addresses: dict[str, set[str]] = {}
+        for record in msg.targets.values():
+            addresses.setdefault(record.service, set()).add(record.address)
+        self._sole_targets = frozenset(
+            next(iter(group)) for group in addresses.values() if len(group) == 1
+        )
+
+    @handle.register
+    def _(self, msg: CheckRequest, now: float) -> Outcome[frozenset[str]]:
         self._judge_crashes(now)
         for parts, quarantine in self._quarantined:
             if parts <= msg.parts and not self._starts_trial(parts, quarantine, msg, now):
                 return _refused(parts, quarantine, now)
+        cut = [part for part in msg.parts if self._was_cut_since_answer(part)]
+        if not cut:
+            return Ok(frozenset())
+        crashes = self._crashes.recent(now)
         if msg.is_retry:
-            crashes = self._crashes.recent(now)
-            for part in msg.parts:
+            for part in cut:
                 if is_suspect(part, crashes, self._answered):
                     text = f"{part} may have crashed several targets"
                     return refused(RefusalCode.REQUEST_QUARANTINED, text)
-        return Ok(None)
+        return Ok(targets_to_avoid(cut, crashes, self._answered))
 
     @handle.register
     def _(self, msg: RequestAttemptEnded, now: float) -> None:
@@ -157,6 +171,9 @@
         emit(REQUEST_TRIED, parts=sorted(parts))
         return True
 
+    def _was_cut_since_answer(self, part: str) -> bool:
+        return self._crashes.last_crash_at(part) > self._answered.get(part, -math.inf)
+
     def _last_response(self, service: str) -> float:
         return self._last_response_at.get(service, -math.inf)
 
@@ -192,6 +209,7 @@
             self._crashes.recent(now),
             self._answered,
             self._quarantined.sets(),
+            self._sole_targets,
         )
         if fatal:
             self._note_repeated(fatal, crash.crashed_at)
@@ -265,7 +283,7 @@
     return frozenset(filter(is_content_id, msg.parts))
 
 
-def _refused(parts: PartIds, quarantine: Quarantine, now: float) -> Outcome[None]:
+def _refused(parts: PartIds, quarantine: Quarantine, now: float) -> Outcome[frozenset[str]]:
     retry_after_s = max(1.0, quarantine.last_crash_at + TRIAL_INTERVAL_S - now)
     text = f"requests with {', '.join(sorted(parts))} crash targets"
     return refused(RefusalCode.REQUEST_QUARANTINED, text, retry_after_s=retry_after_s)
--- a/almondspindle/core/calls.py
+++ b/almondspindle/core/calls.py
@@ -84,6 +84,7 @@
     copy_from: str | None = None
     content_id: str = ""
     version: VersionChoice = VersionChoice.ANY
+    avoided_addresses: frozenset[str] = frozenset()
 
     def header(self, name: str) -> str | None:
         """Return the value of the first header `name`, ignoring case, or None."""
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -264,6 +264,12 @@
 TARGET_REINSTATED = event(
     1711, "target_trusted", "An ejected target responded again and was reinstated."
 )
+REQUEST_DIVERTED = event(
+    1723,
+    "request_diverted",
+    "Parts of the request were at several crashes of these targets, so another one is preferred:"
+    " its response or its crash tells whether the parts are the cause.",
+)
 REQUEST_QUARANTINED = event(
     1715,
     "request_quarantined",
--- a/almondspindle/decisions/request_quarantine.py
+++ b/almondspindle/decisions/request_quarantine.py
@@ -13,6 +13,11 @@
 too soon. Sound requests run at a target when it crashes, too: a part that was ever answered needs
 twice as many crashes, and crashes that a part in quarantine explains don't count against others.
 
+Requests with one part in common have the same target as their first choice. Two crashes there may
+be the part's fault or the target's, and so may all that follow. So the next request with the part
+is sent to another target, where an answer clears the part and a crash shows that it is the cause.
+A service with a single target has no other: there the number of crashes decides.
+
 A crash may come at any point of the response. Far more sound requests are past the beginning of
 their response than before it, and where targets crash for other reasons, a rare part may be met by
 some crashes in sequence. So if targets crash without the part, too, more crashes are needed in
@@ -29,6 +34,9 @@
 from almondspindle.decisions.hashing import score
 
 MIN_TARGETS = 2
+SOLE_TARGET_CRASHES = (
+    5  # in sequence, at the only target of a service, if no other part explains it
+)
 # Times that other hosts report are wrong by the delay of the report.
 REPORT_DELAY_S = 0.1
 # A crash is judged after this time, when other hosts have reported the requests that it cut there.
@@ -120,12 +128,14 @@
     crashes: Collection[TargetCrash],
     answered: Mapping[str, float],
     quarantined: Iterable[PartIds],
+    sole_targets: Collection[str] = (),
 ) -> PartIds:
     """Return the parts that caused `crash` and others before it, or nothing if it isn't known.
 
     One of `suspects`, parts of the crash, is among them. `answered` has the time of the last
-    response by part, and `quarantined` the parts in quarantine. Later crashes are left out, since
-    other hosts may not have reported yet what they cut.
+    response by part, `quarantined` the parts in quarantine, and `sole_targets` the addresses of
+    targets that are the only ones of their service. Later crashes are left out, since other hosts
+    may not have reported yet what they cut.
     """
     known = list(quarantined)
     if _is_explained(crash, known):
@@ -134,7 +144,7 @@
     for part in sorted(part for part in suspects if _is_in_enough_crashes(part, earlier)):
         unexplained = [each for each in earlier if not _is_explained(each, known, apart_from=part)]
         sequence = crash_sequence(part, unexplained, answered.get(part, -math.inf))
-        if _is_fatal(part, sequence, part in answered, unexplained):
+        if _is_fatal(part, sequence, part in answered, unexplained, sole_targets):
             return _common_cause(part, sequence, answered)
     return frozenset()
 
@@ -151,6 +161,7 @@
     sequence: Collection[TargetCrash],
     was_answered: bool,
     crashes: Iterable[TargetCrash],
+    sole_targets: Collection[str],
 ) -> bool:
     """Return whether `part` is the cause of `sequence`.
 
@@ -158,8 +169,12 @@
     no part in quarantine explains.
     """
     limits = LIMITS[was_answered]
-    if len(sequence) < limits.quarantine or len({c.address for c in sequence}) < MIN_TARGETS:
+    if len(sequence) < limits.quarantine:
         return False
+    addresses = {crash.address for crash in sequence}
+    if len(addresses) < MIN_TARGETS:
+        is_decided = addresses.issubset(sole_targets) and len(sequence) >= SOLE_TARGET_CRASHES
+        return is_decided and not was_answered and not _crash_without(part, sequence, crashes)
     not_begun = sum(not crash.parts[part].has_begun for crash in sequence)
     if not_begun >= limits.quarantine or len(sequence) >= limits.among_others:
         return True
@@ -169,7 +184,7 @@
 def _crash_without(
     part: str, sequence: Collection[TargetCrash], crashes: Iterable[TargetCrash]
 ) -> bool:
-    """Return whether other targets of the service have crashed lately without `part`."""
+    """Return whether targets of the service have crashed lately without `part`."""
     service = next(iter(sequence)).service
     since = max(crash.crashed_at for crash in sequence) - OTHER_CRASHES_S
     return any(
@@ -196,8 +211,28 @@
 
     `answered` has the time of the last response by part.
     """
+    return bool(_suspicious_sequence(part, crashes, answered))
+
+
+def targets_to_avoid(
+    parts: Iterable[str], crashes: Collection[TargetCrash], answered: Mapping[str, float]
+) -> frozenset[str]:
+    """Return the addresses of targets at which `parts` are suspected to have caused crashes.
+
+    A request with these parts is better sent to another target, which shows whether they are the
+    cause. `answered` has the time of the last response by part.
+    """
+    return frozenset(
+        crash.address for part in parts for crash in _suspicious_sequence(part, crashes, answered)
+    )
+
+
+def _suspicious_sequence(
+    part: str, crashes: Iterable[TargetCrash], answered: Mapping[str, float]
+) -> list[TargetCrash]:
+    """Return the sequence of crashes of `part` if it is long enough to suspect it, else nothing."""
     sequence = crash_sequence(part, crashes, answered.get(part, -math.inf))
-    return len(sequence) >= LIMITS[part in answered].retry
+    return sequence if len(sequence) >= LIMITS[part in answered].retry else []
 
 
 def is_trial_due(
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -208,6 +208,7 @@
     @_publish.register
     def _(self, change: TargetsChanged) -> None:
         self._placement.send(change)
+        self._quarantine.send(change)
         self._rollouts.send(change)
         if change.targets:
             self._update_readiness(replace(self._readiness, has_targets=True))
