Placement: a pause holds though the target wasn't listed when it asked for it

Callers saw: a target that was dark and back in the same lifetime asked for a pause before its entry was written again; each host sent 53 to 72 requests to it in the pause, where two are allowed.

Cause: pauses were kept by lifetime, and beside that the last end by service, which is unknown while the target isn't listed. Selection asked the second table first.

Change: the table by service is gone; whether any pause holds follows from the pauses themselves.

--- a/almondspindle/controllers/placement/pauses.py
+++ b/almondspindle/controllers/placement/pauses.py
@@ -1,7 +1,6 @@
 """The pauses for which targets have asked this host."""
 
 from almondspindle.core.events import PAUSE_IGNORED, TARGET_PAUSED
-from almondspindle.core.identifiers import ServiceName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import PAUSES, MetricSender
 from almondspindle.core.placements import RequestedPause, TargetLife
@@ -14,23 +13,20 @@
     def __init__(self, metrics: MetricSender) -> None:
         self._metrics = metrics
         self._ends: dict[TargetLife, float] = {}
-        self._last_ends: dict[ServiceName, float] = {}
+        self._last_end = 0.0
 
     def until(self, life: TargetLife) -> float:
         """Return the end of the pause of a target in its lifetime `life`, 0 if there is none."""
         return self._ends.get(life, 0.0)
 
-    def may_be_paused(self, service: ServiceName, now: float) -> bool:
-        """Return whether a target of `service` may be paused now."""
-        return now < self._last_ends.get(service, 0.0)
+    def has_any(self, now: float) -> bool:
+        """Return whether the pause of any target, listed or not, has not ended."""
+        return now < self._last_end
 
-    def add(
-        self, life: TargetLife, requested: RequestedPause, service: ServiceName | None, now: float
-    ) -> float | None:
+    def add(self, life: TargetLife, requested: RequestedPause, now: float) -> float | None:
         """Note a pause and return its end, or None if its length is no positive number.
 
-        `service` is that of the target, None if it isn't listed in this lifetime. A shorter pause
-        doesn't end a longer one.
+        A shorter pause doesn't end a longer one.
         """
         seconds = pause_s(requested)
         if seconds is None:
@@ -40,8 +36,7 @@
         self._ends = {each: end for each, end in self._ends.items() if end > now}
         until = max(now + seconds, self.until(life))
         self._ends[life] = until
-        if service is not None:
-            self._last_ends[service] = max(until, self._last_ends.get(service, 0.0))
+        self._last_end = max(until, self._last_end)
         emit(
             TARGET_PAUSED,
             target=life.target,
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -389,14 +389,13 @@
             self._leaving.add(life_of(record), NOT_REPORTED)
 
     def _note_pause(self, life: TargetLife, requested: RequestedPause, now: float) -> None:
+        until = self._pauses.add(life, requested, now)
         target = self._targets.get(life.target)
-        record = target.record if target is not None and life_of(target.record) == life else None
-        until = self._pauses.add(life, requested, record.service if record else None, now)
-        if until is not None and target is not None and record is not None:
+        if until is not None and target is not None and life_of(target.record) == life:
             target.paused_until = until
 
     def _paused_targets(self, service: ServiceName, now: float) -> list[TrackedTarget]:
-        if not self._pauses.may_be_paused(service, now):
+        if not self._pauses.has_any(now):
             return []
         return [
             target
