Placement: requests in flight count when a target is listed again in the same lifetime

Cause: the count was kept with the listed target, and a new one began at 0 on its return.

Change: the load of an unlisted target is kept while requests are in flight, by lifetime.

--- a/almondspindle/controllers/placement/targets.py
+++ b/almondspindle/controllers/placement/targets.py
@@ -15,18 +15,25 @@
 PEER_REPORT_TTL_S = 1.5  # several report intervals
 
 
+@dataclass(slots=True)
+class Load:
+    """The requests in flight at a target, for as long as it lives, listed or not."""
+
+    in_flight: int = 0
+
+
 @dataclass(slots=True)
 class TrackedTarget:
     """State of one target. Times are in seconds on the monotonic clock.
 
-    `in_flight` counts this host's requests only. `cold_requests_at` has the times of this host's
+    `load` is that of this host's requests only. `cold_requests_at` has the times of this host's
     requests to the target while it was cold. `is_leaving` is set if the target says that it is
     leaving, in its record or in a response. Other targets may copy prompts from it until
     `copies_until`. It gets nothing until `paused_until`, since it asked this host for a pause.
     """
 
     record: TargetRecord
-    in_flight: int = 0
+    load: Load = field(default_factory=Load)
     cold_until: float = 0.0
     last_response_at: float = -math.inf
     ejection: EjectionState = field(default_factory=EjectionState)
@@ -37,6 +44,11 @@
     copies_until: float = math.inf
     paused_until: float = 0.0
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of this host's requests in flight."""
+        return self.load.in_flight
+
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
--- a/almondspindle/controllers/placement/task.py
+++ b/almondspindle/controllers/placement/task.py
@@ -101,6 +101,7 @@
         self._peers = PeerReportTable()
         self._retry_logs: dict[ServiceName, RetryLog] = {}
         self._reservations: dict[int, _Reservation] = {}
+        self._unlisted: dict[TargetLife, TrackedTarget] = {}  # with requests in flight
         self._copy_sources = CopySources()
         self._leaving = LeavingTargets()
         self._pauses = PauseTable(self._metrics)
@@ -182,6 +183,7 @@
             if name not in msg.targets:
                 self._copy_sources.retain_unlisted(unlisted, self._cfg.bounds.drain_s, now)
                 self._paces.remove(name)
+        loaded = self._unlisted_with_load(msg.targets)
         targets: dict[TargetName, TrackedTarget] = {}
         by_service: dict[ServiceName, list[TrackedTarget]] = {}
         for record in msg.targets.values():
@@ -192,6 +194,9 @@
                     cold_until=now + record.cold_left_s,
                     paused_until=self._pauses.until(life_of(record)),
                 )
+                returned = loaded.pop(life_of(record), None)
+                if returned is not None:
+                    target.load = returned.load
                 self._copy_sources.remove_target(record.name)
                 # At its first list a host can't tell which targets have just started.
                 if previous:
@@ -214,8 +219,9 @@
                 self._remember_leaving(record)
             targets[record.name] = target
             by_service.setdefault(record.service, []).append(target)
-        # Both change together: if the message fails, the targets known before are still used.
+        # All change together: if the message fails, the targets known before are still used.
         self._targets, self._by_service = targets, by_service
+        self._unlisted = loaded
 
     @handle.register
     def _(self, msg: SelectTarget, now: float) -> Outcome[Placement]:
@@ -329,7 +335,7 @@
         if reservation is None:
             return
         target, report = reservation.target, msg.report
-        target.in_flight -= 1
+        target.load.in_flight -= 1
         if report.end is AttemptEnd.ANSWERED:
             target.last_response_at = now
         if reservation.prompt_key and (report.started or report.end is AttemptEnd.ANSWERED):
@@ -380,6 +386,21 @@
             target.is_leaving = True
             target.copies_until = now + self._cfg.bounds.drain_s
 
+    def _unlisted_with_load(
+        self, listed: Mapping[str, TargetRecord]
+    ) -> dict[TargetLife, TrackedTarget]:
+        """Return the targets that `listed` lacks and at which requests are still in flight.
+
+        They may be listed again in the same lifetime.
+        """
+        gone = {
+            life_of(target.record): target
+            for name, target in self._targets.items()
+            if name not in listed
+        }
+        known = {**self._unlisted, **gone}
+        return {life: target for life, target in known.items() if target.in_flight}
+
     def _remember_leaving(self, record: TargetRecord) -> None:
         """Keep out the target of a leaving `record` for the rest of its lifetime.
 
@@ -467,7 +488,7 @@
         target = self._targets[choice.candidate.name]
         ticket = next(self._ticket_numbers)
         self._reservations[ticket] = _Reservation(target, msg.prompt_key, msg.objective_s)
-        target.in_flight += 1
+        target.load.in_flight += 1
         if now < target.cold_until:
             target.cold_requests_at.append(now)
         return Placement(
