--- a/soak/environment.py
+++ b/soak/environment.py
@@ -23,6 +23,8 @@
 from tests.standins.replica import ReceivedRequest, Replica, ScriptedResponse
 
 REPLICA_COUNTS = {MODEL_SERVICE: 4, PLAIN_SERVICE: 3}
+WRITTEN_BY_OTHERS = ("config", "servers", "evacuations", "rollouts")  # kinds of objects
+HTTP_UNAVAILABLE = 503
 VERSIONS = ("v1", "v2")  # of the replicas of each service, in turn
 TIMEOUT_MS = 6000  # of all routes; a request may meet a silent replica, move, and meet another
 EVENT_INTERVAL_S = 0.03  # between the events of a stream
@@ -174,7 +176,7 @@
 
     def __init__(self, history: RunHistory, rng: random.Random, now: Callable[[], float]) -> None:
         self.now = now
-        self.store = ObjectStore()
+        self.store = ObjectStore(era=1)
         self.version = 0
         self.replicas: dict[str, tuple[str, SoakReplica, Proxy]] = {}
         self._history = history
@@ -219,8 +221,23 @@
         await self.store.put("rollouts", service, order)
 
     async def withdraw_rollout(self, service: str) -> None:
-        """Take the order of a roll-out away."""
-        await self.store.remove("rollouts", service)
+        """Take the order of a roll-out away, if the store has it."""
+        if service in self.store.objects.get("rollouts", {}):
+            await self.store.remove("rollouts", service)
+
+    async def restore_store(self, lost_s: float, away_s: float) -> None:
+        """Let the store come back from a copy that is `lost_s` older than the moment it goes away.
+
+        What operators and replicas wrote since is written again.
+        """
+        copy = self.store.copy()
+        await asyncio.sleep(lost_s)
+        await self.store.fail_calls(HTTP_UNAVAILABLE)
+        await asyncio.sleep(away_s)
+        _, lost = self.store.copy()
+        self.store.restore(copy)
+        self.store.error_status = 0
+        await self.store.write_again(WRITTEN_BY_OTHERS, lost)
 
     async def change_manifest(self) -> None:
         """Write the next version of the configuration, the only one that has its probe route."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 ORDER_GAP_RANGE_S = (4.5, 6.0)  # longer than a roll-out, so that they follow each other
 ROLLOUT_S = 4.0
 MAX_SILENCE_S = 1.8  # of a sound replica; longer than the idle time-outs of the routes
+RESTORE_GAP_RANGE_S = (3.5, 6.0)  # longer than a restore, so that they follow each other
+AWAY_S = 0.3  # before the store comes back from a copy
 STORE_ERROR_STATUSES = (429, 503)
 
 
@@ -162,6 +164,10 @@
     await context.environment.store.put("servers", "garbage", {"service": 7, "addr": None})
 
 
+async def _restore_store(context: FaultContext, fault: Fault) -> None:
+    await context.environment.restore_store(fault.duration_s, AWAY_S)
+
+
 # No request may be lost during planned operations. Requests that an unplanned fault may have
 # disturbed are exempt.
 PLANNED: dict[str, FaultAction] = {
@@ -195,6 +201,8 @@
     "replica leaves": _leave,
     "replica asks for a pause": _ask_for_pause,
 }
+# The store comes back from an older copy. This has a schedule of its own, too.
+RESTORES: dict[str, FaultAction] = {"store restored": _restore_store}
 # What operators order. These have a schedule of their own, too.
 ORDERS: dict[str, FaultAction] = {"roll-out": _roll_out}
 # These faults run one at a time: two of them at once on one host would interfere with each other.
@@ -223,10 +231,20 @@
     return faults
 
 
-def _draw(rng: random.Random, kinds: list[str], duration_s: float) -> list[Fault]:
+def draw_restores(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return a random schedule of returns of the store over `duration_s` seconds."""
+    return _draw(rng, sorted(RESTORES), duration_s, RESTORE_GAP_RANGE_S)
+
+
+def _draw(
+    rng: random.Random,
+    kinds: list[str],
+    duration_s: float,
+    gap_range_s: tuple[float, float] = START_GAP_RANGE_S,
+) -> list[Fault]:
     faults, at = [], 0.0
     while at < duration_s:
-        delay_s = rng.uniform(*START_GAP_RANGE_S)
+        delay_s = rng.uniform(*gap_range_s)
         at += delay_s
         faults.append(
             Fault(rng.choice(kinds), delay_s, rng.uniform(*DURATION_RANGE_S), rng.random())
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,12 +15,14 @@
     EXCLUSIVE,
     FAULT_ACTIONS,
     ORDERS,
+    RESTORES,
     UNPLANNED,
     Fault,
     FaultContext,
     draw_announcements,
     draw_faults,
     draw_orders,
+    draw_restores,
 )
 from soak.history import RunHistory
 from soak.hosts import SoakHost, shared_ports
@@ -66,6 +68,7 @@
         faults = draw_faults(self._rng, self._duration_s)
         announcements = draw_announcements(random.Random(f"{self._seed} told"), self._duration_s)
         orders = draw_orders(random.Random(f"{self._seed} ordered"), self._duration_s)
+        restores = draw_restores(random.Random(f"{self._seed} restored"), self._duration_s)
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self._environment)
             ports = shared_ports()
@@ -77,7 +80,7 @@
             stack.push_async_callback(self._stop_hosts)
             await asyncio.gather(*(host.start() for host in self._hosts))
             await self._wait_all_serve(START_TIMEOUT_S, "after the start")
-            await self._run_load(faults, announcements, orders)
+            await self._run_load(faults, announcements, orders, restores)
             await self._wait_all_serve(RECOVERY_TIMEOUT_S, "after the last fault")
         for host in self._hosts:
             self._history.findings += host.unexpected_exits
@@ -139,7 +142,7 @@
 
     async def _inject_recorded(self, context: FaultContext, fault: Fault) -> None:
         started_at = self._now()
-        actions = FAULT_ACTIONS | ANNOUNCEMENTS | ORDERS
+        actions = FAULT_ACTIONS | ANNOUNCEMENTS | ORDERS | RESTORES
         await actions[fault.kind](context, fault)
         if fault.kind in EXCLUSIVE:
             self._history.host_events.append((started_at, self._now()))
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -92,6 +93,21 @@
         self.history, self.oldest_revision = [], revision
         self.era += 1
 
+    async def write_again(
+        self, kinds: Collection[str], lost: Mapping[str, Mapping[str, Any]]
+    ) -> None:
+        """Bring the objects of `kinds` to what they were in `lost`, as their writers do.
+
+        Their status is not theirs, and stays lost.
+        """
+        for kind in kinds:
+            wanted, current = lost.get(kind, {}), dict(self.objects.get(kind, {}))
+            for name in current.keys() - wanted.keys():
+                await self.remove(kind, name)
+            for name, raw in wanted.items():
+                if name not in current or _spec(current[name]) != _spec(raw):
+                    await self.put(kind, name, _spec(raw))
+
     async def _write(self, kind: str, name: str, raw: bytes, removed: bool) -> None:
         group = self.objects.setdefault(kind, {})
         if removed:
@@ -189,6 +205,10 @@
     return bool(meta.get("rev")) and stored is not None and meta["rev"] != stored["meta"]["rev"]
 
 
+def _spec(raw: bytes) -> Any:
+    return json.loads(raw)["spec"]
+
+
 def _parse(raw: bytes | None) -> dict[str, Any] | None:
     """Return the object in `raw`, or None if there is none that can be read."""
     try:
