--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -6,10 +6,12 @@
 from almondspindle.controllers.view.messages import (
     ChangesReceived,
     ExpireRetainedRecords,
+    GetRevisions,
     GetSnapshot,
     GetStoreContact,
     GetTopicUpdate,
     PeerContactReported,
+    PeerCopiesReported,
     Publication,
     ReserveStoreCall,
     SnapshotReceived,
@@ -144,6 +146,26 @@
     assert target_names(published) == expected
 
 
+@pytest.mark.parametrize(("last_change", "age_s"), [(9, 0.5), (10, 0.5), (11, 3.0)])
+def test_a_copy_is_as_old_as_that_of_a_peer_whose_last_change_it_includes(last_change, age_s):
+    view, _ = make_view("t0")  # read at 1.0, at revision 10
+    reported = PeerCopiesReported({"targets": at(last_change)}, {"targets": 0.5})
+    view.handle(reported, 4.0)
+    assert view.handle(GetRevisions(), 4.0)[Topic.TARGETS].age_s == age_s
+
+
+def test_a_response_about_one_topic_confirms_the_copies_of_its_revision():
+    view, _ = make_view("t0")
+    view.handle(SnapshotReceived(Snapshot(Topic.ZONES, at(12), ()), STORE_SOURCE), 2.0)
+    view.handle(ChangesReceived(TopicChanges(Topic.ZONES, at(12), ())), 5.0)
+    ages = {topic: each.age_s for topic, each in view.handle(GetRevisions(), 5.0).items()}
+    assert (ages[Topic.ZONES], ages[Topic.TARGETS]) == (0.0, 4.0)
+    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, at(12), ())), 6.0)
+    view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, at(12), ())), 9.0)
+    ages = {topic: each.age_s for topic, each in view.handle(GetRevisions(), 9.0).items()}
+    assert (ages[Topic.ZONES], ages[Topic.TARGETS]) == (0.0, 0.0)
+
+
 def test_the_contact_with_the_store_is_reported_and_ends_with_a_failed_call():
     view, _ = make_view("t0")
     view.handle(ChangesReceived(TopicChanges(Topic.TARGETS, at(12), ())), 4.0)
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -18,7 +18,11 @@
 from almondspindle.controllers.placement.targets import PeerReportTable
 from almondspindle.controllers.quarantine.messages import CrashNewsReceived, GetCrashNews
 from almondspindle.controllers.quarantine.task import QuarantineController
-from almondspindle.controllers.view.messages import HostsChanged
+from almondspindle.controllers.view.messages import (
+    HostsChanged,
+    PeerContactReported,
+    PeerCopiesReported,
+)
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName, TargetName, ZoneName
 from almondspindle.core.inventory import HostRecord, Topic
@@ -28,6 +32,7 @@
 from tests.standins.revisions import at
 
 TARGET = TargetName("t")
+AGES_S = {"targets": 0.7, "zones": 0.9}
 MESSAGES = {
     HostReport: ReportReceived,
     ZoneReport: ZoneReportReceived,
@@ -53,16 +58,28 @@
             ManualClock(),
             random.Random(number),
             self._on_loads,
+            self._on_contact,
             on_crashes=self._on_crashes,
             on_leaving=self._on_leaving,
         )
         self.quarantine = QuarantineController(self.cfg, ManualClock())
         self.routes_revision = at(1)
+        self.confirmed_at = 0.0  # when the store last confirmed the copy of the routes
         self.leaving = LeavingTargets()
 
     def _on_loads(self, loads: PeerLoadsReported) -> None:
         self.loads.replace(loads, self.now)
 
+    def _on_contact(self, msg: PeerContactReported | PeerCopiesReported) -> None:
+        if isinstance(msg, PeerCopiesReported):
+            self.note_copies(msg)
+
+    def note_copies(self, msg: PeerCopiesReported) -> None:
+        """Take over the age of a peer's copy of the routes, as the view does."""
+        age_s = msg.ages_s.get(Topic.ROUTES)
+        if age_s is not None and msg.revisions[Topic.ROUTES] <= self.routes_revision:
+            self.confirmed_at = max(self.confirmed_at, self.now - age_s)
+
     def _on_crashes(self, msg: CrashNewsReceived) -> None:
         self.quarantine.handle(msg, self.now)
 
@@ -107,7 +124,8 @@
     def _report(self, host: SimulatedHost) -> None:
         own = HostReport(
             host.cfg.host, host.address, self.ticks, host.cfg.zone, host.cfg.link_mbps,
-            self.reaches_store, revisions={"routes": host.routes_revision}, in_flight={TARGET: 1},
+            self.reaches_store, revisions={"routes": host.routes_revision},
+            ages_s={**AGES_S, "routes": self.now - host.confirmed_at}, in_flight={TARGET: 1},
             crashes=host.quarantine.handle(GetCrashNews(), self.now),
             leaving=host.leaving.news({}, self.now),
         )  # fmt: skip
