Tests: the stand-in of the store wakes its watches without a lock

Its tasks, dumped from the process, were cancelled watches of the stand-in that waited for the lock of an `asyncio.Condition`, which no task held any more: each must take the lock again before its cancellation ends, and a hand-over of the lock to a cancelled task was lost.

Change: watches wait on an event that each change replaces. No lock is taken; what tests see is the same.

The hang was seen once, in one of many runs of that test.

--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Collection, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -31,7 +32,7 @@
     calls: list[str] = field(default_factory=list)
 
     async def __aenter__(self) -> "ObjectStore":
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
@@ -75,8 +76,7 @@
         Setting `error_status` to 0 ends this.
         """
         self.error_status = status
-        async with self._changed:
-            self._changed.notify_all()
+        self._notify()
 
     def forget_history(self) -> None:
         """Respond with 410 to watches that start before the current revision."""
@@ -115,8 +115,12 @@
         else:
             group[name] = raw
         self.history.append((self.revision, kind, raw, removed))
-        async with self._changed:
-            self._changed.notify_all()
+        self._notify()
+
+    def _notify(self) -> None:
+        """Wake all pending watches. Each of them waits on the event that was current before."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -186,13 +190,10 @@
                 if of_kind == kind and revision > after
             ]
 
-        try:
-            async with self._changed:
-                await asyncio.wait_for(
-                    self._changed.wait_for(lambda: self.error_status or new_events()), wait_s
-                )
-        except TimeoutError:
-            pass
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not (self.error_status or new_events()):
+                    await self._changed.wait()
         if self.error_status:
             return self.error_status, b""
         events = b",".join(new_events())
