View: say at which era and revision a host is, how old its copies are, and what it ignores

No line names the revision that a host has when it serves a request, or the age of its copy; a list that is dropped as too old leaves no trace; nothing says that a host has caught up after the store came back.

What a node serves to operators is now in programs/operator_pages.py, a topic's copy in controllers/view/topic_copy.py.

--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -71,13 +71,17 @@
     Both are `NO_REVISION` before the topic is first read. The store counts the changes of all
     topics together, so `current` also grows without a change of the topic. This host received the
     last change `unchanged_s` seconds ago. The store last confirmed the copy `age_s` seconds ago, to
-    this host or to a peer with the same copy.
+    this host or to a peer with the same copy. Its era began `era_for_s` seconds ago. It has
+    `records` records, of which `retained` are missing from the store.
     """
 
     current: Revision = NO_REVISION
     last_change: Revision = NO_REVISION
     unchanged_s: float = 0.0
     age_s: float = math.inf
+    era_for_s: float = 0.0
+    records: int = 0
+    retained: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -1,15 +1,12 @@
 """The controller that owns this host's copy of the platform's records."""
 
-import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import Any
 
 from almondspindle.controllers.base import Controller, OnException
 from almondspindle.controllers.settings import SettingsChanged
-from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import (
     ANNOUNCEMENT,
     AnnouncementFailed,
@@ -32,12 +29,14 @@
     TopicRevision,
 )
 from almondspindle.controllers.view.publications import PUBLICATION_BUILDERS
+from almondspindle.controllers.view.topic_copy import TopicCopy, log_unreadable, renumber
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import (
+    COPY_IGNORED,
     RECORD_RETAINED,
-    RECORD_UNREADABLE,
     STORE_BACK,
     STORE_CALL_FAILED,
+    STORE_CAUGHT_UP,
     STORE_LOST,
     STORE_PROBED,
     STORE_RESTORED,
@@ -77,37 +76,11 @@
 )
 
 STORE_SOURCE = "store"
-MAX_LOGGED_NAME_LENGTH = 255
 # While the store fails, waiting tasks ask again after this time at most, so that they go on soon
 # after its return.
 MAX_TURN_WAIT_S = 0.1
 
 
-@dataclass(slots=True)
-class _TopicState:
-    """The records of one topic, and the store revisions of this copy and its last change.
-
-    This host received that change at `changed_at`, and the store confirmed at `confirmed_at` that
-    there was no later one, both in seconds on the monotonic clock.
-    `retained_until` maps the names of records that are missing from the store to the time, in
-    seconds on the monotonic clock, until which they are still used. For those in `final` a peer
-    that reaches the store has decided the time.
-    """
-
-    revision: Revision = NO_REVISION
-    last_change: Revision = NO_REVISION
-    changed_at: float = 0.0
-    confirmed_at: float = -math.inf
-    records: dict[str, Record] = field(default_factory=dict)
-    retained_until: dict[str, float] = field(default_factory=dict)
-    final: set[str] = field(default_factory=set)
-    history: RecordHistory = field(default_factory=RecordHistory)
-
-    def remaining_retention(self, now: float) -> dict[str, float]:
-        """Return for how many seconds each retained record is still used."""
-        return {name: max(0.0, until - now) for name, until in self.retained_until.items()}
-
-
 class ViewController(Controller):
     """Own the records of all topics, and publish their changes.
 
@@ -123,13 +96,14 @@
         super().__init__(clock)
         self._cfg = cfg
         self._publish = publish
-        self._topics = {topic: _TopicState() for topic in Topic}
+        self._topics = {topic: TopicCopy() for topic in Topic}
         self._availability = StoreAvailability()
         self._contact_since: float | None = None  # since when no call to the store has failed
         self._responded_at = 0.0
         self._peer_contacts: dict[HostName, PeerContact] = {}
         self._revision_at_recovery = NO_REVISION
         self._era = 0  # the highest one seen
+        self._restored_at: float | None = None  # None once all topics are of that era
         self._probes: ProbeState | None = None  # None while calls to the store succeed
         self._route_table: RouteTable | None = None
 
@@ -150,12 +124,15 @@
             self._record_success(snapshot.revision, now)
         state = self._topics[snapshot.topic]
         if snapshot.revision < state.revision:
+            _log_ignored(snapshot.topic, snapshot.revision, state.revision, msg.source)
             return
+        if snapshot.revision.era > state.revision.era or state.revision == NO_REVISION:
+            state.era_since = now
         is_restored = snapshot.revision.era > state.revision.era and bool(state.records)
         if snapshot.revision.era > self._era:
             self._note_era(snapshot, state.revision, now)
         records = {
-            record.name: _renumber(state, record, snapshot.revision) for record in snapshot.records
+            record.name: renumber(state, record, snapshot.revision) for record in snapshot.records
         }
         missing = [name for name in state.records if name not in records]
         newest = max((record.revision for record in records.values()), default=NO_REVISION)
@@ -181,6 +158,7 @@
             self._publish_topic(snapshot.topic, state, msg.source)
         if is_from_store:
             self._confirm_copies(snapshot.revision, now)
+        self._note_caught_up(now)
 
     @handle.register
     def _(self, msg: ChangesReceived, now: float) -> None:
@@ -188,6 +166,8 @@
         self._record_success(changes.revision, now)
         state = self._topics[changes.topic]
         if changes.revision <= state.revision:
+            if changes.changes:
+                _log_ignored(changes.topic, changes.revision, state.revision, STORE_SOURCE)
             self._confirm_copies(changes.revision, now)
             return
         for change in changes.changes:
@@ -195,7 +175,7 @@
                 until = self._retain_until(changes.topic, now)
                 self._remove_record(state, changes.topic, change.record.name, until, now)
             else:
-                record = _renumber(state, change.record, changes.revision)
+                record = renumber(state, change.record, changes.revision)
                 self._set_record(state, changes.topic, record)
         state.revision = changes.revision
         if changes.changes:
@@ -236,15 +216,7 @@
 
     @handle.register
     def _(self, msg: GetRevisions, now: float) -> Mapping[Topic, TopicRevision]:
-        return {
-            topic: TopicRevision(
-                state.revision,
-                state.last_change,
-                now - state.changed_at,
-                now - state.confirmed_at,
-            )
-            for topic, state in self._topics.items()
-        }
+        return {topic: state.describe(now) for topic, state in self._topics.items()}
 
     @handle.register
     def _(self, msg: IsStoreReachable, now: float) -> bool:
@@ -332,6 +304,7 @@
         is_first, self._era = self._era == 0, snapshot.revision.era
         if is_first and before == NO_REVISION:
             return
+        self._restored_at = now
         self._availability = after_restore(self._availability, now)
         self._revision_at_recovery = snapshot.revision
         emit(
@@ -343,6 +316,14 @@
             previous_revision=before.number,
         )
 
+    def _note_caught_up(self, now: float) -> None:
+        """Log that all topics have been read since the store came back, once for each era."""
+        eras = {self._topics[topic].revision.era for topic in self._cfg.topics}
+        if self._restored_at is None or eras != {self._era}:
+            return
+        emit(STORE_CAUGHT_UP, era=self._era, after_s=round(now - self._restored_at, 3))
+        self._restored_at = None
+
     def _record_success(self, revision: Revision, now: float) -> None:
         if self._availability.failing_since is not None:
             emit(STORE_BACK, after_s=round(now - self._availability.failing_since, 3))
@@ -353,10 +334,10 @@
         self._responded_at = now
         self._probes = None
 
-    def _set_record(self, state: _TopicState, topic: Topic, record: Record) -> None:
+    def _set_record(self, state: TopicCopy, topic: Topic, record: Record) -> None:
         is_unreadable = isinstance(record.value, UnreadableRecord)
         if is_unreadable and record is not state.records.get(record.name):
-            _log_unreadable(topic, record)
+            log_unreadable(topic, record)
         state.retained_until.pop(record.name, None)
         state.records[record.name] = record
         if not is_unreadable:  # it would displace versions of sound records
@@ -374,7 +355,7 @@
         return now + retention_s if retention_s > 0 else None
 
     def _remove_record(
-        self, state: _TopicState, topic: Topic, name: str, until: float | None, now: float
+        self, state: TopicCopy, topic: Topic, name: str, until: float | None, now: float
     ) -> None:
         if name not in state.records:
             return
@@ -385,7 +366,7 @@
             state.retained_until[name] = until
             emit(RECORD_RETAINED, topic=topic, name=name, used_for_s=round(until - now, 3))
 
-    def _publish_topic(self, topic: Topic, state: _TopicState, source: str) -> None:
+    def _publish_topic(self, topic: Topic, state: TopicCopy, source: str) -> None:
         emit(
             VIEW_CHANGED,
             topic=topic,
@@ -416,21 +397,13 @@
         return RoutesChanged(newest)
 
 
-def _renumber(state: _TopicState, record: Record, revision: Revision) -> Record:
-    """Return `record`, read at the store's `revision`, with a revision that fits this copy.
-
-    A record that is new to this copy, but names a revision that the copy includes, gets that of the
-    read; peers would take it for unchanged. An unreadable one that is read again keeps its own.
-    """
-    known = state.records.get(record.name)
-    if known is not None and known.raw == record.raw:
-        return known if isinstance(known.value, UnreadableRecord) else record
-    if record.revision > state.revision or state.revision == NO_REVISION:
-        return record
-    return replace(record, revision=revision)
-
-
-def _log_unreadable(topic: Topic, record: Record) -> None:
-    name = record.name[:MAX_LOGGED_NAME_LENGTH]
-    reason = record.value.reason if isinstance(record.value, UnreadableRecord) else ""
-    emit(RECORD_UNREADABLE, topic=topic, name=name, revision=record.revision.number, reason=reason)
+def _log_ignored(topic: Topic, found: Revision, held: Revision, source: str) -> None:
+    emit(
+        COPY_IGNORED,
+        topic=topic,
+        source=source,
+        found_era=found.era,
+        found=found.number,
+        era=held.era,
+        revision=held.number,
+    )
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -252,6 +252,22 @@
     "Neither the store nor a peer has confirmed this host's copy of a topic for some time, so the"
     " host asks the store; states the age in seconds.",
 )
+COPIES = event(
+    1709,
+    "copies",
+    "Era, revision, last change and age of this host's copy of each topic, every two seconds.",
+)
+COPY_IGNORED = event(
+    1724,
+    "copy_ignored",
+    "What was read of a topic is older than this host's copy, and is not applied; states both"
+    " positions.",
+)
+STORE_CAUGHT_UP = event(
+    1725,
+    "store_caught_up",
+    "This host has read every topic since the store came back from an older copy.",
+)
 STORE_RESTORED = event(
     1729,
     "store_restored",
--- a/almondspindle/core/metrics.py
+++ b/almondspindle/core/metrics.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Metric:
-    """A counter or timer. `unit` is the unit of its values."""
+    """A counter, timer or gauge. `unit` is the unit of its values."""
 
     name: str
     kind: str
@@ -55,6 +55,13 @@
 QUARANTINED = metric(
     "quarantined", "counter", "requests", "Requests refused because their like crash targets."
 )
+COPY_AGE = metric(
+    "copy_age", "gauge", "s", "Time since the store last confirmed this host's copy, by topic."
+)
+COPY_ERA = metric("copy_era", "gauge", "eras", "Era of the store of this host's copy, by topic.")
+COPY_REVISION = metric(
+    "copy_revision", "gauge", "changes", "Revision of this host's copy in its era, by topic."
+)
 LOOP_STALLS = metric(
     "loop_stalls", "counter", "times", "Times for which the event loop stood still for 0.2 s."
 )
--- a/almondspindle/core/registry.py
+++ b/almondspindle/core/registry.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms that a process keeps in memory and serves as text."""
 
 from bisect import bisect_left
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from almondspindle.core.metrics import METRICS, STATSD_PREFIX, Metric
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self._counters: dict[str, int] = {}
         self._histograms: dict[str, _Histogram] = {}
+        self._gauges: dict[str, dict[str, float]] = {}
 
     def count(self, metric: Metric, value: int = 1) -> None:
         """Add `value` to the counter `metric`."""
@@ -32,6 +34,10 @@
         histogram.counts[bisect_left(BUCKETS_S, seconds)] += 1
         histogram.total_s += seconds
 
+    def set_by_topic(self, metric: Metric, values: Mapping[str, float]) -> None:
+        """Set the gauge `metric` to a value for each topic."""
+        self._gauges[metric.name] = dict(values)
+
     def render_prometheus(self) -> str:
         """Return all metrics in the Prometheus text format."""
         lines: list[str] = []
@@ -39,6 +45,10 @@
             full_name = f"{STATSD_PREFIX}_{name}_total"
             lines += [f"# HELP {full_name} {METRICS[name].meaning}", f"# TYPE {full_name} counter"]
             lines.append(f"{full_name} {value}")
+        for name, values in sorted(self._gauges.items()):
+            full_name = f"{STATSD_PREFIX}_{name}"
+            lines += [f"# HELP {full_name} {METRICS[name].meaning}", f"# TYPE {full_name} gauge"]
+            lines += [f'{full_name}{{topic="{topic}"}} {value}' for topic, value in values.items()]
         for name, histogram in sorted(self._histograms.items()):
             lines += _histogram_lines(name, histogram)
         return "\n".join([*lines, ""])
--- a/almondspindle/programs/cli.py
+++ b/almondspindle/programs/cli.py
@@ -7,6 +7,7 @@
 from almondspindle import __version__
 from almondspindle.commands.apply import ApplyCommand
 from almondspindle.commands.check import CheckCommand
+from almondspindle.commands.copies import CopiesCommand
 from almondspindle.commands.execute import ExecCommand
 from almondspindle.commands.explain import ExplainCommand
 from almondspindle.commands.export import ExportCommand
@@ -19,6 +20,7 @@
 COMMANDS = (
     ApplyCommand,
     CheckCommand,
+    CopiesCommand,
     ExecCommand,
     ExplainCommand,
     ExportCommand,
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -10,8 +10,6 @@
 from dataclasses import replace
 from functools import singledispatchmethod
 
-import msgspec
-
 from almondspindle.adapters.exchange.datagrams import UdpReportTransport
 from almondspindle.adapters.exchange.internal_server import InternalHttpServer, Reply
 from almondspindle.adapters.exchange.topics import TOPIC_PATH, TopicClient, TopicServer
@@ -35,10 +33,10 @@
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.placement.task import PlacementController
 from almondspindle.controllers.quarantine.task import QuarantineController
-from almondspindle.controllers.rollouts.messages import DescribeRollouts
 from almondspindle.controllers.rollouts.runner import RolloutRunner
 from almondspindle.controllers.rollouts.task import RolloutsController
 from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
+from almondspindle.controllers.view.copy_log import CopyLog
 from almondspindle.controllers.view.messages import (
     GetTopicUpdate,
     HostsChanged,
@@ -84,13 +82,12 @@
 from almondspindle.platform.settings import read_settings, settings_path
 from almondspindle.platform.store import PlatformStore
 from almondspindle.programs.base import StopSignal
+from almondspindle.programs.operator_pages import OperatorPages
 from almondspindle.utils.loop_monitor import LoopMonitor
 from almondspindle.utils.tasks import TaskSet
 
 STDOUT_FD = 1
 ROUTINE_EVENTS = (ROUTED, DELIVERED)
-METRICS_PATH = "/metrics"
-ROLLOUTS_PATH = "/rollouts"
 HTTP_UNAVAILABLE = 503
 HTTP_OK = 200
 # Longest wait for the first snapshot of the store before callers are served. Reading it takes about
@@ -281,13 +278,11 @@
     def _start(self) -> None:
         cfg = self._cfg
         topics = TopicServer(self._get_topic_update)
+        pages = OperatorPages(cfg.host, self._view, self._rollouts, self._metrics)
         for responders, address in (
             ({codec.READY_PATH: self._serve_readiness}, cfg.readiness_address),
             ({TOPIC_PATH: topics.respond}, f"{cfg.ip}:{cfg.peer_port}"),
-            (
-                {METRICS_PATH: self._serve_metrics, ROLLOUTS_PATH: self._serve_rollouts},
-                f"{cfg.ip}:{cfg.metrics_port}",
-            ),
+            (pages.responders(), f"{cfg.ip}:{cfg.metrics_port}"),
         ):
             server = InternalHttpServer(responders, bulk_limit_bytes(cfg.link_mbps))
             server.listen(address)
@@ -313,6 +308,7 @@
                     record, self._store, self._view, StoreTurns(self._view, self._exchange)
                 ),
                 "lapses": RetentionTimer(self._view),
+                "copy log": CopyLog(self._view),
                 "puller": Puller(self._view, self._exchange, TopicClient(decode_record)),
                 "reporter": Reporter(
                     cfg,
@@ -359,13 +355,6 @@
     async def _get_topic_update(self, topic: Topic, since: CopyVersion) -> TopicUpdate:
         return await self._view.request(GetTopicUpdate(topic, since))
 
-    async def _serve_rollouts(self, rest: str) -> Reply:
-        rollouts = await self._rollouts.request(DescribeRollouts())
-        return Reply(HTTP_OK, msgspec.json.encode(rollouts), "application/json")
-
-    async def _serve_metrics(self, rest: str) -> Reply:
-        return Reply(HTTP_OK, self._metrics.render_prometheus().encode())
-
 
 def serve(cfg: NodeCfg, listener: socket.socket) -> int:
     """Run a node that accepts callers at `listener` until a stop signal; return the exit status."""
--- a/tests/controllers/test_restored_store.py
+++ b/tests/controllers/test_restored_store.py
@@ -4,6 +4,7 @@
 lower than before.
 """
 
+import eliot
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -143,6 +144,27 @@
     assert placement.handle(select, 1.0).is_ok() is is_used
 
 
+def test_the_log_tells_a_host_that_has_caught_up_from_one_that_ignores_what_it_reads():
+    host, lines = Host(), []
+    for topic in CFG.topics:
+        host.read(topic, at(900, 1))
+    eliot.add_destinations(lines.append)
+    lines.clear()  # eliot passes on what was logged before
+    try:
+        for topic in CFG.topics:
+            host.read(topic, at(120, 2), now=3.0 if topic is CFG.topics[0] else 4.0)
+        host.read(Topic.TARGETS, at(950, 1), now=5.0)
+    finally:
+        eliot.remove_destination(lines.append)
+    told = [line for line in lines if line["event"] in ("store_caught_up", "copy_ignored")]
+    fields = ("event", "after_s", "topic", "found_era", "found", "era", "revision")
+    assert [{k: line[k] for k in fields if k in line} for line in told] == [
+        {"event": "store_caught_up", "after_s": 1.0, "era": 2},
+        {"event": "copy_ignored", "topic": "targets", "found_era": 1, "found": 950, "era": 2,
+         "revision": 120},
+    ]  # fmt: skip
+
+
 operations = st.lists(
     st.tuples(st.integers(0, 4), st.sampled_from(["write", "read", "pull", "restore"])),
     max_size=40,
