--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -22,9 +22,16 @@
     """One host process. It reaches the store through its own proxy."""
 
     def __init__(
-        self, number: int, ports: tuple[int, int, int], store_proxy: Proxy, logs: Path
+        self,
+        number: int,
+        zone: str,
+        ports: tuple[int, int, int],
+        store_proxy: Proxy,
+        logs: Path,
     ) -> None:
         self.number = number
+        self.zone = zone
+        self.name = f"edge-{number}"
         self.ip = f"127.0.0.{10 + number}"
         self.store_proxy = store_proxy
         self.lifetime = 0
@@ -48,8 +55,8 @@
         front, ready, peers = self._ports
         path = self._logs / f"host-{self.number}.json"
         settings = {
-            "node": f"edge-{self.number}",
-            "zone": "a",
+            "node": self.name,
+            "zone": self.zone,
             "ip": self.ip,
             "listen": {"front": f"{self.ip}:{front}", "ready": f"{self.ip}:{ready}"},
             "internal_ports": [peers, peers + 15],
--- a/soak/run.py
+++ b/soak/run.py
@@ -76,7 +76,7 @@
                 store_proxy = await stack.enter_async_context(
                     Proxy(self._environment.store.address)
                 )
-                self._hosts.append(SoakHost(number, ports, store_proxy, self._logs))
+                self._hosts.append(SoakHost(number, "a", ports, store_proxy, self._logs))
             stack.push_async_callback(self._stop_hosts)
             await asyncio.gather(*(host.start() for host in self._hosts))
             await self._wait_all_serve(START_TIMEOUT_S, "after the start")
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -8,6 +8,9 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from almondspindle.utils.sockets import reset_connection
+
+LOOPBACK = "127.0.0.1"
 PAGE_SIZE = 2  # number of items; small, so that every test reads several pages
 
 
@@ -33,13 +36,26 @@
 
     async def __aenter__(self) -> "ObjectStore":
         self._changed = asyncio.Event()
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._port = 0
+        await self.come_back()
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         self._server.close()
 
+    async def come_back(self) -> None:
+        """Listen, at the same port as before."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{LOOPBACK}:{self._port}"
+
+    def go_away(self) -> None:
+        """Reset all connections, and refuse new ones until `come_back`."""
+        self._server.close()
+        for writer in list(self._writers):
+            reset_connection(writer.transport)
+
     async def put(self, kind: str, name: str, spec: object) -> int:
         """Write an object, as an operator or a replica does; `spec` may be any JSON value."""
         return await self._put(kind, name, spec=spec)
@@ -123,6 +139,13 @@
         changed.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_call(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = await reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
