View: a list doesn't confirm what was removed before it

Callers saw: requests reached a target whose entry had been removed, from two hosts to which nothing had happened, for as long as the test looked (72 later than the bound of 2 s): six of eight hosts were killed as it was removed.

Cause: reports state a topic's last change. After a restart that is the newest revision among the records of the first list, which says nothing of what was removed. Hosts with an older copy took it for as current as the list, and the age of their copy, by which they ask the store, was reset again and again. The class: the newest of what is left is taken for a position. The same holds for a list after 410, for the first list after a restore, and for a copy that was pulled from such a host.

Change: a copy has the revision from which on all its changes are known: that of the last list, or of the peer whose copy it is. Reports state it where it is later than the last change (one byte otherwise), and updates to peers carry it. A peer's age counts only for a copy that includes both. Topics whose changes have no bound are pulled from such a peer, and others too once the store hasn't responded for the bound.

Weighed: to count a first list as a change makes all peers pull all topics once for each start (194 pulls of 4 topics at 195 hosts); asking for the age costs nothing as long as one watcher lives.

Hosts of the version before state no such revision and are trusted as before.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -106,6 +106,7 @@
     paced: dict[str, _Counts] = {}
     eras: dict[str, int] = {}
     ages_ms: dict[str, int] = {}
+    known_from: dict[str, tuple[int, int]] = {}  # the era and number of each revision
 
 
 class _ZoneReport(Struct, array_like=True):
@@ -121,6 +122,7 @@
     paced: dict[str, _Counts] = {}
     eras: dict[str, int] = {}
     ages_ms: dict[str, int] = {}
+    known_from: dict[str, tuple[int, int]] = {}  # the era and number of each revision
 
 
 class _OutsideReport(Struct, array_like=True):
@@ -163,7 +165,7 @@
 
 @_to_wire.register
 def _(report: OutsideReport) -> Struct:
-    sender = replace(report.sender, revisions={})
+    sender = replace(report.sender, revisions={}, known_from={})
     wire = msgspec.convert(replace(report, sender=sender), _OutsideReport, from_attributes=True)
     wire.sender = _with_numbers(report.sender, _HostReport)
     return wire
@@ -173,10 +175,12 @@
     report: HostReport | ZoneReport, wire_type: type[_WireRevisions]
 ) -> _WireRevisions:
     """Return the wire form of `report`, with the eras of revisions apart from their numbers."""
-    wire = msgspec.convert(replace(report, revisions={}), wire_type, from_attributes=True)
+    bare = replace(report, revisions={}, known_from={})
+    wire = msgspec.convert(bare, wire_type, from_attributes=True)
     wire.ages_ms = {topic: round(age_s * MS_PER_S) for topic, age_s in report.ages_s.items()}
     wire.revisions = {topic: revision.number for topic, revision in report.revisions.items()}
     wire.eras = {t: revision.era for t, revision in report.revisions.items() if revision.era}
+    wire.known_from = {t: (each.era, each.number) for t, each in report.known_from.items()}
     return wire
 
 
@@ -198,16 +202,17 @@
 @_from_wire.register
 def _(wire: _OutsideReport) -> Report:
     sender = _with_revisions(wire.sender, HostReport)
-    wire.sender.revisions = {}
+    wire.sender.revisions, wire.sender.known_from = {}, {}
     return replace(msgspec.convert(wire, OutsideReport, from_attributes=True), sender=sender)
 
 
 def _with_revisions(wire: _HostReport | _ZoneReport, report_type: type[_Revisions]) -> _Revisions:
-    numbers, wire.revisions = wire.revisions, {}
-    report = msgspec.convert(wire, report_type, from_attributes=True)
-    revisions = {t: Revision(wire.eras.get(t, 0), number) for t, number in numbers.items()}
+    revisions = {t: Revision(wire.eras.get(t, 0), each) for t, each in wire.revisions.items()}
+    known_from = {topic: Revision(*each) for topic, each in wire.known_from.items()}
     ages_s = {topic: age_ms / MS_PER_S for topic, age_ms in wire.ages_ms.items()}
-    return replace(report, revisions=revisions, ages_s=ages_s)
+    wire.revisions, wire.known_from = {}, {}
+    report = msgspec.convert(wire, report_type, from_attributes=True)
+    return replace(report, revisions=revisions, known_from=known_from, ages_s=ages_s)
 
 
 def decode_report(data: bytes) -> Report:
--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -55,7 +55,8 @@
     They include records that the sending host could not decode itself. `lapsing` is
     `TopicUpdate.retained`, and `lapsing_is_final` is `TopicUpdate.retention_is_final`. `newest` is
     the highest number of a revision of the changed records, which may be above `revision`. All
-    revisions are of `era`, but for the records in `earlier_eras`.
+    revisions are of `era`, but for the records in `earlier_eras`. `changed` and `known` are the era
+    and number of `TopicUpdate.last_change` and `TopicUpdate.known_from`.
     """
 
     revision: int
@@ -67,6 +68,8 @@
     newest: int = 0
     era: int = 0
     earlier_eras: dict[str, int] = {}
+    changed: tuple[int, int] = (0, 0)
+    known: tuple[int, int] = (0, 0)
 
 
 def encode_update(update: TopicUpdate) -> bytes:
@@ -93,6 +96,8 @@
         max((revision.number for revision in revisions.values()), default=0),
         era,
         {name: revision.era for name, revision in revisions.items() if revision.era != era},
+        (update.last_change.era, update.last_change.number),
+        (update.known_from.era, update.known_from.number),
     )
     return zlib.compress(msgspec.msgpack.encode(wire), COMPRESSION_LEVEL)
 
@@ -180,7 +185,17 @@
         changed = [_with_era(record, wire) for record in decoded if record is not None]
         revision = Revision(wire.era, wire.revision)
         records = (*unchanged, *changed)
-        return Ok(Snapshot(base.topic, revision, records, wire.lapsing, wire.lapsing_is_final))
+        return Ok(
+            Snapshot(
+                base.topic,
+                revision,
+                records,
+                wire.lapsing,
+                wire.lapsing_is_final,
+                Revision(*wire.changed),
+                Revision(*wire.known),
+            )
+        )
 
 
 def _decompress(body: bytes) -> bytes:
--- a/almondspindle/controllers/exchange/messages.py
+++ b/almondspindle/controllers/exchange/messages.py
@@ -1,7 +1,7 @@
 """Messages to the exchange controller."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.inventory import Revision, Topic
@@ -80,10 +80,12 @@
 class GetPeersAhead(ControllerRequest[list[PeerAhead]]):
     """Request the topics on which peers have been ahead for some time, with the peer to pull from.
 
-    `revisions` maps each topic in question to this host's revision of it.
+    `revisions` maps each topic in question to this host's revision of it, and `ages_s` to the time
+    since the store last confirmed this host's copy, in seconds.
     """
 
     revisions: Mapping[Topic, Revision]
+    ages_s: Mapping[Topic, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/exchange/runners.py
+++ b/almondspindle/controllers/exchange/runners.py
@@ -112,6 +112,11 @@
                 for topic in TOPICS_WITH_BOUND
                 if math.isfinite(revisions[topic].age_s)
             },
+            known_from={
+                str(topic): revisions[topic].known_from
+                for topic in self._cfg.topics
+                if revisions[topic].known_from > revisions[topic].last_change
+            },
             in_flight=dict(loads),
             failures=dict(failures),
             crashes=await self._quarantine.request(GetCrashNews()),
@@ -165,13 +170,11 @@
         async with asyncio.TaskGroup() as pulls:
             while True:
                 await asyncio.sleep(PULL_CHECK_INTERVAL_S)
-                revisions = await self._view.request(GetRevisions())
-                current = {
-                    topic: revision.current
-                    for topic, revision in revisions.items()
-                    if topic not in self._pulling
-                }
-                for peer in await self._exchange.request(GetPeersAhead(current)):
+                copies = await self._view.request(GetRevisions())
+                idle = {t: copy for t, copy in copies.items() if t not in self._pulling}
+                current = {topic: copy.current for topic, copy in idle.items()}
+                ages_s = {topic: copy.age_s for topic, copy in idle.items()}
+                for peer in await self._exchange.request(GetPeersAhead(current, ages_s)):
                     self._pulling.add(peer.topic)
                     pulls.create_task(self._pull(peer))
 
--- a/almondspindle/controllers/exchange/task.py
+++ b/almondspindle/controllers/exchange/task.py
@@ -38,7 +38,7 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.core.rollouts import RolloutProgress
-from almondspindle.decisions.copy_age import max_copy_age_s
+from almondspindle.decisions.copy_age import max_copy_age_s, may_lack_removals
 from almondspindle.decisions.peer_pull import (
     SILENCE_TTL_S,
     Peer,
@@ -197,6 +197,7 @@
                 msg.own.leaving,
                 sum_rollouts(in_zone),
                 sum_paced(in_zone),
+                msg.own.known_from,
             ),
             self._zone_contacts(now),
             outside,
@@ -223,7 +224,10 @@
 
     @handle.register
     def _(self, msg: GetPeersAhead, now: float) -> list[PeerAhead]:
-        sources = (self._pull_source(t, revision, now) for t, revision in msg.revisions.items())
+        sources = (
+            self._pull_source(topic, revision, msg.ages_s.get(topic, 0.0), now)
+            for topic, revision in msg.revisions.items()
+        )
         return [source for source in sources if source is not None]
 
     @handle.register
@@ -233,13 +237,16 @@
         else:
             self._silent.pop(msg.address, None)
 
-    def _pull_source(self, topic: Topic, revision: Revision, now: float) -> PeerAhead | None:
+    def _pull_source(
+        self, topic: Topic, revision: Revision, age_s: float, now: float
+    ) -> PeerAhead | None:
+        is_unconfirmed = may_lack_removals(topic, age_s, self._cfg.bounds)
         reports = self._recent_reports(now)
         sources: list[HostReport | ZoneReport] = [*reports, *self._recent_zone_reports(now)]
         ahead = [
-            _to_peer(report, topic)
+            _to_peer(report, topic, is_unconfirmed)
             for report in sources
-            if report.revisions.get(topic, NO_REVISION) > revision
+            if _position(report, topic, is_unconfirmed) > revision
         ]
         if not ahead:
             self._behind_since.pop(topic, None)
@@ -293,7 +300,7 @@
 
     def _pass_news(self, report: HostReport | ZoneReport) -> None:
         if report.ages_s:
-            self._on_contact(PeerCopiesReported(report.revisions, report.ages_s))
+            self._on_contact(PeerCopiesReported(report.revisions, report.ages_s, report.known_from))
         if report.crashes is not None:
             self._on_crashes(CrashNewsReceived(report.crashes))
         if report.leaving:
@@ -351,7 +358,20 @@
     return tuple(replace(p, requests=0, exposed=0, tallies=()) for p in rollouts)
 
 
-def _to_peer(report: HostReport | ZoneReport, topic: Topic | None = None) -> Peer:
-    revision = report.revisions.get(topic, NO_REVISION) if topic else NO_REVISION
+def _position(report: HostReport | ZoneReport, topic: Topic, is_unconfirmed: bool) -> Revision:
+    """Return the revision of the last change that a peer has, for a host that may lack it.
+
+    A host whose copy is unconfirmed may also lack what was removed before the peer's list.
+    """
+    last_change = report.revisions.get(topic, NO_REVISION)
+    if not is_unconfirmed:
+        return last_change
+    return max(last_change, report.known_from.get(topic, NO_REVISION))
+
+
+def _to_peer(
+    report: HostReport | ZoneReport, topic: Topic | None = None, is_unconfirmed: bool = False
+) -> Peer:
+    revision = _position(report, topic, is_unconfirmed) if topic else NO_REVISION
     link_mbps = report.link_mbps if isinstance(report, HostReport) else 0.0
     return Peer(report.host, report.address, report.zone, link_mbps, revision)
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from almondspindle.controllers.base import ControllerRequest
 from almondspindle.core.identifiers import HostName, ZoneName
@@ -66,9 +66,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TopicRevision:
-    """The store revision of this host's copy of a topic, and that of the topic's last change.
+    """The store revision of this host's copy of a topic, and that of the topic's last known change.
 
-    Both are `NO_REVISION` before the topic is first read. The store counts the changes of all
+    Both are `NO_REVISION` before the topic is first read. A list of the store doesn't show what was
+    removed before it, so the host knows of all changes only from the revision `known_from` on. The
+    store counts the changes of all
     topics together, so `current` also grows without a change of the topic. This host received the
     last change `unchanged_s` seconds ago. The store last confirmed the copy `age_s` seconds ago, to
     this host or to a peer with the same copy. Its era began `era_for_s` seconds ago. It has
@@ -82,6 +84,7 @@
     era_for_s: float = 0.0
     records: int = 0
     retained: int = 0
+    known_from: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,10 +112,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerCopiesReported:
-    """A peer reported its copies of topics: their last changes, and their ages in seconds."""
+    """A peer reported its copies of topics: their last known changes, and their ages in seconds.
+
+    The peer knows all changes of a topic from `known_from` on, or from the last one on if the topic
+    is missing there.
+    """
 
     revisions: Mapping[str, Revision]
     ages_s: Mapping[str, float]
+    known_from: Mapping[str, Revision] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -136,8 +136,14 @@
         }
         missing = [name for name in state.records if name not in records]
         newest = max((record.revision for record in records.values()), default=NO_REVISION)
-        last_change = snapshot.revision if missing else newest
+        if snapshot.last_change > state.revision:
+            last_change = snapshot.last_change
+        else:
+            last_change = snapshot.revision if missing else newest
         is_first = state.revision == NO_REVISION
+        if snapshot.revision > state.revision:
+            is_stated = snapshot.known_from != NO_REVISION
+            state.known_from = snapshot.known_from if is_stated else snapshot.revision
         for name in missing:
             if is_restored:
                 # A peer may have no copy from before.
@@ -239,8 +245,9 @@
     def _(self, msg: PeerCopiesReported, now: float) -> None:
         for topic, state in self._topics.items():
             age_s, last_change = msg.ages_s.get(topic), msg.revisions.get(topic)
-            # A copy that includes the peer's last change was as current as the peer's.
-            if age_s is not None and last_change is not None and last_change <= state.revision:
+            if age_s is None or last_change is None:
+                continue
+            if state.includes(last_change, msg.known_from.get(topic, last_change)):
                 state.confirmed_at = max(state.confirmed_at, now - max(0.0, age_s))
 
     @handle.register
@@ -269,8 +276,14 @@
     def _(self, msg: GetSnapshot, now: float) -> Snapshot:
         # Retained records are included, since the requesting peer may not have seen the outage.
         state = self._topics[msg.topic]
-        records = tuple(state.records.values())
-        return Snapshot(msg.topic, state.revision, records, state.remaining_retention(now))
+        return Snapshot(
+            msg.topic,
+            state.revision,
+            tuple(state.records.values()),
+            state.remaining_retention(now),
+            last_change=state.last_change,
+            known_from=state.known_from,
+        )
 
     @handle.register
     def _(self, msg: GetTopicUpdate, now: float) -> TopicUpdate:
@@ -286,7 +299,14 @@
         retained = state.remaining_retention(now)
         is_final = self._availability.failing_since is None
         return TopicUpdate(
-            msg.topic, state.revision, tuple(changed), tuple(unchanged), retained, is_final
+            msg.topic,
+            state.revision,
+            tuple(changed),
+            tuple(unchanged),
+            retained,
+            is_final,
+            state.last_change,
+            state.known_from,
         )
 
     @handle.register
--- a/almondspindle/controllers/view/topic_copy.py
+++ b/almondspindle/controllers/view/topic_copy.py
@@ -14,11 +14,11 @@
 
 @dataclass(slots=True)
 class TopicCopy:
-    """The records of one topic, and the store revisions of this copy and its last change.
+    """The records of one topic, and the store revisions of this copy and its last known change.
 
-    This host received that change at `changed_at`, the store confirmed at `confirmed_at` that there
-    was no later one, and the first copy of its era was read at `era_since`, all in seconds on the
-    monotonic clock.
+    All changes from the revision `known_from` on are known. This host received the last one at
+    `changed_at`, the store confirmed at `confirmed_at` that there was no later one, and the first
+    copy of its era was read at `era_since`, all in seconds on the monotonic clock.
     `retained_until` maps the names of records that are missing from the store to the time, in
     seconds on the monotonic clock, until which they are still used. For those in `final` a peer
     that reaches the store has decided the time.
@@ -26,6 +26,7 @@
 
     revision: Revision = NO_REVISION
     last_change: Revision = NO_REVISION
+    known_from: Revision = NO_REVISION
     changed_at: float = 0.0
     confirmed_at: float = -math.inf
     era_since: float = 0.0
@@ -44,8 +45,16 @@
             era_for_s=now - self.era_since,
             records=len(self.records),
             retained=len(self.retained_until),
+            known_from=self.known_from,
         )
 
+    def includes(self, last_change: Revision, known_from: Revision) -> bool:
+        """Return whether this copy has all that a peer's has, which changed at `last_change` last.
+
+        The peer knows of all changes from `known_from` on.
+        """
+        return last_change <= self.revision and known_from <= self.revision
+
     def remaining_retention(self, now: float) -> dict[str, float]:
         """Return for how many seconds each retained record is still used."""
         return {name: max(0.0, until - now) for name, until in self.retained_until.items()}
--- a/almondspindle/core/inventory.py
+++ b/almondspindle/core/inventory.py
@@ -105,6 +105,9 @@
     maps their names to the seconds for which they are still used. Only snapshots sent by a host
     have such records. `retention_is_final` is set if that host reaches the store: the records are
     gone after those seconds even if the receiver doesn't reach it.
+
+    `last_change` and `known_from` are those of the sending host's `TopicRevision`, and
+    `NO_REVISION` in a list of the store or if the host doesn't state them.
     """
 
     topic: Topic
@@ -112,6 +115,8 @@
     records: tuple[Record, ...]
     retained: Mapping[str, float] = field(default_factory=dict)
     retention_is_final: bool = False
+    last_change: Revision = NO_REVISION
+    known_from: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +149,7 @@
     """The changes that bring a peer's copy of a topic up to the store's `revision`.
 
     The peer keeps its records named in `unchanged` and removes all others that are not in
-    `changed`. `retained` and `retention_is_final` have the same meaning as in `Snapshot`.
+    `changed`. The other fields have the same meaning as in `Snapshot`.
     """
 
     topic: Topic
@@ -153,6 +158,8 @@
     unchanged: tuple[str, ...] = ()
     retained: Mapping[str, float] = field(default_factory=dict)
     retention_is_final: bool = False
+    last_change: Revision = NO_REVISION
+    known_from: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
--- a/almondspindle/core/reports.py
+++ b/almondspindle/core/reports.py
@@ -31,9 +31,10 @@
 
     `number` is the sequence number of the report. `reaches_store` tells whether the host's calls
     to the store succeed. `revisions` maps each topic's name to the store revision of its last
-    known change, and `ages_s` to the time since the store last confirmed the host's copy, in
-    seconds. `in_flight` counts the host's requests at each target, and `failures` has the
-    targets at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
+    known change, `known_from` to the revision from which on the host knows all changes, if that is
+    a later one, and `ages_s` to the time since the store last confirmed the host's copy, in
+    seconds. `in_flight` counts the host's requests at each target, and `failures` has the targets
+    at which attempts failed. `link_mbps` is the bandwidth of the host's link in Mbit/s, 0
     if it is unknown. `contact` describes the host's contact with the store, None without any.
     `crashes` is what the host knows of crashes of targets, its own and those of other hosts, and
     `leaving` has the targets of which it has learned recently that they are leaving. `rollouts` is
@@ -56,6 +57,7 @@
     leaving: tuple[TargetLife, ...] = ()
     rollouts: tuple[RolloutProgress, ...] = ()
     paced: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+    known_from: dict[str, Revision] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,7 @@
     """The loads of all hosts of a zone, which its delegate `host` sends to those of other zones.
 
     `in_flight`, `failures`, `paced` and the counts in `rollouts` are sums over the zone's hosts;
-    `revisions`, `ages_s`, `crashes` and `leaving` are the delegate's own.
+    `revisions`, `known_from`, `ages_s`, `crashes` and `leaving` are the delegate's own.
     """
 
     host: HostName
@@ -77,6 +79,7 @@
     leaving: tuple[TargetLife, ...] = ()
     rollouts: tuple[RolloutProgress, ...] = ()
     paced: dict[TargetName, AttemptCounts] = field(default_factory=dict)
+    known_from: dict[str, Revision] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapters/test_datagrams.py
+++ b/tests/adapters/test_datagrams.py
@@ -29,7 +29,14 @@
 
 
 # The fields that later releases have added at the end, the last one first.
-ADDED_FIELDS = ({}, {}, {}, [], [])  # ages, eras, paced targets, roll-outs, leaving targets
+ADDED_FIELDS = (
+    {},  # revisions from which on all changes are known
+    {},  # ages
+    {},  # eras
+    {},  # paced targets
+    [],  # roll-outs
+    [],  # leaving targets
+)
 
 
 @pytest.mark.parametrize("report", [HOST, ZONE])
@@ -45,9 +52,12 @@
 @pytest.mark.parametrize("report", [HOST, ZONE])
 def test_eras_and_ages_of_copies_are_reported(report):
     revisions = {"routes": at(7, era=2), "targets": at(900)}
-    copies = replace(report, revisions=revisions, ages_s={"routes": 0.25, "targets": 1.5})
+    known_from = {"routes": at(5, era=2), "targets": at(850)}
+    ages_s = {"routes": 0.25, "targets": 1.5}
+    copies = replace(report, revisions=revisions, ages_s=ages_s, known_from=known_from)
     assert decode_report(encode_report(copies)) == copies
-    outside = OutsideReport(replace(HOST, revisions=revisions, ages_s={"routes": 0.25}))
+    sender = replace(HOST, revisions=revisions, ages_s=ages_s, known_from=known_from)
+    outside = OutsideReport(sender)
     assert decode_report(encode_report(outside)) == outside
 
 
--- a/tests/controllers/test_view.py
+++ b/tests/controllers/test_view.py
@@ -146,10 +146,17 @@
     assert target_names(published) == expected
 
 
-@pytest.mark.parametrize(("last_change", "age_s"), [(9, 0.5), (10, 0.5), (11, 3.0)])
-def test_a_copy_is_as_old_as_that_of_a_peer_whose_last_change_it_includes(last_change, age_s):
+@pytest.mark.parametrize(
+    ("last_change", "known_from", "age_s"),
+    [(9, 3, 0.5), (10, 10, 0.5), (11, 3, 3.0), (9, 11, 3.0)],
+)
+def test_a_copy_is_as_old_as_that_of_a_peer_all_of_whose_changes_it_includes(
+    last_change, known_from, age_s
+):
     view, _ = make_view("t0")  # read at 1.0, at revision 10
-    reported = PeerCopiesReported({"targets": at(last_change)}, {"targets": 0.5})
+    reported = PeerCopiesReported(
+        {"targets": at(last_change)}, {"targets": 0.5}, {"targets": at(known_from)}
+    )
     view.handle(reported, 4.0)
     assert view.handle(GetRevisions(), 4.0)[Topic.TARGETS].age_s == age_s
 
--- a/tests/controllers/test_zone_reports.py
+++ b/tests/controllers/test_zone_reports.py
@@ -58,14 +58,14 @@
 def test_a_change_reaches_the_delegates_of_each_zone_and_then_its_hosts():
     fleet = SimulatedFleet(80, "abcd")
     fleet.run(2.0)
-    fleet.hosts[0].routes_revision = at(2)
+    fleet.hosts[0].routes_revision = fleet.hosts[0].routes_changed = at(2)
     pulled_across = 0
     for _ in range(8):
         fleet.run(REPORT_INTERVAL_S)
         for host in fleet.hosts:
             own = {Topic.ROUTES: host.routes_revision}
             for source in host.exchange.handle(GetPeersAhead(own), fleet.now):
-                host.routes_revision = source.revision
+                host.routes_revision = host.routes_changed = source.revision
                 pulled_across += fleet.by_address[source.address].cfg.zone != host.cfg.zone
     assert {host.routes_revision for host in fleet.hosts} == {at(2)}
     assert pulled_across <= 8
--- a/tests/standins/simulated_fleet.py
+++ b/tests/standins/simulated_fleet.py
@@ -25,7 +25,7 @@
 )
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName, TargetName, ZoneName
-from almondspindle.core.inventory import HostRecord, Topic
+from almondspindle.core.inventory import HostRecord, Revision, Topic
 from almondspindle.core.node import Bounds, NodeCfg
 from almondspindle.core.reports import HostReport, OutsideReport, ZoneReport
 from almondspindle.decisions.leaving_targets import LeavingTargets
@@ -64,6 +64,8 @@
         )
         self.quarantine = QuarantineController(self.cfg, ManualClock())
         self.routes_revision = at(1)
+        self.routes_known_from = at(1)  # the list that was read last
+        self.routes_changed = at(1)  # the last change that is known
         self.confirmed_at = 0.0  # when the store last confirmed the copy of the routes
         self.leaving = LeavingTargets()
 
@@ -77,7 +79,9 @@
     def note_copies(self, msg: PeerCopiesReported) -> None:
         """Take over the age of a peer's copy of the routes, as the view does."""
         age_s = msg.ages_s.get(Topic.ROUTES)
-        if age_s is not None and msg.revisions[Topic.ROUTES] <= self.routes_revision:
+        last_change = msg.revisions[Topic.ROUTES]
+        position = max(last_change, msg.known_from.get(Topic.ROUTES, last_change))
+        if age_s is not None and position <= self.routes_revision:
             self.confirmed_at = max(self.confirmed_at, self.now - age_s)
 
     def _on_crashes(self, msg: CrashNewsReceived) -> None:
@@ -124,7 +128,8 @@
     def _report(self, host: SimulatedHost) -> None:
         own = HostReport(
             host.cfg.host, host.address, self.ticks, host.cfg.zone, host.cfg.link_mbps,
-            self.reaches_store, revisions={"routes": host.routes_revision},
+            self.reaches_store, revisions={"routes": host.routes_changed},
+            known_from=self._known_from(host),
             ages_s={**AGES_S, "routes": self.now - host.confirmed_at}, in_flight={TARGET: 1},
             crashes=host.quarantine.handle(GetCrashNews(), self.now),
             leaving=host.leaving.news({}, self.now),
@@ -136,6 +141,10 @@
             if self.ticks % OUTSIDE_REPORT_PERIOD == 0:
                 self._send(host, relay.outside_receivers, relay.outside_report)
 
+    def _known_from(self, host: SimulatedHost) -> dict[str, Revision]:
+        is_later = host.routes_known_from > host.routes_changed
+        return {"routes": host.routes_known_from} if is_later else {}
+
     def _send(self, sender: SimulatedHost, addresses, report) -> None:
         data = encode_report(report)
         for address in addresses:
