Announcer: a host writes its record again when the store has lost it

Operators saw: after a drill of the store, a host that had started in the lost seconds was missing from its list for good. Its peers knew it while its reports came; a host that started later didn't, and shared limits with too few hosts (the list of hosts ranks who sends to cold targets, who writes a roll-out's state, who keeps a quarantine, and divides a version's exposure).

Cause: the record was written once, and an accepted write was taken to be stored for ever.

Change: the announcer goes on and compares its record with this host's copy of the hosts' records. Peers use a record that the store lost for 2.3 s, so that nobody counts fewer hosts in between.

--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -20,6 +20,7 @@
 from almondspindle.core.reports import StoreContact
 from almondspindle.core.rollouts import RolloutRecord
 from almondspindle.core.routes import RouteTable
+from almondspindle.decisions.announcing import Listing
 
 ANNOUNCEMENT = "announcement"  # the caller that writes this host's record
 
@@ -97,6 +98,13 @@
     """Query whether the last call to the store succeeded; true before the first call."""
 
 
+@dataclass(frozen=True, slots=True)
+class GetListing(ControllerRequest[Listing]):
+    """Request what this host's copy says of its own `record`."""
+
+    record: HostRecord
+
+
 @dataclass(frozen=True, slots=True)
 class GetStoreContact(ControllerRequest[StoreContact | None]):
     """Request this host's contact with the store, None while its calls fail or before the first."""
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -12,6 +12,7 @@
     AnnouncementFailed,
     ChangesReceived,
     ExpireRetainedRecords,
+    GetListing,
     GetRevisions,
     GetRouteTable,
     GetSnapshot,
@@ -58,6 +59,7 @@
 from almondspindle.core.node import NodeCfg
 from almondspindle.core.reports import StoreContact
 from almondspindle.core.routes import RouteTable
+from almondspindle.decisions.announcing import Listing
 from almondspindle.decisions.record_retention import (
     PeerContact,
     StoreAvailability,
@@ -228,6 +230,15 @@
     def _(self, msg: IsStoreReachable, now: float) -> bool:
         return self._availability.failing_since is None
 
+    @handle.register
+    def _(self, msg: GetListing, now: float) -> Listing:
+        copy = self._topics[Topic.HOSTS]
+        return Listing(
+            is_listed=copy.revision == NO_REVISION or copy.stores(msg.record.name, msg.record),
+            era=copy.revision.era,
+            host_count=len(copy.records),
+        )
+
     @handle.register
     def _(self, msg: GetStoreContact, now: float) -> StoreContact | None:
         if self._contact_since is None:
--- a/almondspindle/controllers/view/topic_copy.py
+++ b/almondspindle/controllers/view/topic_copy.py
@@ -6,7 +6,14 @@
 from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import TopicRevision
 from almondspindle.core.events import RECORD_UNREADABLE
-from almondspindle.core.inventory import NO_REVISION, Record, Revision, Topic, UnreadableRecord
+from almondspindle.core.inventory import (
+    NO_REVISION,
+    Record,
+    RecordValue,
+    Revision,
+    Topic,
+    UnreadableRecord,
+)
 from almondspindle.core.logs import emit
 
 MAX_LOGGED_NAME_LENGTH = 255
@@ -55,6 +62,11 @@
         """
         return last_change <= self.revision and known_from <= self.revision
 
+    def stores(self, name: str, value: RecordValue) -> bool:
+        """Return whether the store has `value` under `name`, as far as this copy tells."""
+        record = self.records.get(name)
+        return record is not None and name not in self.retained_until and record.value == value
+
     def remaining_retention(self, now: float) -> dict[str, float]:
         """Return for how many seconds each retained record is still used."""
         return {name: max(0.0, until - now) for name, until in self.retained_until.items()}
--- a/almondspindle/controllers/view/watcher.py
+++ b/almondspindle/controllers/view/watcher.py
@@ -1,4 +1,4 @@
-"""The tasks that read the platform's store for the view, and register this host in it."""
+"""The tasks that read the platform's store for the view."""
 
 import asyncio
 import math
@@ -13,8 +13,6 @@
 )
 from almondspindle.controllers.exchange.task import ExchangeController
 from almondspindle.controllers.view.messages import (
-    ANNOUNCEMENT,
-    AnnouncementFailed,
     ChangesReceived,
     ExpireRetainedRecords,
     GetRevisions,
@@ -63,8 +61,8 @@
         """Return the changes of `topic` after revision `after`, waiting up to `wait_s` seconds."""
         ...
 
-    async def announce(self, record: HostRecord) -> Result[None, StoreError]:
-        """Write `record` to the store, where other hosts find it."""
+    async def announce(self, record: HostRecord) -> Result[int, StoreError]:
+        """Write `record` to the store, where other hosts find it; return the store's era."""
         ...
 
 
@@ -235,28 +233,6 @@
         await asyncio.sleep(retry_delay_s(self._failures, random.random()))
 
 
-class Announcer:
-    """Write this host's record to the store."""
-
-    def __init__(
-        self, record: HostRecord, store: StoreClient, view: ViewController, turns: StoreTurns
-    ) -> None:
-        self._record = record
-        self._store = store
-        self._view = view
-        self._turns = turns
-
-    async def run(self) -> None:
-        """Write the host's record, with retries until the store has accepted it."""
-        failures = 0
-        while (await self._store.announce(self._record)).is_error():
-            failures += 1
-            self._view.send(AnnouncementFailed())
-            await asyncio.sleep(retry_delay_s(failures, random.random()))
-            await self._turns.wait(ANNOUNCEMENT)
-        self._view.send(StoreCallReleased(ANNOUNCEMENT))
-
-
 class RetentionTimer:
     """Make the view check regularly whether retained records have expired."""
 
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -268,6 +268,11 @@
     "store_caught_up",
     "This host has read every topic since the store came back from an older copy.",
 )
+ANNOUNCED_AGAIN = event(
+    1726,
+    "announced_again",
+    "The store has lost this host's record, and the host writes it again; states both eras.",
+)
 STORE_RESTORED = event(
     1729,
     "store_restored",
--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -131,8 +131,11 @@
         self._last_era = max(era, self._last_era)
         return era
 
-    async def announce(self, record: HostRecord) -> Result[None, StoreError]:
-        """Write `record` to the store, where other hosts find it. Replace any previous record."""
+    async def announce(self, record: HostRecord) -> Result[int, StoreError]:
+        """Write `record` to the store, where other hosts find it. Replace any previous record.
+
+        Return the era in which the store accepted it.
+        """
         body = msgspec.json.encode(encode_host(record))
         path = _collection_path(Topic.HOSTS)
         accepted = frozenset({HTTP_OK, HTTP_CREATED, HTTP_CONFLICT})
@@ -140,7 +143,7 @@
             "POST", path, accepted, body, JSON_HEADERS, WRITE_TIMEOUT_S
         )
         if created.is_error() or created.ok.code != HTTP_CONFLICT:
-            return created.map(lambda _: None)
+            return created.map(self._era_of)
         replaced = await self._transport.fetch(
             "PUT",
             f"{path}/{quote(record.name, safe='')}",
@@ -149,7 +152,7 @@
             JSON_HEADERS,
             WRITE_TIMEOUT_S,
         )
-        return replaced.map(lambda _: None)
+        return replaced.map(self._era_of)
 
     async def report_rollout(
         self, name: str, key: RolloutKey, state: RolloutState
--- a/almondspindle/programs/node_server.py
+++ b/almondspindle/programs/node_server.py
@@ -36,6 +36,7 @@
 from almondspindle.controllers.rollouts.runner import RolloutRunner
 from almondspindle.controllers.rollouts.task import RolloutsController
 from almondspindle.controllers.settings import SettingsChanged, SettingsWatcher
+from almondspindle.controllers.view.announcer import Announcer
 from almondspindle.controllers.view.copy_log import CopyLog
 from almondspindle.controllers.view.messages import (
     GetTopicUpdate,
@@ -48,7 +49,6 @@
 )
 from almondspindle.controllers.view.task import ViewController
 from almondspindle.controllers.view.watcher import (
-    Announcer,
     RetentionTimer,
     StoreTurns,
     TopicWatcher,
@@ -305,7 +305,11 @@
                 "settings": self._settings,
                 "loop monitor": LoopMonitor(self._clock, self._metrics),
                 "announcer": Announcer(
-                    record, self._store, self._view, StoreTurns(self._view, self._exchange)
+                    record,
+                    self._store,
+                    self._view,
+                    StoreTurns(self._view, self._exchange),
+                    self._clock,
                 ),
                 "lapses": RetentionTimer(self._view),
                 "copy log": CopyLog(self._view),
--- a/tests/decisions/test_store_probing.py
+++ b/tests/decisions/test_store_probing.py
@@ -7,6 +7,7 @@
 
 from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.controllers.exchange.messages import GetProbeSharers, ReportReceived
+from almondspindle.controllers.view.announcer import Announcer
 from almondspindle.controllers.view.messages import (
     ANNOUNCEMENT,
     AnnouncementFailed,
@@ -16,7 +17,6 @@
     StoreCallReleased,
 )
 from almondspindle.controllers.view.task import ViewController
-from almondspindle.controllers.view.watcher import Announcer
 from almondspindle.core.clock import ManualClock
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.inventory import Topic, TopicChanges
@@ -132,6 +132,9 @@
     assert view.handle(ReserveStoreCall(Topic.ROUTES, 8), 0.1) == 0.0
 
 
+ERA = 3
+
+
 class FailingStore:
     """A store client whose writes fail at first."""
 
@@ -142,7 +145,7 @@
         self.failures -= 1
         if self.failures >= 0:
             return Error(StoreError(StoreErrorCode.UNAVAILABLE, "lost"))
-        return Ok(None)
+        return Ok(ERA)
 
 
 class FreeTurns:
@@ -157,8 +160,9 @@
     host = SimulatedFleet(1, "a").hosts[0]
     view = ViewController(host.cfg, ManualClock(), lambda _: None)
     view.send = reported.append
-    announcer = Announcer(host.record(), FailingStore(failures=2), view, FreeTurns())
-    asyncio.run(announcer.run())
+    store = FailingStore(failures=2)
+    announcer = Announcer(host.record(), store, view, FreeTurns(), ManualClock())
+    assert asyncio.run(announcer.write()) == ERA
     assert reported == [
         AnnouncementFailed(),
         AnnouncementFailed(),
--- a/tests/programs/test_store_drills.py
+++ b/tests/programs/test_store_drills.py
@@ -21,6 +21,7 @@
 SETTLE_S = 3.0
 LOST_S = 3.0  # age of the copy
 AWAY_S = 1.0
+RELISTED_S = 2.3  # after which its peers stop using a record that the store lost
 OBSERVED_S = 1.5  # beyond the longest bound
 OPERATORS_KINDS = ("config", "servers", "evacuations")
 WITHDRAWN_KEY = "key-2"
@@ -171,6 +172,7 @@
             await fleet.store.come_back()
             await fleet.store.write_again(OPERATORS_KINDS, lost)
             assert late.name not in fleet.store.objects["almondspindle-hosts"]
-            await wait_until(lambda: late.name in fleet.store.objects["almondspindle-hosts"])
+            hosts = fleet.store.objects["almondspindle-hosts"]
+            await wait_until(lambda: late.name in hosts, timeout_s=RELISTED_S)
 
     asyncio.run(check())
