Store: an era that a single response states is not believed

Cause: the highest era that any response, datagram or update stated won for good, so that one garbled header would have made each later copy of the store older on every host.

Change: a response that states an era higher by more than one counts once the next response states it, too; a list that states such an era is read again, up to three times. Reports and updates of peers with an era above 1,000,000 are rejected as malformed.

Open: the first list of a new host is believed as it is, up to 1,000,000.

--- a/almondspindle/adapters/exchange/datagrams.py
+++ b/almondspindle/adapters/exchange/datagrams.py
@@ -19,6 +19,7 @@
 from almondspindle.core.outcomes import InvariantError
 from almondspindle.core.reports import HostReport, OutsideReport, Report, ZoneReport
 from almondspindle.core.rollouts import RolloutStage
+from almondspindle.decisions.store_eras import check_era
 from almondspindle.utils.addresses import check_address, split_address
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -207,14 +208,19 @@
 
 
 def _with_revisions(wire: _HostReport | _ZoneReport, report_type: type[_Revisions]) -> _Revisions:
-    revisions = {t: Revision(wire.eras.get(t, 0), each) for t, each in wire.revisions.items()}
-    known_from = {topic: Revision(*each) for topic, each in wire.known_from.items()}
+    revisions = {t: _checked(wire.eras.get(t, 0), each) for t, each in wire.revisions.items()}
+    known_from = {topic: _checked(*each) for topic, each in wire.known_from.items()}
     ages_s = {topic: age_ms / MS_PER_S for topic, age_ms in wire.ages_ms.items()}
     wire.revisions, wire.known_from = {}, {}
     report = msgspec.convert(wire, report_type, from_attributes=True)
     return replace(report, revisions=revisions, known_from=known_from, ages_s=ages_s)
 
 
+def _checked(era: int, number: int) -> Revision:
+    check_era(era)
+    return Revision(era, number)
+
+
 def decode_report(data: bytes) -> Report:
     """Return the report in a datagram. Raise `ValueError` if it is malformed."""
     if data[:1] not in _WIRE_TYPES:
--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -25,6 +25,7 @@
     TopicUpdate,
 )
 from almondspindle.core.outcomes import Error, Ok, Result
+from almondspindle.decisions.store_eras import check_era
 from almondspindle.utils.numbers import parse_digits
 
 TOPIC_PATH = "/topics/"
@@ -176,6 +177,7 @@
             wire = msgspec.msgpack.decode(_decompress(body), type=_WireUpdate)
             patched = [_patch(own, name, patch) for name, patch in wire.patches.items()]
             unchanged = [own[name] for name in wire.unchanged]
+            check_era(wire.era)
         except (zlib.error, ValueError, KeyError, RecursionError) as exc:
             text = f"malformed update of topic {base.topic}: {exc!r}"
             return Error(StoreError(StoreErrorCode.MALFORMED, text))
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -273,6 +273,12 @@
     "announced_again",
     "The store has lost this host's record, and the host writes it again; states both eras.",
 )
+ERA_DOUBTED = event(
+    1727,
+    "era_doubted",
+    "A response of the store states an era that is much too high; it counts once another one"
+    " states it, too.",
+)
 STORE_RESTORED = event(
     1729,
     "store_restored",
--- a/almondspindle/platform/store.py
+++ b/almondspindle/platform/store.py
@@ -10,7 +10,7 @@
 
 from almondspindle.adapters.platform.base import StoreError, StoreErrorCode
 from almondspindle.adapters.platform.transport import StoreTransport
-from almondspindle.core.events import RECORD_UNREADABLE
+from almondspindle.core.events import ERA_DOUBTED, RECORD_UNREADABLE
 from almondspindle.core.inventory import (
     HistoryUnavailable,
     HostRecord,
@@ -24,6 +24,7 @@
 from almondspindle.core.logs import emit
 from almondspindle.core.outcomes import Error, Ok, Result
 from almondspindle.core.rollouts import OUTCOMES, RolloutKey, RolloutRecord, RolloutState
+from almondspindle.decisions.store_eras import MAX_ERA, KnownEra, after_response, is_plausible
 from almondspindle.platform.objects import (
     MAX_REASON_LENGTH,
     OBJECT_KINDS,
@@ -41,6 +42,7 @@
 HTTP_GONE = 410
 READ_TIMEOUT_S = 1.0  # the store usually responds within 4 ms, but may be some 50 times slower
 WRITE_TIMEOUT_S = 2.0
+MAX_REREADS = 3  # of a list, because of the era
 T = TypeVar("T")
 JSON_HEADERS = {"Content-Type": "application/json"}
 ERA_HEADER = "Store-Era"
@@ -55,16 +57,17 @@
     def set_address(self, address: str) -> None:
         """Send later calls to the store at `address`."""
         self._transport = StoreTransport(f"http://{address}")
-        self._last_era = 0
+        self._known_era = KnownEra()
 
     async def read(self, topic: Topic) -> Result[Snapshot, StoreError]:
         """Return all records of `topic`.
 
         The snapshot gets the revision of its first page, since later changes may be missing from
-        it. It is read again from the start if the store's era changes in between. Objects whose
-        names can't be decoded are left out. If there is no name from which to read on, the result
-        is an error.
+        it. It is read again from the start if the store's era changes in between, or isn't to be
+        believed. Objects whose names can't be decoded are left out. If there is no name from which
+        to read on, the result is an error.
         """
+        rereads = 0
         records: list[Record] = []
         revision: Revision | None = None
         after = ""
@@ -74,7 +77,12 @@
             if result.is_error():
                 return Error(result.error)
             page, page_revision = result.ok
-            if revision is not None and page_revision.era != revision.era:
+            is_other = revision is not None and page_revision and page_revision.era != revision.era
+            if page_revision is None or is_other:
+                rereads += 1
+                if rereads > MAX_REREADS:
+                    text = f"the era changed {rereads} times during a read"
+                    return Error(StoreError(StoreErrorCode.MALFORMED, text))
                 records, revision, after, used = [], None, "", {""}
                 continue
             decoded = _decode_objects(topic, page.items, page_revision)
@@ -92,7 +100,7 @@
 
     async def _read_page(
         self, topic: Topic, after: str
-    ) -> Result[tuple[Page, Revision], StoreError]:
+    ) -> Result[tuple[Page, Revision | None], StoreError]:
         path = _collection_path(topic) + (f"?after={quote(after, safe='')}" if after else "")
         result = await self._transport.fetch(
             "GET", path, frozenset({HTTP_OK}), timeout_s=READ_TIMEOUT_S
@@ -101,7 +109,9 @@
             return Error(result.error)
         era = self._era_of(result.ok)
         decoded = _decode(result.ok, decode_page)
-        return decoded.map(lambda page: (page, Revision(era, page.store_revision)))
+        return decoded.map(
+            lambda page: (page, None if era is None else Revision(era, page.store_revision))
+        )
 
     async def watch(
         self, topic: Topic, after: Revision, wait_s: float
@@ -119,17 +129,27 @@
         if result.is_error():
             return Error(result.error)
         era = self._era_of(result.ok)
-        if result.ok.code == HTTP_GONE or era != after.era:
+        if result.ok.code == HTTP_GONE or era is None or era != after.era:
             return Ok(HistoryUnavailable(topic))
         return _decode_changes(topic, result.ok, era)
 
-    def _era_of(self, response: HTTPResponse) -> int:
-        """Return the era that `response` states, or the last known one if it states none."""
+    def _era_of(self, response: HTTPResponse) -> int | None:
+        """Return the era that `response` states, or the highest known one if it states none.
+
+        Return None if it isn't to be believed before another response states it.
+        """
         era = parse_digits(response.headers.get(ERA_HEADER, ""))
-        if era is None:
-            return self._last_era
-        self._last_era = max(era, self._last_era)
-        return era
+        if era is None or era > MAX_ERA:
+            return self._known_era.highest
+        is_believed = is_plausible(self._known_era, era)
+        if not is_believed:
+            emit(ERA_DOUBTED, stated=era, highest=self._known_era.highest)
+        self._known_era = after_response(self._known_era, era)
+        return era if is_believed else None
+
+    def _era_of_write(self, response: HTTPResponse) -> int:
+        era = self._era_of(response)
+        return self._known_era.highest if era is None else era
 
     async def announce(self, record: HostRecord) -> Result[int, StoreError]:
         """Write `record` to the store, where other hosts find it. Replace any previous record.
@@ -143,7 +163,7 @@
             "POST", path, accepted, body, JSON_HEADERS, WRITE_TIMEOUT_S
         )
         if created.is_error() or created.ok.code != HTTP_CONFLICT:
-            return created.map(self._era_of)
+            return created.map(self._era_of_write)
         replaced = await self._transport.fetch(
             "PUT",
             f"{path}/{quote(record.name, safe='')}",
@@ -152,7 +172,7 @@
             JSON_HEADERS,
             WRITE_TIMEOUT_S,
         )
-        return replaced.map(self._era_of)
+        return replaced.map(self._era_of_write)
 
     async def report_rollout(
         self, name: str, key: RolloutKey, state: RolloutState
--- a/tests/adapters/test_datagrams.py
+++ b/tests/adapters/test_datagrams.py
@@ -17,6 +17,7 @@
     Tally,
 )
 from almondspindle.decisions.leaving_targets import MAX_REPORTED
+from almondspindle.decisions.store_eras import MAX_ERA
 from tests.standins.revisions import at
 
 HOST = HostReport(HostName("h0"), "10.0.0.1:7340", 1, ZoneName("a"))
@@ -61,6 +62,13 @@
     assert decode_report(encode_report(outside)) == outside
 
 
+@pytest.mark.parametrize("era", [-1, MAX_ERA + 1])
+def test_a_report_with_an_era_that_no_store_can_be_in_is_ignored(era):
+    for changes in ({"revisions": {"routes": at(7, era)}}, {"known_from": {"routes": at(7, era)}}):
+        with pytest.raises(ValueError, match="era"):
+            decode_report(encode_report(replace(HOST, **changes)))
+
+
 ROLLOUT = RolloutProgress(
     RolloutKey(ServiceName("s"), "v2", 7), 1.5, RolloutStage.SHIFT, 90, 8,
     (RouteTally("r", TargetName("t"), Tally(5, 1, (0, 4))),),
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -20,7 +20,8 @@
 
     While `error_status` is not 0, it is the status of the response to every call.
     `is_unresponsive` keeps connections open without a response. `lose_responses` does writes, but
-    closes the connection without a response. `era` is stated in each response unless it is 0.
+    closes the connection without a response. `era` is stated in each response unless it is 0, but
+    for the next responses, which state `next_eras`.
     """
 
     address: str = ""
@@ -29,6 +30,7 @@
     history: list[tuple[int, str, bytes, bool]] = field(default_factory=list)
     oldest_revision: int = 0
     era: int = 0
+    next_eras: list[int] = field(default_factory=list)
     error_status: int = 0
     is_unresponsive: bool = False
     lose_responses: bool = False
@@ -172,7 +174,8 @@
             return
         status, content = response
         if not (self.lose_responses and method != "GET"):
-            era = f"Store-Era: {self.era}\r\n" if self.era else ""
+            stated = self.next_eras.pop(0) if self.next_eras else self.era
+            era = f"Store-Era: {stated}\r\n" if stated else ""
             length = f"Content-Length: {len(content)}\r\nConnection: close\r\n\r\n"
             writer.write(f"HTTP/1.1 {status} X\r\n{era}{length}".encode() + content)
         writer.close()
