Roll-outs: an order that the store lost and that is written again goes on

Callers: after a drill in the seconds of a roll-out, its lost order was withdrawn at once, and the order that the operator wrote again began a new roll-out: a version that had been found bad got requests again, and one that was complete could be decided in the other direction.

Cause: a roll-out is identified by the revision at which the store created its order. A restored store gives out other revisions, or lists an earlier order in its place.

In a higher era, an order of the same version and duration is the known one under a new key, and one that the known order had replaced is ignored.

--- a/almondspindle/controllers/rollouts/task.py
+++ b/almondspindle/controllers/rollouts/task.py
@@ -1,7 +1,7 @@
 """The controller that owns this host's view of all roll-outs."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict
 from functools import singledispatchmethod
 from typing import Any
 
@@ -17,10 +17,17 @@
     StatusReport,
     VersionRulesChanged,
 )
+from almondspindle.controllers.rollouts.rollout import Rollout
 from almondspindle.controllers.settings import SettingsChanged
 from almondspindle.controllers.view.messages import HostsChanged, RolloutsChanged, TargetsChanged
 from almondspindle.core.clock import Clock
-from almondspindle.core.events import ROLLOUT_STAGE_REACHED, ROLLOUT_STARTED, ROLLOUT_WITHDRAWN
+from almondspindle.core.events import (
+    ROLLOUT_RETURNED,
+    ROLLOUT_REWRITTEN,
+    ROLLOUT_STAGE_REACHED,
+    ROLLOUT_STARTED,
+    ROLLOUT_WITHDRAWN,
+)
 from almondspindle.core.identifiers import ServiceName, TargetName
 from almondspindle.core.logs import emit
 from almondspindle.core.metrics import (
@@ -37,8 +44,6 @@
     RolloutProgress,
     RolloutRecord,
     RolloutStage,
-    RolloutState,
-    RouteTally,
     Tally,
     VersionChoice,
     VersionRule,
@@ -47,9 +52,7 @@
 from almondspindle.decisions.rollout_evidence import (
     OLD_VERSIONS,
     OTHER_TARGETS,
-    Assessment,
     RouteEvidence,
-    Verdict,
     add_response,
     assess,
     bound_tallies,
@@ -68,6 +71,7 @@
     sum_exposure,
     usable_slack,
 )
+from almondspindle.decisions.rollout_orders import OrderChange, compare_orders, replace_order
 from almondspindle.decisions.rollout_stages import RolloutTimes, next_stage, shifted_share
 
 # Old targets stop when a roll-out is complete, and leave the store's list some seconds later.
@@ -75,10 +79,6 @@
 WRITE_RETRY_S = 1.0
 WRITE_DELAY_S = 0.7  # between two hosts in rank that may write the same state
 MAX_WRITE_RANK = 6
-STATES = {
-    RolloutStage.COMPLETE: RolloutState.COMPLETE,
-    RolloutStage.REVERTED: RolloutState.REVERTED,
-}
 VERSION_USES = {
     RolloutStage.CANARY: VersionUse.CANARY,
     RolloutStage.SHIFT: VersionUse.SHIFT,
@@ -92,39 +92,6 @@
 }
 
 
-@dataclass(slots=True)
-class _Rollout:
-    """One roll-out as this host knows it. Times are in seconds on the monotonic clock.
-
-    The order was known to some host at `known_at`, and this host reached `stage` at `stage_at`.
-    `tallies` are the host's own, by route and target, and `peers` what others reported. A state
-    that differs from the one in the store is written from `write_at` on. `withdrawn` has the
-    versions of earlier roll-outs of the service that this one replaced before they were complete.
-    """
-
-    name: str
-    record: RolloutRecord
-    known_at: float
-    stage_at: float
-    stage: RolloutStage = RolloutStage.CANARY
-    log: ExposureLog = field(default_factory=ExposureLog)
-    tallies: dict[tuple[str, TargetName], Tally] = field(default_factory=dict)
-    peers: dict[str, RolloutProgress] = field(default_factory=dict)
-    assessment: Assessment = field(default_factory=lambda: Assessment(Verdict.OPEN))
-    is_withdrawn: bool = False
-    withdrawn: frozenset[str] = frozenset()
-    pending: RolloutState | None = None
-    write_at: float = 0.0
-
-    def own_tallies(self) -> tuple[RouteTally, ...]:
-        """Return this host's tallies."""
-        return tuple(RouteTally(*key, tally) for key, tally in self.tallies.items())
-
-    def wanted_state(self) -> RolloutState:
-        """Return the state that the store should have."""
-        return STATES.get(self.stage, RolloutState.RUNNING)
-
-
 class RolloutsController(Controller):
     """Own the roll-outs: their age, stage and evidence.
 
@@ -144,7 +111,7 @@
         self._cfg = cfg
         self._publish = publish
         self._metrics = metrics or NullMetrics()
-        self._rollouts: dict[ServiceName, _Rollout] = {}
+        self._rollouts: dict[ServiceName, Rollout] = {}
         self._hosts: tuple[str, ...] = (cfg.host,)
         # Targets by service and version whose responses are counted by target.
         self._counted_alone: dict[tuple[ServiceName, str], frozenset[TargetName]] = {}
@@ -173,21 +140,24 @@
 
     @handle.register
     def _(self, msg: RolloutsChanged, now: float) -> None:
-        # A service has one roll-out at a time: the one that was ordered last.
-        ordered = sorted(msg.rollouts.items(), key=lambda item: item[1].created)
+        # A service has one roll-out at a time: the one that was ordered last. Revisions of an era
+        # before that of the store say nothing of the order.
+        ordered = sorted(
+            msg.rollouts.items(), key=lambda item: (msg.eras.get(item[0], 0), item[1].created)
+        )
         newest = {record.service: (name, record) for name, record in ordered}
         for service, rollout in list(self._rollouts.items()):
             if service not in newest:
                 self._withdraw(service, rollout, now)
         for name, record in newest.values():
-            self._take_over(name, record, now)
+            self._take_over(name, record, msg.eras.get(name, 0), now)
         self._publish_rules(now)
 
     @handle.register
     def _(self, msg: RolloutStored, now: float) -> None:
         rollout = self._find(msg.record.key) if msg.record else None
         if rollout is not None and msg.record is not None:
-            self._take_over(msg.name, msg.record, now)
+            self._take_over(msg.name, msg.record, rollout.order.era, now)
             self._publish_rules(now)
 
     @handle.register
@@ -293,14 +263,14 @@
         alone = self._counted_alone.get((msg.service, msg.version), frozenset())
         return msg.target if msg.target in alone else OTHER_TARGETS
 
-    def _find(self, key: RolloutKey) -> _Rollout | None:
+    def _find(self, key: RolloutKey) -> Rollout | None:
         rollout = self._rollouts.get(key.service)
         return rollout if rollout is not None and rollout.record.key == key else None
 
-    def _rank(self, rollout: _Rollout) -> int:
+    def _rank(self, rollout: Rollout) -> int:
         return rank_of(rollout.record.key, self._cfg.host, self._hosts)
 
-    def _times(self, rollout: _Rollout, now: float, rank: int = 0) -> RolloutTimes:
+    def _times(self, rollout: Rollout, now: float, rank: int = 0) -> RolloutTimes:
         return RolloutTimes(
             age_s=now - rollout.known_at,
             duration_s=rollout.record.duration_s,
@@ -308,7 +278,7 @@
             rank=rank,
         )
 
-    def _may_expose(self, rollout: _Rollout, request_key: str, now: float) -> bool:
+    def _may_expose(self, rollout: Rollout, request_key: str, now: float) -> bool:
         key, bounds = rollout.record.key, self._cfg.bounds
         if (key.service, key.version) not in self._counted_alone:
             return False
@@ -326,39 +296,52 @@
         self._metrics.count(EXPOSED)
         return True
 
-    def _take_over(self, name: str, record: RolloutRecord, now: float) -> None:
-        rollout = self._find(record.key)
-        if rollout is None:
-            withdrawn = self._versions_replaced_by(record)
-            rollout = _Rollout(name, record, now, now, withdrawn=withdrawn)
-            self._rollouts[record.service] = rollout
-            emit(
-                ROLLOUT_STARTED,
-                service=record.service,
-                version=record.version,
-                duration_s=record.duration_s,
-                state=record.state,
-            )
-        rollout.record, rollout.is_withdrawn = record, False
+    def _take_over(self, name: str, record: RolloutRecord, era: int, now: float) -> None:
+        known = self._rollouts.get(record.service)
+        change = compare_orders(known.order, record, era) if known else OrderChange.NEW
+        if known is not None and change is OrderChange.RETURNED:
+            emit(ROLLOUT_RETURNED, service=record.service, version=record.version, era=era)
+            return
+        if known is None or change is OrderChange.NEW:
+            rollout = self._start(name, record, era, now)
+        else:
+            rollout = known
+            if change is OrderChange.REWRITTEN:
+                emit(
+                    ROLLOUT_REWRITTEN,
+                    service=record.service,
+                    version=record.version,
+                    era=era,
+                    stage=rollout.stage.name.lower(),
+                )
+            rollout.adopt(name, record, era)
         outcome = OUTCOMES.get(record.state) if record.state else None
         if outcome is not None and outcome is not rollout.stage:
             self._enter(rollout, outcome, "store", now)
 
-    def _versions_replaced_by(self, record: RolloutRecord) -> frozenset[str]:
-        """Return the versions that were not found good before the roll-out of `record`."""
-        replaced = self._rollouts.get(record.service)
-        if replaced is None or replaced.stage is RolloutStage.COMPLETE:
-            return frozenset()
-        return (replaced.withdrawn | {replaced.record.version}) - {record.version}
+    def _start(self, name: str, record: RolloutRecord, era: int, now: float) -> Rollout:
+        known = self._rollouts.get(record.service)
+        order = replace_order(known.order if known else None, record, era)
+        withdrawn = known.not_found_good() - {record.version} if known else frozenset()
+        rollout = Rollout(name, order, now, now, withdrawn=withdrawn)
+        self._rollouts[record.service] = rollout
+        emit(
+            ROLLOUT_STARTED,
+            service=record.service,
+            version=record.version,
+            duration_s=record.duration_s,
+            state=record.state,
+        )
+        return rollout
 
-    def _withdraw(self, service: ServiceName, rollout: _Rollout, now: float) -> None:
+    def _withdraw(self, service: ServiceName, rollout: Rollout, now: float) -> None:
         if rollout.stage >= RolloutStage.COMPLETE:
             del self._rollouts[service]
         elif not rollout.is_withdrawn:
             rollout.is_withdrawn = True
             emit(ROLLOUT_WITHDRAWN, service=service, version=rollout.record.version)
 
-    def _enter(self, rollout: _Rollout, stage: RolloutStage, source: str, now: float) -> None:
+    def _enter(self, rollout: Rollout, stage: RolloutStage, source: str, now: float) -> None:
         rollout.stage, rollout.stage_at = stage, now
         metric = STAGE_METRICS.get(stage)
         if metric is not None:
@@ -385,7 +368,7 @@
             self._rules = rules
             self._publish(VersionRulesChanged(rules))
 
-    def _rule(self, rollout: _Rollout, now: float) -> VersionRule | None:
+    def _rule(self, rollout: Rollout, now: float) -> VersionRule | None:
         is_over = rollout.stage is RolloutStage.COMPLETE
         if is_over and now - rollout.stage_at > OLD_TARGETS_LISTED_S:
             return None
@@ -393,7 +376,7 @@
         share = self._cfg.bounds.exposure_share
         return VersionRule(rollout.record.version, use, share, rollout.withdrawn)
 
-    def _status_report(self, rollout: _Rollout, now: float) -> StatusReport | None:
+    def _status_report(self, rollout: Rollout, now: float) -> StatusReport | None:
         wanted = rollout.wanted_state()
         if rollout.is_withdrawn or rollout.record.state in (wanted, *OUTCOMES):
             return None
--- a/almondspindle/controllers/view/messages.py
+++ b/almondspindle/controllers/view/messages.py
@@ -200,9 +200,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutsChanged:
-    """All roll-outs that operators have ordered, by the names of their records."""
+    """All roll-outs that operators have ordered, by the names of their records.
+
+    `eras` has the store's era in which each was listed last, 0 where it isn't known.
+    """
 
     rollouts: Mapping[str, RolloutRecord]
+    eras: Mapping[str, int] = field(default_factory=dict)
 
 
 Publication = RoutesChanged | TargetsChanged | ZonesChanged | HostsChanged | RolloutsChanged
--- a/almondspindle/controllers/view/publications.py
+++ b/almondspindle/controllers/view/publications.py
@@ -1,9 +1,10 @@
-"""Build the messages that the view publishes from the values of a topic's records.
+"""Build the messages that the view publishes from the a topic's records.
 
 The route table isn't among them: it is published only when its version grows.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 from almondspindle.controllers.view.messages import (
     HostsChanged,
@@ -14,31 +15,38 @@
 )
 from almondspindle.core.inventory import (
     HostRecord,
-    RecordValue,
+    Record,
     TargetRecord,
     Topic,
     ZoneExclusion,
 )
 from almondspindle.core.rollouts import RolloutRecord
 
+T = TypeVar("T")
 
-def _build_targets_changed(values: dict[str, RecordValue]) -> TargetsChanged:
-    return TargetsChanged({n: v for n, v in values.items() if isinstance(v, TargetRecord)})
 
+def _build_targets_changed(records: Mapping[str, Record]) -> TargetsChanged:
+    return TargetsChanged(_values(records, TargetRecord))
 
-def _build_zones_changed(values: dict[str, RecordValue]) -> ZonesChanged:
-    return ZonesChanged(frozenset(v.zone for v in values.values() if isinstance(v, ZoneExclusion)))
 
+def _build_zones_changed(records: Mapping[str, Record]) -> ZonesChanged:
+    return ZonesChanged(frozenset(v.zone for v in _values(records, ZoneExclusion).values()))
 
-def _build_hosts_changed(values: dict[str, RecordValue]) -> HostsChanged:
-    return HostsChanged({n: v for n, v in values.items() if isinstance(v, HostRecord)})
 
+def _build_hosts_changed(records: Mapping[str, Record]) -> HostsChanged:
+    return HostsChanged(_values(records, HostRecord))
 
-def _build_rollouts_changed(values: dict[str, RecordValue]) -> RolloutsChanged:
-    return RolloutsChanged({n: v for n, v in values.items() if isinstance(v, RolloutRecord)})
 
+def _build_rollouts_changed(records: Mapping[str, Record]) -> RolloutsChanged:
+    rollouts = _values(records, RolloutRecord)
+    return RolloutsChanged(rollouts, {name: records[name].revision.era for name in rollouts})
 
-PUBLICATION_BUILDERS: dict[Topic, Callable[[dict[str, RecordValue]], Publication]] = {
+
+def _values(records: Mapping[str, Record], value_type: type[T]) -> dict[str, T]:
+    return {n: r.value for n, r in records.items() if isinstance(r.value, value_type)}
+
+
+PUBLICATION_BUILDERS: dict[Topic, Callable[[Mapping[str, Record]], Publication]] = {
     Topic.TARGETS: _build_targets_changed,
     Topic.ZONES: _build_zones_changed,
     Topic.HOSTS: _build_hosts_changed,
--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -48,7 +48,6 @@
     NO_REVISION,
     Record,
     RecordUpdate,
-    RecordValue,
     Revision,
     Snapshot,
     Topic,
@@ -407,20 +406,17 @@
             source=source,
             records=len(state.records),
         )
-        values = {name: record.value for name, record in state.records.items()}
-        publication = self._build_publication(topic, values)
+        publication = self._build_publication(topic, state.records)
         if publication is not None:
             self._publish(publication)
 
-    def _build_publication(
-        self, topic: Topic, values: dict[str, RecordValue]
-    ) -> Publication | None:
+    def _build_publication(self, topic: Topic, records: Mapping[str, Record]) -> Publication | None:
         if topic is Topic.ROUTES:
-            return self._update_route_table(values)
-        return PUBLICATION_BUILDERS[topic](values)
+            return self._update_route_table(records)
+        return PUBLICATION_BUILDERS[topic](records)
 
-    def _update_route_table(self, values: dict[str, RecordValue]) -> RoutesChanged | None:
-        tables = [value for value in values.values() if isinstance(value, RouteTable)]
+    def _update_route_table(self, records: Mapping[str, Record]) -> RoutesChanged | None:
+        tables = [r.value for r in records.values() if isinstance(r.value, RouteTable)]
         newest = max(tables, key=lambda table: table.version, default=None)
         if newest is None or (self._route_table and newest.version <= self._route_table.version):
             return None
--- a/almondspindle/core/events.py
+++ b/almondspindle/core/events.py
@@ -350,6 +350,16 @@
     "rollout_withdrawn",
     "An undecided roll-out was taken away; its version is used only if no other is left.",
 )
+ROLLOUT_REWRITTEN = event(
+    1735,
+    "rollout_rewritten",
+    "An order that the store had lost is listed again; states the stage that the host goes on in.",
+)
+ROLLOUT_RETURNED = event(
+    1736,
+    "rollout_returned",
+    "The store came back with an order that had been replaced; the later one stays in force.",
+)
 ROLLOUT_STATUS_WRITTEN = event(
     1733, "rollout_status", "This host reported a roll-out's state; states the one now stored."
 )
--- a/almondspindle/decisions/record_retention.py
+++ b/almondspindle/decisions/record_retention.py
@@ -89,13 +89,14 @@
     """Return for how long to use a record that the store lost when it came back, in seconds.
 
     The operator's exclusion of a zone must be in force `evacuation_s` seconds after its writing, so
-    a lost one is written again within that time. Route tables have versions of their own, and the
-    one in use isn't replaced by an older one.
+    a lost one is written again within that time, and so is an order of a roll-out. Route tables
+    have versions of their own, and the one in use isn't replaced by an older one.
     """
     retention_s = {
         Topic.TARGETS: REREGISTRATION_S,
         Topic.HOSTS: REREGISTRATION_S,
         Topic.ZONES: max(REREGISTRATION_S, evacuation_s),
+        Topic.ROLLOUTS: max(REREGISTRATION_S, evacuation_s),
     }
     return retention_s.get(topic, 0.0)
 
