--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,9 +7,10 @@
 import time
 from pathlib import Path
 
+from soak.layout import LAYOUTS
 from soak.run import SoakRun
 
-RUN_S = 12.0  # how long faults are injected, per seed
+RUN_S = {"one": 12.0, "four": 24.0}  # how long faults are injected, per seed
 
 
 def main() -> int:
@@ -22,16 +23,19 @@
     parser.add_argument(
         "--logs", type=Path, default=None, help="directory for the logs of the hosts"
     )
+    parser.add_argument("--zones", choices=LAYOUTS, default="four", help="the zones of the hosts")
     args = parser.parse_args()
     logs = args.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     deadline, seed, failed = time.monotonic() + 60 * args.minutes, args.seed, 0
     while True:
         folder = logs / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(SoakRun(seed, RUN_S, folder).execute())
+        result = asyncio.run(
+            SoakRun(seed, RUN_S[args.zones], folder, LAYOUTS[args.zones]).execute()
+        )
         print(
             f"seed {seed}: {result.faults} faults, {result.served} of {result.requests} served, "
-            f"{len(result.violations)} broken",
+            f"{len(result.violations)} broken, checked {dict(sorted(result.checked.items()))}",
             flush=True,
         )
         for line in result.violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 from soak.environment import TIMEOUT_MS, stream_body
 from soak.history import ReceivedResponse, RunHistory, SentRequest
 from soak.hosts import SoakHost
+from soak.timed_rules import Probe
 from tests.standins.node_fleet import encode_request, read_response
 
 PATHS = {
@@ -111,7 +112,10 @@
 
 
 async def poll_versions(
-    host: SoakHost, newest_version: Callable[[], int], history: RunHistory
+    host: SoakHost,
+    newest_version: Callable[[], int],
+    history: RunHistory,
+    now: Callable[[], float],
 ) -> None:
     """Poll which configuration version `host` has in force, until cancelled."""
     count = 0
@@ -120,18 +124,22 @@
         for version in (newest, newest - 1):
             count += 1
             lifetime = host.lifetime
-            status = await send_probe(host, version, f"p{host.number}-{count}", history)
+            sent_at = now()
+            status = await send_probe(host, version, f"p{host.number}-{count}", history, sent_at)
+            history.fleet.probes.append(Probe(str(host.number), version, sent_at, now(), status))
             if status == HTTP_OK and lifetime == host.lifetime:
                 history.record_served_version(host.number, lifetime, version)
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
-async def send_probe(host: SoakHost, version: int, request_id: str, history: RunHistory) -> int:
-    """Send a request that only configuration `version` routes; return its status.
+async def send_probe(
+    host: SoakHost, version: int, request_id: str, history: RunHistory, now: float
+) -> int:
+    """Send a request at `now` that only configuration `version` routes; return its status.
 
     The status is 0 if no response arrived.
     """
-    history.sent_requests[request_id] = SentRequest(request_id, "safe", 0.0, request_id.encode())
+    history.sent_requests[request_id] = SentRequest(request_id, "safe", now, request_id.encode())
     try:
         async with asyncio.timeout(RESPONSE_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*host.listen_address)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from soak.environment import VERSIONS, SoakEnvironment
-from soak.history import DRAIN_S
 from soak.hosts import SoakHost
 from soak.proxy import Proxy, ProxyMode
+from soak.timed_rules import DRAIN_S
 
 # Between the starts of two faults. Shorter than most faults, so that faults overlap.
 START_GAP_RANGE_S = (0.1, 1.5)
@@ -19,6 +19,8 @@
 MAX_SILENCE_S = 1.8  # of a sound replica; longer than the idle time-outs of the routes
 RESTORE_GAP_RANGE_S = (3.5, 6.0)  # longer than a restore, so that they follow each other
 AWAY_S = 0.3  # before the store comes back from a copy
+CHANGE_GAP_RANGE_S = (0.5, 2.0)  # between the ends and starts of two changes of records
+TURNED_AWAY_FACTOR = 3.0  # of a fault's duration: hosts that the store refuses for long
 STORE_ERROR_STATUSES = (429, 503)
 
 
@@ -165,7 +167,38 @@
 
 
 async def _restore_store(context: FaultContext, fault: Fault) -> None:
-    await context.environment.restore_store(fault.duration_s, AWAY_S)
+    refuses = int(fault.selector * 1000) % 2 == 0
+    await context.environment.restore_store(fault.duration_s, AWAY_S, refuses)
+
+
+async def _turn_away(context: FaultContext, fault: Fault) -> None:
+    """Let the store refuse one host."""
+    proxy = context.host(fault).store_proxy
+    proxy.mode = ProxyMode.REFUSE
+    proxy.reset_all()
+    await asyncio.sleep(fault.duration_s * TURNED_AWAY_FACTOR)
+    proxy.mode = ProxyMode.PASS
+
+
+async def _join(context: FaultContext, fault: Fault) -> None:
+    """Start the last host, which isn't known to the others."""
+    host = context.hosts[-1]
+    if host.lifetime == 0:
+        await host.start()
+
+
+async def _drain_by_record(context: FaultContext, fault: Fault) -> None:
+    await context.environment.take_out(context.replica(fault), fault.duration_s, removes=False)
+
+
+async def _remove(context: FaultContext, fault: Fault) -> None:
+    await context.environment.take_out(context.replica(fault), fault.duration_s, removes=True)
+
+
+async def _evacuate(context: FaultContext, fault: Fault) -> None:
+    zones = context.environment.layout.zone_names
+    zone = zones[int(fault.selector * len(zones))]
+    await context.environment.evacuate(zone, fault.duration_s)
 
 
 # No request may be lost during planned operations. Requests that an unplanned fault may have
@@ -205,7 +238,37 @@
 RESTORES: dict[str, FaultAction] = {"store restored": _restore_store}
 # What operators order. These have a schedule of their own, too.
 ORDERS: dict[str, FaultAction] = {"roll-out": _roll_out}
+# Hosts without a path to the store, or that start late. For layouts of several zones only.
+ACCESS: dict[str, FaultAction] = {"store turns a host away": _turn_away, "host joins": _join}
+# Changes of records, one at a time, that the timed rules are about. For the same layouts only.
+CHANGES: dict[str, FaultAction] = {
+    "replica drains by record": _drain_by_record,
+    "replica is removed": _remove,
+    "zone is evacuated": _evacuate,
+}
+ALL_ACTIONS = FAULT_ACTIONS | ANNOUNCEMENTS | ORDERS | RESTORES | ACCESS | CHANGES
 # These faults run one at a time: two of them at once on one host would interfere with each other.
+HOST_FAULTS = frozenset(
+    {
+        "kill",
+        "pause",
+        "stop",
+        "store reset",
+        "store delayed",
+        "store silent",
+        "store one way",
+        "store turns a host away",
+    }
+)
+REPLICA_LINK_FAULTS = frozenset(
+    {
+        "replica reset",
+        "replica delayed",
+        "replica silent",
+        "replica one way up",
+        "replica one way down",
+    }
+)
 EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop", "service pauses"})
 
 
@@ -236,6 +299,43 @@
     return _draw(rng, sorted(RESTORES), duration_s, RESTORE_GAP_RANGE_S)
 
 
+def draw_access(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return a random schedule of hosts that the store refuses, and the start of the last host."""
+    faults = [Fault("host joins", rng.uniform(0.0, duration_s / 2), 0.0, 0.0)]
+    return faults + _draw(rng, ["store turns a host away"], duration_s / 2, RESTORE_GAP_RANGE_S)
+
+
+def draw_changes(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return a random schedule of changes of records. Each begins after the one before has ended.
+
+    It has as many as fit into `duration_s` seconds if each of them takes the bound of drains.
+    """
+    count = max(1, int(duration_s / (DRAIN_S + CHANGE_GAP_RANGE_S[1])))
+    return [
+        Fault(
+            rng.choice(sorted(CHANGES)),
+            rng.uniform(*CHANGE_GAP_RANGE_S),
+            rng.uniform(*DURATION_RANGE_S),
+            rng.random(),
+        )
+        for _ in range(count)
+    ]
+
+
+def impaired_hosts(context: FaultContext, fault: Fault) -> list[SoakHost]:
+    """Return the hosts that `fault` acts on, or whose path to the store it impairs."""
+    if fault.kind == "kill all":
+        return context.hosts
+    if fault.kind == "host joins":
+        return context.hosts[-1:]
+    return [context.host(fault)] if fault.kind in HOST_FAULTS else []
+
+
+def impaired_replicas(context: FaultContext, fault: Fault) -> list[str]:
+    """Return the replicas whose links `fault` impairs."""
+    return [context.replica(fault)] if fault.kind in REPLICA_LINK_FAULTS else []
+
+
 def _draw(
     rng: random.Random,
     kinds: list[str],
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,9 +3,10 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
+from soak.timed_rules import Arrival, FleetRecord
+
 # Requests this soon after an unplanned fault are exempt, as its end may still disturb them.
 AFTER_EFFECT_S = 3.0
-DRAIN_S = 2.0  # after which a host sends nothing to a replica that told it that it leaves
 PAUSE_GRACE_S = 0.5  # after which a host keeps a pause
 MAX_IN_PAUSE = 2  # requests
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # guarantee that the request does not run
@@ -90,6 +91,9 @@
     truncated_ids: set[str] = field(default_factory=set)  # requests whose response was cut short
     newest_served: dict[tuple[int, int], int] = field(default_factory=dict)
     findings: list[str] = field(default_factory=list)
+    fleet: FleetRecord = field(default_factory=FleetRecord)
+    checked: Counter[str] = field(default_factory=Counter)  # requests, by the timed rules
+    cold_per_s: float = 0.0
 
     def record_failed_resume(self, request_id: str) -> None:
         """Record that a replica answered the rest of a stream with an error.
@@ -127,6 +131,20 @@
             *self._check_replica_requests(),
             *self._check_responses(),
             *self._check_announcements(),
+            *self.fleet.check(self._arrivals(), self.cold_per_s, self.checked),
+        ]
+
+    def _arrivals(self) -> list[Arrival]:
+        """Return the requests of callers that reached the replica they were for."""
+        return [
+            Arrival(
+                host_of(each.request_id),
+                each.replica,
+                self.sent_requests[each.request_id].sent_at,
+                each.arrived_at,
+            )
+            for each in self.replica_requests
+            if each.request_id in self.sent_requests and each.replica == each.expected_replica
         ]
 
     def _check_executions(self) -> list[str]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -19,6 +19,7 @@
     DROP_UP = "drop up"  # drop the bytes of the client
     DROP_DOWN = "drop down"  # drop the bytes of the server
     DROP_BOTH = "silent"  # drop the bytes of both sides
+    REFUSE = "refuse"  # reset new connections
 
 
 UP, DOWN = "up", "down"
@@ -63,6 +64,9 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        if self.mode is ProxyMode.REFUSE:
+            reset_connection(writer.transport)
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(*split_address(self.target))
         except OSError:
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -6,9 +6,11 @@
 import pytest
 
 from soak.faults import EXCLUSIVE, FAULT_ACTIONS, PLANNED, draw_faults
+from soak.layout import FOUR_ZONES
 from soak.run import SoakRun
 
 FAULTS_S = 6.0
+ZONES_FAULTS_S = 12.0
 
 # Seeds that found a fault: duration of fault injection in seconds, and the cause of the failure.
 REGRESSIONS = {
@@ -25,6 +27,12 @@
     assert result.served > 0
 
 
+def test_run_in_four_zones_with_a_restored_store_has_no_violation(tmp_path):
+    result = asyncio.run(SoakRun(1, ZONES_FAULTS_S, tmp_path, FOUR_ZONES).execute())
+    assert result.violations == []
+    assert result.checked["CONFIG"] > 0
+
+
 def test_seed_determines_faults():
     first, second = (draw_faults(random.Random(7), FAULTS_S) for _ in range(2))
     assert first == second
