--- a/almondspindle/controllers/view/task.py
+++ b/almondspindle/controllers/view/task.py
@@ -23,36 +23,31 @@
     PeerCopiesReported,
     Publication,
     ReserveStoreCall,
-    RoutesChanged,
     SnapshotReceived,
     StoreCallFailed,
     StoreCallReleased,
     TopicRevision,
 )
-from almondspindle.controllers.view.publications import PUBLICATION_BUILDERS
-from almondspindle.controllers.view.topic_copy import TopicCopy, log_unreadable, renumber
+from almondspindle.controllers.view.publisher import ViewPublisher
+from almondspindle.controllers.view.topic_copy import TopicCopy, renumber
 from almondspindle.core.clock import Clock
 from almondspindle.core.events import (
     COPY_IGNORED,
-    RECORD_RETAINED,
     STORE_BACK,
     STORE_CALL_FAILED,
     STORE_CAUGHT_UP,
     STORE_LOST,
     STORE_PROBED,
     STORE_RESTORED,
-    VIEW_CHANGED,
 )
 from almondspindle.core.identifiers import HostName
 from almondspindle.core.inventory import (
     NO_REVISION,
-    Record,
     RecordUpdate,
     Revision,
     Snapshot,
     Topic,
     TopicUpdate,
-    UnreadableRecord,
 )
 from almondspindle.core.logs import emit
 from almondspindle.core.node import NodeCfg
@@ -96,7 +91,7 @@
     def __init__(self, cfg: NodeCfg, clock: Clock, publish: Callable[[Publication], None]) -> None:
         super().__init__(clock)
         self._cfg = cfg
-        self._publish = publish
+        self._publisher = ViewPublisher(publish)
         self._topics = {topic: TopicCopy() for topic in Topic}
         self._availability = StoreAvailability()
         self._contact_since: float | None = None  # since when no call to the store has failed
@@ -106,7 +101,6 @@
         self._era = 0  # the highest one seen
         self._restored_at: float | None = None  # None once all topics are of that era
         self._probes: ProbeState | None = None  # None while calls to the store succeed
-        self._route_table: RouteTable | None = None
 
     @singledispatchmethod
     def handle(self, msg: object, now: float) -> Any:
@@ -152,9 +146,9 @@
             else:
                 # A peer's snapshot includes its retained records, so the peer has removed this one.
                 until = self._retain_until(snapshot.topic, now) if is_from_store else None
-            self._remove_record(state, snapshot.topic, name, until, now)
+            state.remove_record(snapshot.topic, name, until, now)
         for record in records.values():
-            self._set_record(state, snapshot.topic, record)
+            state.set_record(snapshot.topic, record)
         for name, remaining_s in snapshot.retained.items():
             state.retained_until[name] = now + remaining_s
         state.final = set(snapshot.retained) if snapshot.retention_is_final else set()
@@ -162,7 +156,7 @@
         if last_change > state.last_change or is_first:
             state.last_change = max(last_change, state.last_change)
             state.changed_at = now
-            self._publish_topic(snapshot.topic, state, msg.source)
+            self._publisher.publish_topic(snapshot.topic, state, msg.source)
         if is_from_store:
             self._confirm_copies(snapshot.revision, now)
         self._note_caught_up(now)
@@ -180,15 +174,15 @@
         for change in changes.changes:
             if change.removed:
                 until = self._retain_until(changes.topic, now)
-                self._remove_record(state, changes.topic, change.record.name, until, now)
+                state.remove_record(changes.topic, change.record.name, until, now)
             else:
                 record = renumber(state, change.record, changes.revision)
-                self._set_record(state, changes.topic, record)
+                state.set_record(changes.topic, record)
         state.revision = changes.revision
         if changes.changes:
             state.last_change = changes.revision
             state.changed_at = now
-            self._publish_topic(changes.topic, state, STORE_SOURCE)
+            self._publisher.publish_topic(changes.topic, state, STORE_SOURCE)
         self._confirm_copies(changes.revision, now)
 
     @handle.register
@@ -219,7 +213,7 @@
                 state.final.discard(name)
                 state.records.pop(name, None)
             state.last_change = state.revision
-            self._publish_topic(topic, state, STORE_SOURCE)
+            self._publisher.publish_topic(topic, state, STORE_SOURCE)
 
     @handle.register
     def _(self, msg: GetRevisions, now: float) -> Mapping[Topic, TopicRevision]:
@@ -321,7 +315,7 @@
 
     @handle.register
     def _(self, msg: GetRouteTable, now: float) -> RouteTable | None:
-        return self._route_table
+        return self._publisher.route_table
 
     def _confirm_copies(self, revision: Revision, now: float) -> None:
         """Note that the store was at `revision` now: no copy of that revision lacks a change."""
@@ -364,15 +358,6 @@
         self._responded_at = now
         self._probes = None
 
-    def _set_record(self, state: TopicCopy, topic: Topic, record: Record) -> None:
-        is_unreadable = isinstance(record.value, UnreadableRecord)
-        if is_unreadable and record is not state.records.get(record.name):
-            log_unreadable(topic, record)
-        state.retained_until.pop(record.name, None)
-        state.records[record.name] = record
-        if not is_unreadable:  # it would displace versions of sound records
-            state.history.add(record)
-
     def _retain_until(self, topic: Topic, now: float) -> float | None:
         if topic is not Topic.TARGETS:
             return None
@@ -384,45 +369,6 @@
         retention_s = lost_record_retention_s(topic, self._cfg.bounds.evacuation_s)
         return now + retention_s if retention_s > 0 else None
 
-    def _remove_record(
-        self, state: TopicCopy, topic: Topic, name: str, until: float | None, now: float
-    ) -> None:
-        if name not in state.records:
-            return
-        if until is None:
-            state.retained_until.pop(name, None)
-            del state.records[name]
-        elif name not in state.retained_until:
-            state.retained_until[name] = until
-            emit(RECORD_RETAINED, topic=topic, name=name, used_for_s=round(until - now, 3))
-
-    def _publish_topic(self, topic: Topic, state: TopicCopy, source: str) -> None:
-        emit(
-            VIEW_CHANGED,
-            topic=topic,
-            revision=state.revision.number,
-            era=state.revision.era,
-            changed=state.last_change.number,
-            source=source,
-            records=len(state.records),
-        )
-        publication = self._build_publication(topic, state.records)
-        if publication is not None:
-            self._publish(publication)
-
-    def _build_publication(self, topic: Topic, records: Mapping[str, Record]) -> Publication | None:
-        if topic is Topic.ROUTES:
-            return self._update_route_table(records)
-        return PUBLICATION_BUILDERS[topic](records)
-
-    def _update_route_table(self, records: Mapping[str, Record]) -> RoutesChanged | None:
-        tables = [r.value for r in records.values() if isinstance(r.value, RouteTable)]
-        newest = max(tables, key=lambda table: table.version, default=None)
-        if newest is None or (self._route_table and newest.version <= self._route_table.version):
-            return None
-        self._route_table = newest
-        return RoutesChanged(newest)
-
 
 def _log_ignored(topic: Topic, found: Revision, held: Revision, source: str) -> None:
     emit(
--- a/almondspindle/controllers/view/topic_copy.py
+++ b/almondspindle/controllers/view/topic_copy.py
@@ -5,7 +5,7 @@
 
 from almondspindle.controllers.view.history import RecordHistory
 from almondspindle.controllers.view.messages import TopicRevision
-from almondspindle.core.events import RECORD_UNREADABLE
+from almondspindle.core.events import RECORD_RETAINED, RECORD_UNREADABLE
 from almondspindle.core.inventory import (
     NO_REVISION,
     Record,
@@ -67,6 +67,27 @@
         record = self.records.get(name)
         return record is not None and name not in self.retained_until and record.value == value
 
+    def set_record(self, topic: Topic, record: Record) -> None:
+        """Replace the record of that name in this copy of `topic`."""
+        is_unreadable = isinstance(record.value, UnreadableRecord)
+        if is_unreadable and record is not self.records.get(record.name):
+            log_unreadable(topic, record)
+        self.retained_until.pop(record.name, None)
+        self.records[record.name] = record
+        if not is_unreadable:  # it would displace versions of sound records
+            self.history.add(record)
+
+    def remove_record(self, topic: Topic, name: str, until: float | None, now: float) -> None:
+        """Remove a record from this copy of `topic`, or retain it until the time `until`."""
+        if name not in self.records:
+            return
+        if until is None:
+            self.retained_until.pop(name, None)
+            del self.records[name]
+        elif name not in self.retained_until:
+            self.retained_until[name] = until
+            emit(RECORD_RETAINED, topic=topic, name=name, used_for_s=round(until - now, 3))
+
     def remaining_retention(self, now: float) -> dict[str, float]:
         """Return for how many seconds each retained record is still used."""
         return {name: max(0.0, until - now) for name, until in self.retained_until.items()}
