Soak: one departure of a replica at a time, and a host joins beside no kill

Change: a host joins while no other host is killed or stopped, and a replica leaves in one way at a time.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -221,6 +221,10 @@
         self._states[name] = state
         await self._write_entry(name)
 
+    def is_out(self, name: str) -> bool:
+        """Return whether the entry of a replica says that it leaves, or is removed."""
+        return name in self._out
+
     async def renew_entries(self) -> None:
         """Write the entries of all replicas again and again, until cancelled."""
         while True:
@@ -287,7 +291,7 @@
 
         Its entry says that it leaves, or is removed if `removes` is set.
         """
-        if name in self._out:
+        if name in self._out or self.now() < self.replicas[name][1].leaves_at:
             return
         if removes:
             await self.store.remove("servers", name)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -137,7 +137,7 @@
     """Let a replica say in its responses that it leaves, while its record says ready."""
     name, now = context.replica(fault), context.environment.now()
     _, replica, _ = context.environment.replicas[name]
-    if now < replica.leaves_at:
+    if now < replica.leaves_at or now < replica.cold_until or context.environment.is_out(name):
         return
     duration_s = DRAIN_S + fault.duration_s
     replica.leaves_at = now + duration_s
@@ -269,7 +269,7 @@
         "replica one way down",
     }
 )
-EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop", "service pauses"})
+EXCLUSIVE = frozenset({"kill", "kill all", "pause", "stop", "service pauses", "host joins"})
 
 
 def draw_faults(rng: random.Random, duration_s: float) -> list[Fault]:
--- a/soak/timed_rules.py
+++ b/soak/timed_rules.py
@@ -12,6 +12,8 @@
 DRAIN_S = 2.0  # after which a host sends nothing to a replica that leaves
 EVACUATION_S = 5.0
 COLD_RATE_MULTIPLE, COLD_SLACK = 1.5, 5
+# Of these rules only acknowledgements count that the store gave while it was stable.
+ACKNOWLEDGED_WHILE_STABLE = frozenset({"DRAIN"})
 REFUSED_AS_UNKNOWN = frozenset({401, 403, 404})
 HTTP_OK = 200
 
@@ -80,6 +82,9 @@
         spans = [span for name, span in self.hosts if name == host] + self.store
         return not any(span.overlaps(begin - STABLE_WINDOW_S, end) for span in spans)
 
+    def _was_stable(self, at: float) -> bool:
+        return not any(span.overlaps(at - STABLE_WINDOW_S, at) for span in self.store)
+
     def _is_held_up(self, replica: str, begin: float, end: float) -> bool:
         spans = [span for name, span in self.replicas if name == replica]
         return any(span.overlaps(begin - STABLE_WINDOW_S, end) for span in spans)
@@ -111,7 +116,10 @@
     def _check(
         self, told: Exclusion, arrivals: list[Arrival], checked: Counter[str]
     ) -> Iterable[str]:
-        begin, end = told.span.begin + told.bound_s, told.span.end
+        acked_at, end = told.span.begin, told.span.end
+        begin = acked_at + told.bound_s
+        if told.rule in ACKNOWLEDGED_WHILE_STABLE and not self._was_stable(acked_at):
+            return
         for each in arrivals:
             if not self.is_in_touch(each.host, each.sent_at, each.arrived_at):
                 continue
