--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from soak.environment import TIMEOUT_MS, stream_body
+from soak.environment import TIMEOUT_MS
 from soak.history import ReceivedResponse, RunHistory, SentRequest
 from soak.hosts import SoakHost
+from soak.replicas import stream_body
 from soak.timed_rules import Probe
 from tests.standins.node_fleet import encode_request, read_response
 
