Tests: a drill while a third of the hosts are refused, and the calls that a drill costs

Six hosts in four zones; a copy 5 s old with two hosts turned away by the store before and after it: all changes are in force within their bounds on all hosts. No change of the product.

--- a/tests/programs/test_store_drills.py
+++ b/tests/programs/test_store_drills.py
@@ -8,10 +8,12 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from pathlib import Path
 
 import pytest
 
 from soak.hosts import SoakHost
+from soak.proxy import ProxyMode
 from tests.standins.node_fleet import API_KEY, manifest, wait_until
 from tests.standins.process_fleet import HTTP_OK, ROUTE, ProcessFleet, running_fleet
 
@@ -78,6 +80,16 @@
     await fleet.store.come_back()
 
 
+async def lose_nothing(fleet: ProcessFleet) -> None:
+    """Write what `restore` writes, with an outage of the same length and without loss."""
+    await fleet.store.put("evacuations", "c", {})
+    for version in range(2, 8):
+        await fleet.store.put("config", "main", table(version, OLD_PATH, API_KEY, WITHDRAWN_KEY))
+        await asyncio.sleep(LOST_S / 6)
+    await fleet.store.remove("evacuations", "c")
+    await return_without_loss(fleet)
+
+
 async def restore_twice(fleet: ProcessFleet) -> None:
     await restore(fleet, lost_s=1.0, away_s=0.3)
     await restore(fleet, lost_s=1.0, away_s=0.3)
@@ -99,12 +111,22 @@
     await fleet.wait_serving(fleet.hosts)
 
 
+async def restore_while_hosts_are_refused(fleet: ProcessFleet) -> None:
+    """The store refuses a third of the hosts from before the drill on; their peers reach it."""
+    for host in (fleet.hosts[1], fleet.hosts[3]):
+        host.store_proxy.mode = ProxyMode.REFUSE
+        host.store_proxy.reset_all()
+    await asyncio.sleep(SETTLE_S)
+    await restore(fleet, lost_s=5.0)
+
+
 DRILLS = [
     restore,
     return_without_loss,
     restore_twice,
     restore_and_kill_all,
     restore_and_kill_most,
+    restore_while_hosts_are_refused,
 ]
 
 
@@ -176,3 +198,25 @@
             await wait_until(lambda: late.name in hosts, timeout_s=RELISTED_S)
 
     asyncio.run(check())
+
+
+def test_a_drill_costs_at_most_twice_the_calls_of_an_outage(tmp_path):
+    """Guards against reads of all topics again and again while the era rises."""
+
+    async def count_calls(drill, logs: Path) -> int:
+        async with running_fleet(ZONES, logs) as fleet:
+            await asyncio.sleep(SETTLE_S)
+            fleet.store.calls.clear()
+            await drill(fleet)
+            await asyncio.sleep(SETTLE_S)
+            return len(fleet.store.calls)
+
+    async def check() -> None:
+        # Both have the same writes before the store goes away.
+        outage = await count_calls(lose_nothing, outage_logs)
+        assert await count_calls(restore, drill_logs) <= 2 * outage
+
+    outage_logs, drill_logs = tmp_path / "outage", tmp_path / "drill"
+    outage_logs.mkdir()
+    drill_logs.mkdir()
+    asyncio.run(check())
