--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -150,13 +150,13 @@
     async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            fields = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:])}
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
             return
-        lines = head.decode().split("\r\n")
         method, target, _ = lines[0].split(" ")
-        fields = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:])}
-        body = await reader.readexactly(int(fields.get("content-length", 0)))
         self.calls.append(f"{method} {target}")
         if self.is_unresponsive:
             await reader.read()
