Exchange: an update with an era that can not be right in any field is malformed

Cause: only the era of the copy was checked, not those of its last change, of the revision from which on changes are known, and of earlier records. A host that took an odd one over reported it, and its peers then rejected all its reports as malformed. Change: all eras of an update are checked when it is decoded. Found by reading the change; not seen.

--- a/almondspindle/adapters/exchange/topics.py
+++ b/almondspindle/adapters/exchange/topics.py
@@ -177,7 +177,8 @@
             wire = msgspec.msgpack.decode(_decompress(body), type=_WireUpdate)
             patched = [_patch(own, name, patch) for name, patch in wire.patches.items()]
             unchanged = [own[name] for name in wire.unchanged]
-            check_era(wire.era)
+            for era in (wire.era, wire.changed[0], wire.known[0], *wire.earlier_eras.values()):
+                check_era(era)
         except (zlib.error, ValueError, KeyError, RecursionError) as exc:
             text = f"malformed update of topic {base.topic}: {exc!r}"
             return Error(StoreError(StoreErrorCode.MALFORMED, text))
--- a/tests/adapters/test_topic_transfer.py
+++ b/tests/adapters/test_topic_transfer.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -11,6 +12,7 @@
 from almondspindle.adapters.exchange.internal_server import InternalHttpServer
 from almondspindle.adapters.exchange.patches import apply_patch, make_patch
 from almondspindle.adapters.exchange.topics import TOPIC_PATH, TopicClient, TopicServer
+from almondspindle.adapters.platform.base import StoreErrorCode
 from almondspindle.controllers.exchange.messages import ReportReceived
 from almondspindle.controllers.exchange.runners import Puller
 from almondspindle.controllers.exchange.task import ExchangeController
@@ -24,6 +26,7 @@
 from almondspindle.core.reports import HostReport
 from almondspindle.decisions.bulk_transfers import bulk_limit_bytes
 from almondspindle.decisions.peer_pull import LAST_RESORT_TIMEOUT_S, RESPONSE_TIMEOUT_S
+from almondspindle.decisions.store_eras import MAX_ERA
 from almondspindle.platform.objects import decode_record
 from tests.standins.node_fleet import wait_until
 from tests.standins.ports import LOOPBACK, free_port
@@ -73,9 +76,11 @@
     return view.handle(GetSnapshot(Topic.ROUTES), 1.0)
 
 
-def serve_topics(view: ViewController) -> tuple[InternalHttpServer, str]:
+def serve_topics(view: ViewController, **changes: object) -> tuple[InternalHttpServer, str]:
+    """Serve the topics of `view` with some fields of updates replaced."""
+
     async def get_update(topic: Topic, since: CopyVersion) -> TopicUpdate:
-        return view.handle(GetTopicUpdate(topic, since), 1.0)
+        return replace(view.handle(GetTopicUpdate(topic, since), 1.0), **changes)
 
     responders = {TOPIC_PATH: TopicServer(get_update).respond}
     server = InternalHttpServer(responders, bulk_limit_bytes(LINK_MBPS))
@@ -137,6 +142,18 @@
     asyncio.run(check())
 
 
+@pytest.mark.parametrize("field", ["revision", "last_change", "known_from"])
+def test_an_update_with_an_era_that_no_store_can_be_in_is_malformed(field):
+    async def check() -> None:
+        server, address = serve_topics(make_view(7), **{field: at(8, MAX_ERA + 1)})
+        base = Snapshot(Topic.ROUTES, at(0), ())
+        result = await TopicClient(decode_record).fetch(address, base, RESPONSE_TIMEOUT_S)
+        assert result.error.code is StoreErrorCode.MALFORMED
+        server.close()
+
+    asyncio.run(check())
+
+
 def test_a_large_manifest_does_not_delay_other_topics():
     class StalledRoutes:
         def __init__(self) -> None:
