--- a/almondspindle/controllers/view/publications.py
+++ b/almondspindle/controllers/view/publications.py
@@ -1,4 +1,4 @@
-"""Build the messages that the view publishes from the a topic's records.
+"""Build the messages that the view publishes from a topic's records.
 
 The route table isn't among them: it is published only when its version grows.
 """
